--- /dev/null
+++ b/drill/src/terms.rs
@@ -0,0 +1,103 @@
+//! Reads the settings that an instance is started with.
+
+use milletpath::host::{Charter, Effect, Group, Profile};
+use serde::Deserialize;
+use serde_json::Value;
+
+/// The value at a path of the settings; none where it is absent or of another type.
+fn at<'v, T: Deserialize<'v>>(settings: &'v Value, path: &str) -> Option<T> {
+    settings.pointer(path).and_then(|v| T::deserialize(v).ok())
+}
+
+/// A required figure, not negative.
+fn figure(settings: &Value, path: &str) -> Result<f64, String> {
+    at::<f64>(settings, path)
+        .filter(|x| x.is_finite() && *x >= 0.0)
+        .ok_or_else(|| format!("the setting {} is missing or senseless", path[1..].replace('/', ".")))
+}
+
+/// A required figure above zero.
+fn positive(settings: &Value, path: &str) -> Result<f64, String> {
+    figure(settings, path).ok().filter(|x| *x > 0.0).map_or_else(
+        || Err(format!("the setting {} is missing or senseless", path[1..].replace('/', "."))),
+        Ok,
+    )
+}
+
+/// A required time, in seconds.
+fn seconds(settings: &Value, path: &str) -> Result<f64, String> {
+    figure(settings, path).map(|x| x / 1e6)
+}
+
+fn profile(class: &Value, n: usize) -> Result<Profile, String> {
+    let named = |e: String| e.replacen("the setting ", &format!("the setting Classes[{n}]."), 1);
+    let group = match at::<&str>(class, "/KeyScope") {
+        Some("zone") => Some(Group::Zone),
+        Some("cell") => Some(Group::Cell),
+        Some("all") => Some(Group::All),
+        _ => None,
+    };
+    let effect = match (at::<&str>(class, "/Effect"), group) {
+        (Some("free"), _) => Effect::Pure,
+        (Some("single_shot"), _) => Effect::Effectful,
+        (Some("guarded"), Some(group)) => {
+            Effect::Receipted { group, memory: seconds(class, "/DedupWindow").map_err(named)? }
+        }
+        (Some("guarded"), None) => return Err(named("the setting KeyScope is missing or senseless".into())),
+        _ => return Err(named("the setting Effect is missing or senseless".into())),
+    };
+    Ok(Profile {
+        due: seconds(class, "/Objective").map_err(named)?,
+        effect,
+        importance: at(class, "/Gain").unwrap_or(1.0),
+        late_importance: at(class, "/LateWorth").unwrap_or(0.0),
+    })
+}
+
+/// The charter that the settings spell out, or the name of what is wrong with them.
+pub fn charter(text: &[u8], seed: u64) -> Result<Charter, String> {
+    let s: Value = serde_json::from_slice(text).map_err(|e| format!("the settings are no JSON: {e}"))?;
+    let classes: Vec<Value> = at(&s, "/Classes").ok_or("the setting Classes is missing or senseless")?;
+    let profiles = classes.iter().enumerate().map(|(n, c)| profile(c, n)).collect::<Result<Vec<_>, _>>()?;
+    let flag = |path| at::<bool>(&s, path).unwrap_or(false);
+    let time = |path| at::<f64>(&s, path).filter(|x| x.is_finite() && *x > 0.0).map(|x| x / 1e6);
+    let tenants: Vec<Value> = at(&s, "/Tenants").unwrap_or_default();
+    let ration = time("/FamilyInfo/LoadPeriod").map(|window| {
+        let free = at(&s, "/FamilyInfo/FreeLoads").unwrap_or(0.0);
+        (window, free, at(&s, "/FamilyInfo/LoadShare").unwrap_or(0.0))
+    });
+    let asks = at::<&str>(&s, "/RegistryMode") == Some("subscribe");
+    Ok(Charter {
+        seed,
+        routers: positive(&s, "/Balancers")? as usize,
+        profiles,
+        quotas: tenants.iter().map(|t| at(t, "/QuotaPerS").unwrap_or(f64::INFINITY)).collect(),
+        over_share: at(&s, "/OverShareWorth").unwrap_or(1.0),
+        shots: positive(&s, "/Limits/MaxAttempts")? as usize,
+        second_copies: flag("/Limits/MayDuplicate"),
+        cancels: flag("/Limits/Cancelling"),
+        probes: flag("/Limits/Probing"),
+        orders: flag("/FamilyInfo/PlacementCalls"),
+        misses: at::<&str>(&s, "/FamilyInfo/MissMode") == Some("miss"),
+        asks: asks.then(|| time("/Rules/AskWithin").unwrap_or(0.0)),
+        come_back: time("/Limits/MaxRetryAfter").filter(|_| flag("/Limits/RetryAfter")),
+        keep: time("/FamilyInfo/KeepAlive").unwrap_or(0.0),
+        ration,
+        order_wait: time("/FamilyInfo/LoadWait").unwrap_or(f64::INFINITY),
+        grace: seconds(&s, "/Rules/DrainGrace")?,
+        cold_share: figure(&s, "/Rules/StartCapacity")?,
+        warm_up: seconds(&s, "/Rules/WarmUp")?,
+        tip_multiple: figure(&s, "/Rules/TipMultiple")?,
+        tip_window: seconds(&s, "/Rules/OverloadFor")?,
+        reports_on_probe: at::<&str>(&s, "/Telemetry/Via") == Some("on_probe"),
+        idle_price: at(&s, "/FamilyInfo/PriceOfIdle").unwrap_or(0.0),
+        memory: at(&s, "/FamilyInfo/MemoryMbByKind").unwrap_or_default(),
+        tick: seconds(&s, "/Tick")?,
+    })
+}
+
+/// The names of the values in a load report, in their order.
+pub fn report_names(text: &[u8]) -> Vec<String> {
+    let settings: Value = serde_json::from_slice(text).unwrap_or_default();
+    at(&settings, "/Telemetry/Names").unwrap_or_default()
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,220 @@
+//! The interface between the decisions and whatever carries them out: the calls a router makes on its host,
+//! and the plain words in which both sides speak. Times are seconds; workers, functions and activations are
+//! small indices that the host hands out.
+
+/// What a router asks of its surroundings. Nothing here answers at once; results come back as router calls.
+pub trait Host {
+    /// Starts one more shot of the activation; it is abandoned at `until`.
+    fn send(&mut self, activation: usize, worker: usize, until: f64);
+    /// Stops waiting for a shot that was sent before.
+    fn cancel(&mut self, activation: usize, shot: usize);
+    /// Final answer: not taken, trying again does no harm. `come_back` advises how long to stay away.
+    fn bounce(&mut self, activation: usize, come_back: Option<f64>);
+    /// Final answer: failed, with no promise about effects.
+    fn terminate(&mut self, activation: usize);
+    /// Orders that at least `copies` instances of the function be held on the worker; 0 only asks.
+    fn hold(&mut self, worker: usize, function: usize, copies: u8);
+    /// Unloads the idle instances of the function on the worker.
+    fn unload(&mut self, worker: usize, function: usize);
+    /// Asks a worker how it is.
+    fn probe(&mut self, worker: usize);
+    /// Asks for a [`woken`](crate::policy::Router::woken) call after so many seconds.
+    fn wake(&mut self, after: f64);
+    /// Asks the registry to pass on changes of the worker list from now on.
+    fn follow(&mut self);
+    /// The router will not name this activation again; its index may be given to another.
+    fn forget(&mut self, activation: usize);
+    /// The router knows no more of this function; its index may be given to another.
+    fn forget_function(&mut self, function: usize);
+}
+
+/// How harmful it is to run an activation twice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    /// It may run again.
+    Pure,
+    /// Workers of one group drop repeats for `memory` seconds.
+    Receipted { group: Group, memory: f64 },
+    /// It must never run twice.
+    Effectful,
+}
+
+/// The workers among which the repeat of a receipted activation is known.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+/// A kind of activation.
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    /// Seconds within which an answer has its full importance.
+    pub due: f64,
+    pub effect: Effect,
+    pub importance: f64,
+    /// The part of the importance that an answer after the due time still has.
+    pub late_importance: f64,
+}
+
+/// What an installation states when a router starts.
+#[derive(Clone, Debug)]
+pub struct Charter {
+    pub seed: u64,
+    /// Routers that share the workers, this one included.
+    pub routers: usize,
+    pub profiles: Vec<Profile>,
+    /// Activations a second, over all routers, within the share of each client group.
+    pub quotas: Vec<f64>,
+    /// The importance of an activation beyond its client group's share.
+    pub over_share: f64,
+    /// Shots an activation may have.
+    pub shots: usize,
+    pub second_copies: bool,
+    pub cancels: bool,
+    pub probes: bool,
+    /// Orders to hold and unload are possible.
+    pub orders: bool,
+    /// A worker without the function answers a miss rather than load it unasked.
+    pub misses: bool,
+    /// Changes of the worker list must be asked for, again within this many seconds.
+    pub asks: Option<f64>,
+    /// The longest advice to stay away that clients heed; none where they are told nothing.
+    pub come_back: Option<f64>,
+    /// Seconds an idle instance remains at least.
+    pub keep: f64,
+    /// The ration of orders to load: window, free orders, orders for each activation taken.
+    pub ration: Option<(f64, f64, f64)>,
+    /// Seconds after which an order to hold counts as unanswered.
+    pub order_wait: f64,
+    /// Seconds within which sends to a draining or gone worker must cease.
+    pub grace: f64,
+    /// A worker starts at this part of its capacity or above ...
+    pub cold_share: f64,
+    /// ... and is warm after this many seconds.
+    pub warm_up: f64,
+    /// Sent more than this multiple of its present capacity ...
+    pub tip_multiple: f64,
+    /// ... for this long, it falls over.
+    pub tip_window: f64,
+    /// Worker reports come only with the answers to probes.
+    pub reports_on_probe: bool,
+    /// What idle and loading instances cost, were they to fill all memory.
+    pub idle_price: f64,
+    /// Memory of each kind of worker, in MB; empty where it is not stated.
+    pub memory: Vec<f64>,
+    /// The least time between two turns of the router.
+    pub tick: f64,
+}
+
+/// One activation as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub function: usize,
+    /// What the function is called everywhere: its place on the ring.
+    pub name: u64,
+    pub profile: usize,
+    pub client: usize,
+    /// Seconds until the client gives up.
+    pub patience: f64,
+    /// A client's marked repeat.
+    pub repeat: bool,
+    /// Activations that one instance runs at a time.
+    pub lanes: f64,
+    /// Memory of one instance, in MB.
+    pub memory: f64,
+    /// The usual seconds of a load, where told.
+    pub load: Option<f64>,
+}
+
+/// What a list says of a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the worker list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub worker: usize,
+    /// What the worker is called everywhere: its place on the ring.
+    pub name: u64,
+    /// When it last started; none means long ago.
+    pub started: Option<f64>,
+    pub size: f64,
+    pub kind: usize,
+    pub zone: usize,
+    pub cell: usize,
+    pub state: State,
+}
+
+/// How a shot ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Handled,
+    /// The worker reported an error; it may have run.
+    Failed,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run, or may still.
+    Overdue,
+    /// No connection.
+    Unreached,
+    /// The connection broke; it may have run.
+    Cut,
+    /// Called off; it may have run.
+    Withdrawn,
+    /// Never sent.
+    Unsent,
+    /// The function is not loaded there, or its load failed.
+    Missed,
+}
+
+impl Outcome {
+    /// Whether this proves that nothing ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Full | Self::Unreached | Self::Unsent | Self::Missed)
+    }
+}
+
+/// What an answer tells of the instance it met.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Found {
+    Loaded,
+    BeganLoad,
+    AwaitedLoad,
+    LoadFailed,
+}
+
+/// A worker's report on itself; what it does not say is none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    /// Activations it holds.
+    pub held: Option<f64>,
+    /// Activations that wait there.
+    pub waiting: Option<f64>,
+    /// How busy its cores are, 0 to 1.
+    pub busy: Option<f64>,
+    /// Share of its memory that cannot be freed.
+    pub memory: Option<f64>,
+    /// Loads under way or waiting.
+    pub loading: Option<f64>,
+}
+
+/// What came back of a shot.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    pub shot: usize,
+    pub outcome: Outcome,
+    /// The client has its final answer.
+    pub settled: bool,
+    /// Seconds since the shot was sent.
+    pub latency: f64,
+    pub found: Option<Found>,
+    /// Activations of the same function that the worker held when this one came, where told.
+    pub company: f64,
+    pub report: Option<Report>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! Min-worker-set routing decisions for functions that workers load on demand.
+//!
+//! [`policy::Router`] makes every decision; [`host`] is the interface it is reached through.
+
+pub mod host;
+pub mod policy;
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,806 @@
+//! Every decision of a router. A host (see `host.rs`, the interface) calls the router as things happen:
+//! `listed` and `list_complete` for the worker list, `arrived`, `answered`, `started`, `left` for activations,
+//! `held` for orders, `probed` for probes and `woken` for time. The router acts through the `Host` passed in.
+//!
+//! An activation passes the stages `admit`, `place` and `shoot`; each passes it on, keeps it (in `kept`) or ends
+//! it. What comes back runs the other way: `shoot` books it on the worker, `place` on the function, `admit` ends
+//! it or sends it round again. `may_shoot` and `order` are the only doors for shots and orders to load.
+
+use crate::host::{
+    Answer, Arrival, Charter, Effect, Found, Group, Host, Listing, Outcome, Profile, Report, State,
+};
+use oorandom::Rand64;
+use std::collections::VecDeque;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A figure that fades: each addition loses half its weight in `half` seconds.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    sum: f64,
+    at: f64,
+}
+
+impl Fading {
+    fn now(&self, now: f64, half: f64) -> f64 {
+        self.sum * (-(now - self.at).max(0.0) / half).exp2()
+    }
+
+    fn add(&mut self, now: f64, half: f64, x: f64) {
+        self.sum = self.now(now, half) + x;
+        self.at = now;
+    }
+
+    /// Events a second when 1 is added at each; `age` corrects for a count that is still young.
+    fn rate(&self, now: f64, half: f64, age: f64) -> f64 {
+        let full = half / std::f64::consts::LN_2;
+        self.now(now, half) / (full * (1.0 - (-age.max(0.5) / full).exp()))
+    }
+}
+
+/// Figures about workers, in parallel arrays under the host's index.
+#[derive(Default)]
+struct Fleet {
+    name: Vec<u64>,
+    state: Vec<State>,
+    started: Vec<f64>,
+    size: Vec<f64>,
+    zone: Vec<usize>,
+    cell: Vec<usize>,
+    /// Own shots out.
+    out: Vec<usize>,
+    /// When it last answered anything.
+    heard: Vec<f64>,
+    /// Reported load that is not our own, smoothed; none until it reports.
+    foreign: Vec<Option<f64>>,
+    /// Distrust, 0 to 1, as of the time beside it.
+    doubt: Vec<f64>,
+    doubt_at: Vec<f64>,
+    /// Answers handled, fading.
+    handled: Vec<Fading>,
+    /// Shots sent since it started cold.
+    cold_shots: Vec<VecDeque<f64>>,
+}
+
+struct Function {
+    name: u64,
+    lanes: f64,
+    arrivals: Fading,
+    since: f64,
+    latency: f64,
+    /// Workers in the set, and since when the set could be smaller.
+    set: usize,
+    roomy_since: f64,
+    /// Workers in the order in which the walk from the home meets them, for the ring of that edition.
+    walk: Vec<usize>,
+    edition: u64,
+    /// Workers believed to hold an instance, and until when.
+    warm: Vec<(usize, f64)>,
+}
+
+#[derive(Clone)]
+struct Shot {
+    worker: usize,
+    sent: f64,
+    out: bool,
+    /// Known never to have run.
+    never_ran: bool,
+    warm: bool,
+}
+
+struct Activation {
+    function: usize,
+    profile: usize,
+    client: usize,
+    taken: f64,
+    until: f64,
+    /// The final answer is owed.
+    open: bool,
+    streaming: bool,
+    over_share: bool,
+    shots: Vec<Shot>,
+}
+
+/// What a stage does with an activation.
+#[derive(PartialEq)]
+enum Stage<T> {
+    Pass(T),
+    Keep,
+    End,
+}
+
+pub struct Router {
+    chance: Rand64,
+    routers: f64,
+    profiles: Vec<Profile>,
+    quotas: Vec<f64>,
+    shots: usize,
+    second_copies: bool,
+    cancels: bool,
+    orders: bool,
+    misses: bool,
+    asks: bool,
+    come_back: Option<f64>,
+    keep: f64,
+    ration: Option<(f64, f64, f64)>,
+    cold_share: f64,
+    warm_up: f64,
+    tip_multiple: f64,
+    tip_window: f64,
+    margin: f64,
+    fleet: Fleet,
+    ring: Vec<(u64, usize)>,
+    edition: u64,
+    functions: Vec<Option<Function>>,
+    activations: Vec<Option<Activation>>,
+    live: Vec<usize>,
+    kept: VecDeque<usize>,
+    clients: Vec<Fading>,
+    taken: VecDeque<f64>,
+    ordered: VecDeque<f64>,
+    handled: Fading,
+    /// The highest rate of handled answers seen lately, and when.
+    peak: f64,
+    latency: f64,
+    born: f64,
+    awake: bool,
+    ask_again: f64,
+}
+
+/// Half life of the counts behind rates: long enough for a few arrivals of a middling function, short enough
+/// for a function that turns hot to show within a second or two.
+const RATE_HALF: f64 = 3.0;
+
+impl Router {
+    pub fn new(charter: Charter, now: f64, host: &mut dyn Host) -> Self {
+        let asks = charter.asks.is_some();
+        if asks {
+            host.follow();
+        }
+        Self {
+            chance: Rand64::new(u128::from(charter.seed)),
+            routers: charter.routers.max(1) as f64,
+            clients: vec![Fading::default(); charter.quotas.len()],
+            // A router's part of what its client groups may use.
+            quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
+            profiles: charter.profiles,
+            shots: charter.shots.max(1),
+            second_copies: charter.second_copies,
+            cancels: charter.cancels,
+            orders: charter.orders,
+            misses: charter.misses,
+            asks,
+            come_back: charter.come_back,
+            keep: charter.keep,
+            ration: charter.ration,
+            cold_share: charter.cold_share.clamp(0.0, 1.0),
+            warm_up: charter.warm_up,
+            tip_multiple: charter.tip_multiple,
+            tip_window: charter.tip_window,
+            // An activation ends this long before its client gives up, so that no turn of the clock is missed.
+            margin: 2.0 * charter.tick.max(0.001),
+            fleet: Fleet::default(),
+            ring: Vec::new(),
+            edition: 0,
+            functions: Vec::new(),
+            activations: Vec::new(),
+            live: Vec::new(),
+            kept: VecDeque::new(),
+            taken: VecDeque::new(),
+            ordered: VecDeque::new(),
+            handled: Fading::default(),
+            peak: 0.0,
+            latency: 0.3,
+            born: now,
+            awake: false,
+            ask_again: f64::INFINITY,
+        }
+    }
+
+    // ---- the list of workers ----
+
+    /// One line of the list. A line that repeats a known worker changes it.
+    pub fn listed(&mut self, _now: f64, line: Listing) {
+        let f = &mut self.fleet;
+        let w = line.worker;
+        if w >= f.name.len() {
+            let n = w + 1;
+            f.name.resize(n, 0);
+            f.state.resize(n, State::Gone);
+            f.started.resize(n, f64::NEG_INFINITY);
+            f.size.resize(n, 1.0);
+            f.zone.resize(n, 0);
+            f.cell.resize(n, 0);
+            f.out.resize(n, 0);
+            f.heard.resize(n, f64::NEG_INFINITY);
+            f.foreign.resize(n, None);
+            f.doubt.resize(n, 0.0);
+            f.doubt_at.resize(n, 0.0);
+            f.handled.resize(n, Fading::default());
+            f.cold_shots.resize(n, VecDeque::new());
+        }
+        let started = line.started.unwrap_or(f64::NEG_INFINITY);
+        if started > f.started[w] {
+            // A new process: empty, cold, and not to be blamed for the old one.
+            f.started[w] = started;
+            f.doubt[w] = 0.0;
+            f.foreign[w] = None;
+            for function in self.functions.iter_mut().flatten() {
+                function.warm.retain(|&(at, _)| at != w);
+            }
+        }
+        f.name[w] = line.name;
+        f.state[w] = line.state;
+        f.size[w] = if line.size.is_finite() && line.size > 0.0 { line.size } else { 1.0 };
+        f.zone[w] = line.zone;
+        f.cell[w] = line.cell;
+    }
+
+    /// A complete list begins: who is not on it is gone.
+    pub fn list_renewed(&mut self) {
+        self.fleet.state.fill(State::Gone);
+    }
+
+    /// The lines of one list have all been given.
+    pub fn list_complete(&mut self, now: f64, host: &mut dyn Host) {
+        /// Points of a worker on the ring: evens out the shares of few workers and hands a lost worker's
+        /// functions to several successors instead of one.
+        const POINTS: u64 = 32;
+        let f = &self.fleet;
+        self.ring.clear();
+        for w in (0..f.name.len()).filter(|&w| f.state[w] == State::Ready) {
+            let point = |p| (xxh3_64_with_seed(&f.name[w].to_le_bytes(), p), w);
+            self.ring.extend((0..POINTS).map(point));
+        }
+        self.ring.sort_unstable_by_key(|&(at, w)| (at, f.name[w]));
+        self.edition += 1;
+        self.release(now, host);
+    }
+
+    /// The registry did not answer, or dropped the subscription.
+    pub fn list_failed(&mut self, now: f64, host: &mut dyn Host) {
+        if self.asks {
+            self.ask_again = now + 0.5 + self.chance.rand_float();
+            self.stay_awake(host);
+        }
+    }
+
+    // ---- activations ----
+
+    pub fn arrived(&mut self, now: f64, id: usize, a: Arrival, host: &mut dyn Host) {
+        if id >= self.activations.len() {
+            self.activations.resize_with(id + 1, || None);
+        }
+        if a.function >= self.functions.len() {
+            self.functions.resize_with(a.function + 1, || None);
+        }
+        if self.ration.is_some() {
+            self.taken.push_back(now);
+        }
+        let function = self.functions[a.function].get_or_insert_with(|| Function {
+            name: a.name,
+            lanes: 1.0,
+            arrivals: Fading::default(),
+            since: now,
+            latency: 0.0,
+            set: 1,
+            roomy_since: now,
+            walk: Vec::new(),
+            edition: 0,
+            warm: Vec::new(),
+        });
+        function.lanes = if a.lanes >= 1.0 { a.lanes } else { 1.0 };
+        let mut over_share = false;
+        // A client's repeat is no new demand: counted, it would stretch sets onto cold workers.
+        if !a.repeat {
+            function.arrivals.add(now, RATE_HALF, 1.0);
+            if let Some(client) = self.clients.get_mut(a.client) {
+                client.add(now, RATE_HALF, 1.0);
+                over_share = client.rate(now, RATE_HALF, now - self.born) > self.quotas[a.client];
+            }
+        }
+        self.activations[id] = Some(Activation {
+            function: a.function,
+            profile: a.profile.min(self.profiles.len().saturating_sub(1)),
+            client: a.client,
+            taken: now,
+            until: now + a.patience,
+            open: true,
+            streaming: false,
+            over_share,
+            shots: Vec::new(),
+        });
+        self.live.push(id);
+        self.stay_awake(host);
+        self.run(now, id, host);
+    }
+
+    /// Takes an activation through the chain from its first stage.
+    fn run(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+        let verdict = match self.admit(now, id) {
+            Stage::Pass(()) => self.place(now, id),
+            Stage::Keep => Stage::Keep,
+            Stage::End => Stage::End,
+        };
+        match verdict {
+            Stage::Pass(worker) => self.shoot(now, id, worker, host),
+            Stage::Keep => {
+                if !self.kept.contains(&id) {
+                    self.kept.push_back(id);
+                }
+            }
+            Stage::End => self.give_up(now, id, host),
+        }
+    }
+
+    /// Own shots that may be out at once: measured rate times the time an answer may take.
+    fn bound(&self) -> f64 {
+        /// Part of the due time that may pass at the workers.
+        const TIME: f64 = 0.7;
+        /// Shots always allowed, while no rate is known yet.
+        const FLOOR: f64 = 16.0;
+        let due = self.profiles.iter().map(|p| p.due).fold(f64::INFINITY, f64::min);
+        (self.peak * TIME * due).max(FLOOR)
+    }
+
+    /// First stage: what is beyond the fleet waits, those beyond their share first; what cannot be in time ends.
+    fn admit(&mut self, now: f64, id: usize) -> Stage<()> {
+        let Some(a) = &self.activations[id] else { return Stage::End };
+        let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
+        let out: usize = self.fleet.out.iter().sum();
+        let bound = self.bound() * if a.over_share { 0.6 } else { 1.0 };
+        if (out as f64) < bound && !self.ring.is_empty() {
+            return Stage::Pass(());
+        }
+        // Bounced while a client's retry can still be in time.
+        if now - a.taken > (due - 0.7 * due).min(a.until - a.taken) && a.shots.is_empty() {
+            return Stage::End;
+        }
+        Stage::Keep
+    }
+
+    /// Second stage: the least loaded of the function's set.
+    fn place(&mut self, now: f64, id: usize) -> Stage<usize> {
+        let Some(a) = &self.activations[id] else { return Stage::End };
+        let key = a.function;
+        self.walk(key);
+        let usage = self.usage(now, key);
+        let Some(function) = &self.functions[key] else { return Stage::End };
+        let (lanes, latency) = (function.lanes, function.latency.max(self.latency));
+        let count = self.ring.len().max(1);
+        let ready = function.walk.len();
+        let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
+        let sizes: f64 = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / ready.max(1) as f64;
+        let mean = crowds.iter().sum::<f64>() / ready.max(1) as f64;
+        let (mut room, mut members, mut needed) = (0.0, 0, 0);
+        let (mut best, mut spill): (Option<(f64, usize)>, Option<(f64, usize)>) = (None, None);
+        for (n, &w) in function.walk.iter().enumerate() {
+            if n >= count || !self.may_shoot(now, id, w) {
+                continue;
+            }
+            // Traffic follows trust: a doubted worker is passed over with the chance of its doubt.
+            let doubt = self.doubt(now, w);
+            if doubt > 0.0 && self.chance.rand_float() < doubt {
+                continue;
+            }
+            let size = self.fleet.size[w] / sizes.max(1e-9);
+            let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
+            if room < usage || members < function.set {
+                if room < usage {
+                    needed += 1;
+                }
+                room += lanes * size;
+                members += 1;
+                if best.is_none_or(|(l, _)| load < l) {
+                    best = Some((load, w));
+                }
+            } else if spill.is_none_or(|(l, _)| load < l) {
+                // Beyond the set the first worker under the bound serves.
+                spill = Some((load, w));
+                if load <= SPREAD * mean + SLACK {
+                    break;
+                }
+            }
+        }
+        /// A worker may hold this multiple of the mean load, and this much more, before the walk goes on past
+        /// the set: without it homes of several hot functions drown beside idle workers.
+        const SPREAD: f64 = 1.25;
+        const SLACK: f64 = 1.5;
+        let _ = latency;
+        let function = self.functions[key].as_mut().expect("known above");
+        let needed = needed.max(1);
+        if needed >= function.set {
+            function.set = needed;
+            function.roomy_since = now;
+        } else if now - function.roomy_since >= 30.0 {
+            // The paper's least interval between reductions.
+            function.set = needed;
+            function.roomy_since = now;
+        }
+        match (best, spill) {
+            (Some((load, _)), Some((other, w))) if load > SPREAD * mean + SLACK && other < load => {
+                Stage::Pass(w)
+            }
+            (Some((_, w)), _) | (None, Some((_, w))) => Stage::Pass(w),
+            (None, None) => {
+                if self.activations[id].as_ref().is_some_and(|a| a.shots.iter().any(|s| s.out)) {
+                    Stage::Keep
+                } else if self.activations[id].as_ref().is_some_and(|a| a.shots.len() >= self.shots) {
+                    Stage::End
+                } else {
+                    Stage::Keep
+                }
+            }
+        }
+    }
+
+    /// Rate over all routers times mean latency: the instances' lanes that the function keeps busy.
+    fn usage(&self, now: f64, key: usize) -> f64 {
+        let Some(f) = &self.functions[key] else { return 0.0 };
+        let latency = if f.latency > 0.0 { f.latency } else { self.latency };
+        f.arrivals.rate(now, RATE_HALF, now - f.since) * self.routers * latency
+    }
+
+    /// Brings a function's walk up to the present ring.
+    fn walk(&mut self, key: usize) {
+        let Some(f) = self.functions[key].as_mut() else { return };
+        if f.edition == self.edition {
+            return;
+        }
+        f.edition = self.edition;
+        f.walk.clear();
+        let home = xxh3_64_with_seed(&f.name.to_le_bytes(), 0);
+        let from = self.ring.partition_point(|&(at, _)| at < home);
+        for &(_, w) in self.ring[from..].iter().chain(&self.ring[..from]) {
+            if !f.walk.contains(&w) {
+                f.walk.push(w);
+            }
+        }
+    }
+
+    /// Activations a worker is taken to hold: our own and what its reports say of others'.
+    fn crowd(&self, w: usize) -> f64 {
+        let heard = self.fleet.foreign.iter().flatten();
+        let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), x| (n + 1.0, sum + x));
+        let average = if n > 0.0 { sum / n } else { 0.0 };
+        self.fleet.out[w] as f64 + self.fleet.foreign[w].unwrap_or(average)
+    }
+
+    /// Distrust of a worker now: it fades with time.
+    fn doubt(&self, now: f64, w: usize) -> f64 {
+        /// Long enough that a trial shot each few seconds finds out whether a trouble lasts.
+        const HALF: f64 = 4.0;
+        let f = &self.fleet;
+        let doubt = f.doubt[w] * (-(now - f.doubt_at[w]).max(0.0) / HALF).exp2();
+        // A single failure in a healthy stream means nothing.
+        if doubt < 0.25 { 0.0 } else { doubt }
+    }
+
+    fn judge(&mut self, now: f64, w: usize, fault: f64, weight: f64) {
+        let doubt = self.fleet.doubt[w] * (-(now - self.fleet.doubt_at[w]).max(0.0) / 4.0).exp2();
+        self.fleet.doubt[w] = doubt + weight * (fault - doubt);
+        self.fleet.doubt_at[w] = now;
+    }
+
+    /// The rules that every shot keeps: list state, time, number, repeats, and the budget of a cold worker.
+    fn may_shoot(&self, now: f64, id: usize, w: usize) -> bool {
+        let Some(a) = &self.activations[id] else { return false };
+        let Some(profile) = self.profiles.get(a.profile) else { return false };
+        let f = &self.fleet;
+        if !a.open
+            || a.streaming
+            || f.state[w] != State::Ready
+            || a.shots.len() >= self.shots
+            || now >= a.until
+        {
+            return false;
+        }
+        if !self.second_copies && a.shots.iter().any(|s| s.out) {
+            return false;
+        }
+        let mut ran = a.shots.iter().filter(|s| !s.never_ran);
+        let repeatable = match profile.effect {
+            Effect::Pure => true,
+            Effect::Effectful => ran.next().is_none(),
+            Effect::Receipted { group, memory } => ran.all(|s| {
+                now - s.sent < memory
+                    && match group {
+                        Group::All => true,
+                        Group::Zone => f.zone[s.worker] == f.zone[w],
+                        Group::Cell => f.cell[s.worker] == f.cell[w],
+                    }
+            }),
+        };
+        // A worker that failed this activation is not asked again.
+        repeatable && !a.shots.iter().any(|s| s.worker == w) && self.cold_room(now, w)
+    }
+
+    /// Whether a worker that started lately can take one more shot of ours without being pushed over.
+    fn cold_room(&self, now: f64, w: usize) -> bool {
+        let f = &self.fleet;
+        let age = now - f.started[w];
+        if age >= self.warm_up + self.tip_window {
+            return true;
+        }
+        /// Part of the stated limit that is used: work differs from its mean and counts lag.
+        const CAUTION: f64 = 0.6;
+        // What warm workers take, per size: at least that is known to be within their capacity.
+        let (mut rate, mut size) = (0.0, 0.0);
+        for v in 0..f.name.len() {
+            if f.state[v] == State::Ready && now - f.started[v] >= self.warm_up && self.doubt(now, v) == 0.0 {
+                rate += f.handled[v].rate(now, RATE_HALF, now - self.born);
+                size += f.size[v];
+            }
+        }
+        let full = if size > 0.0 { rate / size * f.size[w] * self.routers } else { 0.0 };
+        let grown = if self.warm_up > 0.0 { (age / self.warm_up).clamp(0.0, 1.0) } else { 1.0 };
+        let capacity = full * (self.cold_share + (1.0 - self.cold_share) * grown);
+        let budget = CAUTION * self.tip_multiple * capacity * self.tip_window / self.routers;
+        let recent = f.cold_shots[w].iter().rev().take_while(|&&t| now - t < self.tip_window).count() as f64;
+        if budget >= 1.0 {
+            recent + 1.0 <= budget
+        } else {
+            // Less than one shot a window: one in as many windows as it takes.
+            let last = f.cold_shots[w].back().copied().unwrap_or(f.started[w].max(self.born));
+            budget > 0.0 && now - last >= self.tip_window / budget
+        }
+    }
+
+    /// Last stage: the one place where shots are sent.
+    fn shoot(&mut self, now: f64, id: usize, w: usize, host: &mut dyn Host) {
+        if !self.may_shoot(now, id, w) {
+            return;
+        }
+        let Some(a) = self.activations[id].as_mut() else { return };
+        let warm = self.functions[a.function]
+            .as_ref()
+            .is_some_and(|f| f.warm.iter().any(|&(v, t)| v == w && t > now));
+        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
+        self.fleet.out[w] += 1;
+        if now - self.fleet.started[w] < self.warm_up + self.tip_window {
+            let log = &mut self.fleet.cold_shots[w];
+            log.push_back(now);
+            while log.front().is_some_and(|&t| now - t > self.tip_window) && log.len() > 1 {
+                log.pop_front();
+            }
+        }
+        host.send(id, w, a.until);
+    }
+
+    /// What came back of a shot: up the chain.
+    pub fn answered(&mut self, now: f64, id: usize, answer: Answer, host: &mut dyn Host) {
+        let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
+        let Some(shot) = a.shots.get_mut(answer.shot) else { return };
+        if !shot.out {
+            return;
+        }
+        shot.out = false;
+        shot.never_ran = answer.outcome.never_ran();
+        let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
+        if answer.settled {
+            a.open = false;
+        }
+        // Back through `shoot`: the worker's figures.
+        self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
+        self.reported(now, w, answer.report);
+        match answer.outcome {
+            Outcome::Handled => {
+                self.judge(now, w, 0.0, 0.2);
+                self.fleet.heard[w] = now;
+                self.fleet.handled[w].add(now, RATE_HALF, 1.0);
+                self.handled.add(now, RATE_HALF, 1.0);
+                let rate = self.handled.rate(now, RATE_HALF, now - self.born);
+                // The peak gives way slowly, so that a lull does not shut the door on what follows.
+                self.peak = rate.max(self.peak * (1.0 - 0.0002));
+            }
+            Outcome::Failed | Outcome::Cut => self.judge(now, w, 1.0, 0.3),
+            Outcome::Overdue => {
+                if self.fleet.heard[w] < sent {
+                    self.judge(now, w, 1.0, 0.5);
+                }
+            }
+            Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
+            Outcome::Full => self.fleet.heard[w] = now,
+            Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
+        }
+        // Back through `place`: the function's figures.
+        if let Some(f) = self.functions[key].as_mut() {
+            f.warm.retain(|&(v, t)| t > now && v != w);
+            if answer.outcome == Outcome::Handled {
+                f.warm.push((w, now + self.keep));
+                let cold = matches!(answer.found, Some(Found::BeganLoad | Found::AwaitedLoad))
+                    || answer.found.is_none() && !warm;
+                if !cold {
+                    /// Weight of one answer in a mean.
+                    const WEIGHT: f64 = 0.1;
+                    self.latency += 0.02 * (answer.latency - self.latency);
+                    let mean = if f.latency > 0.0 { f.latency } else { self.latency };
+                    f.latency = mean + WEIGHT * (answer.latency.min(3.0 * mean) - mean);
+                }
+            }
+        }
+        // Back through `admit`: ended, or another shot.
+        self.finish(now, id, host);
+        if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
+            self.run(now, id, host);
+        }
+        self.release(now, host);
+    }
+
+    /// A streamed answer has begun: it belongs to the client now.
+    pub fn started(&mut self, now: f64, id: usize, shot: usize, host: &mut dyn Host) {
+        if let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) {
+            a.streaming = true;
+            a.open = false;
+            if self.cancels {
+                for other in (0..a.shots.len()).filter(|&s| s != shot && a.shots[s].out) {
+                    host.cancel(id, other);
+                }
+            }
+        }
+        self.finish(now, id, host);
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn left(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+        if let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) {
+            a.open = false;
+        }
+        self.finish(now, id, host);
+    }
+
+    /// Lets go of an activation that has its answer, calling off what is still out.
+    fn finish(&mut self, _now: f64, id: usize, host: &mut dyn Host) {
+        let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
+        if a.open {
+            return;
+        }
+        let mut out = 0;
+        for (n, shot) in a.shots.iter().enumerate().filter(|(_, s)| s.out) {
+            out += 1;
+            if self.cancels && !a.streaming && shot.sent >= 0.0 {
+                host.cancel(id, n);
+            }
+        }
+        if out == 0 {
+            self.activations[id] = None;
+            self.live.retain(|&other| other != id);
+            self.kept.retain(|&other| other != id);
+            host.forget(id);
+        }
+    }
+
+    /// The final answer of an activation that cannot be handled: a bounce where that is harmless.
+    fn give_up(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+        let Some(a) = self.activations[id].as_mut() else { return };
+        if !a.open {
+            return;
+        }
+        a.open = false;
+        let none_ran = a.shots.iter().all(|s| s.never_ran);
+        let harmless = none_ran
+            || self.profiles.get(a.profile).is_some_and(|p| match p.effect {
+                Effect::Pure => true,
+                Effect::Receipted { group, .. } => group == Group::All,
+                Effect::Effectful => false,
+            });
+        if harmless {
+            host.bounce(id, None);
+        } else {
+            host.terminate(id);
+        }
+        self.finish(now, id, host);
+    }
+
+    /// Tries what is kept again.
+    fn release(&mut self, now: f64, host: &mut dyn Host) {
+        for _ in 0..self.kept.len() {
+            let Some(id) = self.kept.pop_front() else { break };
+            if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
+                self.run(now, id, host);
+            }
+        }
+    }
+
+    // ---- orders, probes, time ----
+
+    /// An order to hold was answered.
+    pub fn held(
+        &mut self,
+        now: f64,
+        worker: usize,
+        function: usize,
+        outcome: Outcome,
+        copies: u8,
+        host: &mut dyn Host,
+    ) {
+        if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
+            f.warm.retain(|&(v, t)| t > now && v != worker);
+            if copies > 0 {
+                f.warm.push((worker, now + self.keep));
+            }
+        }
+        let _ = outcome;
+        self.release(now, host);
+    }
+
+    /// A probe came back.
+    pub fn probed(&mut self, now: f64, worker: usize, _outcome: Outcome, report: Option<Report>) {
+        self.reported(now, worker, report);
+    }
+
+    fn reported(&mut self, _now: f64, w: usize, report: Option<Report>) {
+        let Some(report) = report else { return };
+        let own = self.fleet.out[w] as f64;
+        let foreign = match (report.held, report.waiting) {
+            (Some(held), _) => (held - own).max(0.0),
+            (None, Some(waiting)) => waiting * (self.routers - 1.0) / self.routers,
+            _ => return,
+        };
+        let old = self.fleet.foreign[w].unwrap_or(foreign);
+        self.fleet.foreign[w] = Some(old + 0.5 * (foreign - old));
+    }
+
+    fn stay_awake(&mut self, host: &mut dyn Host) {
+        if !self.awake {
+            self.awake = true;
+            host.wake(self.pulse());
+        }
+    }
+
+    /// Seconds between two looks at what is open.
+    fn pulse(&self) -> f64 {
+        self.margin.max(0.01) / 2.0
+    }
+
+    /// Time has passed.
+    pub fn woken(&mut self, now: f64, host: &mut dyn Host) {
+        self.awake = false;
+        if now >= self.ask_again {
+            self.ask_again = f64::INFINITY;
+            host.follow();
+        }
+        for id in self.live.clone() {
+            if self.activations[id].as_ref().is_some_and(|a| a.open && now >= a.until - self.margin) {
+                self.give_up(now, id, host);
+            }
+        }
+        self.look_for_silence(now, host);
+        self.release(now, host);
+        if !self.live.is_empty() || self.ask_again.is_finite() {
+            self.stay_awake(host);
+        }
+    }
+
+    /// Workers that answer nothing while others do lose trust, and what they hold gets a second copy.
+    fn look_for_silence(&mut self, now: f64, host: &mut dyn Host) {
+        let mut oldest = vec![f64::INFINITY; self.fleet.name.len()];
+        for a in self.live.iter().filter_map(|&id| self.activations[id].as_ref()) {
+            for s in a.shots.iter().filter(|s| s.out) {
+                oldest[s.worker] = oldest[s.worker].min(s.sent);
+            }
+        }
+        /// Silence of this many mean latencies is more than chance or one load explains.
+        const PATIENCE: f64 = 4.0;
+        let patience = (PATIENCE * self.latency).max(0.8);
+        let mut silent = vec![false; oldest.len()];
+        for (w, &sent) in oldest.iter().enumerate() {
+            if self.fleet.out[w] >= 2 && now - sent.max(self.fleet.heard[w]) > patience {
+                silent[w] = true;
+                self.judge(now, w, 1.0, 0.9);
+            }
+        }
+        for id in self.live.clone() {
+            let Some(a) = &self.activations[id] else { continue };
+            let mut out = a.shots.iter().filter(|s| s.out);
+            if a.open
+                && self.second_copies
+                && let (Some(shot), None) = (out.next(), out.next())
+                && silent[shot.worker]
+                && now - shot.sent > 1.5 * self.latency
+                && let Stage::Pass(w) = self.place(now, id)
+            {
+                self.shoot(now, id, w, host);
+            }
+        }
+    }
+}
