Members without an instance are ordered one first; in-flight bound counts warm shots only

Cause: answers that waited for loads filled the bound, and set members were loaded on the request's path.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,6 +75,8 @@
     edition: u64,
     /// Workers believed to hold an instance, and until when.
     warm: Vec<(usize, f64)>,
+    /// Workers ordered to load one, and until when an answer may come.
+    ordered: Vec<(usize, f64)>,
 }
 
 #[derive(Clone)]
@@ -122,6 +124,7 @@
     come_back: Option<f64>,
     keep: f64,
     ration: Option<(f64, f64, f64)>,
+    order_wait: f64,
     cold_share: f64,
     warm_up: f64,
     tip_multiple: f64,
@@ -139,7 +142,7 @@
     ordered: VecDeque<f64>,
     handled: Fading,
     /// The highest rate of handled answers seen lately, and when.
-    peak: f64,
+    peak: Fading,
     latency: f64,
     born: f64,
     awake: bool,
@@ -150,6 +153,9 @@
 /// for a function that turns hot to show within a second or two.
 const RATE_HALF: f64 = 3.0;
 
+/// The highest rate gives way this slowly, so that a lull does not shut the door on what follows.
+const PEAK_HALF: f64 = 30.0;
+
 impl Router {
     pub fn new(charter: Charter, now: f64, host: &mut dyn Host) -> Self {
         let asks = charter.asks.is_some();
@@ -172,6 +178,7 @@
             come_back: charter.come_back,
             keep: charter.keep,
             ration: charter.ration,
+            order_wait: charter.order_wait,
             cold_share: charter.cold_share.clamp(0.0, 1.0),
             warm_up: charter.warm_up,
             tip_multiple: charter.tip_multiple,
@@ -188,7 +195,7 @@
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
             handled: Fading::default(),
-            peak: 0.0,
+            peak: Fading::default(),
             latency: 0.3,
             born: now,
             awake: false,
@@ -287,6 +294,7 @@
             walk: Vec::new(),
             edition: 0,
             warm: Vec::new(),
+            ordered: Vec::new(),
         });
         function.lanes = if a.lanes >= 1.0 { a.lanes } else { 1.0 };
         let mut over_share = false;
@@ -317,7 +325,7 @@
     /// Takes an activation through the chain from its first stage.
     fn run(&mut self, now: f64, id: usize, host: &mut dyn Host) {
         let verdict = match self.admit(now, id) {
-            Stage::Pass(()) => self.place(now, id),
+            Stage::Pass(()) => self.place(now, id, host),
             Stage::Keep => Stage::Keep,
             Stage::End => Stage::End,
         };
@@ -332,23 +340,26 @@
         }
     }
 
-    /// Own shots that may be out at once: measured rate times the time an answer may take.
-    fn bound(&self) -> f64 {
+    /// Own shots that may be at work at once: measured rate times the time an answer may take.
+    fn bound(&self, now: f64) -> f64 {
         /// Part of the due time that may pass at the workers.
-        const TIME: f64 = 0.7;
-        /// Shots always allowed, while no rate is known yet.
-        const FLOOR: f64 = 16.0;
+        const TIME: f64 = 0.8;
+        /// Shots a worker can always have, while no rate is known yet.
+        const FLOOR: f64 = 2.0;
         let due = self.profiles.iter().map(|p| p.due).fold(f64::INFINITY, f64::min);
-        (self.peak * TIME * due).max(FLOOR)
+        let ready = self.fleet.state.iter().filter(|&&s| s == State::Ready).count() as f64;
+        (self.peak.now(now, PEAK_HALF) * TIME * due).max(FLOOR * ready / self.routers)
     }
 
     /// First stage: what is beyond the fleet waits, those beyond their share first; what cannot be in time ends.
     fn admit(&mut self, now: f64, id: usize) -> Stage<()> {
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
-        let out: usize = self.fleet.out.iter().sum();
-        let bound = self.bound() * if a.over_share { 0.6 } else { 1.0 };
-        if (out as f64) < bound && !self.ring.is_empty() {
+        // Shots that wait for a load keep no core busy.
+        let live = self.live.iter().filter_map(|&id| self.activations[id].as_ref());
+        let out = live.flat_map(|a| &a.shots).filter(|s| s.out && s.warm).count() as f64;
+        let bound = self.bound(now) * if a.over_share { 0.6 } else { 1.0 };
+        if out < bound && !self.ring.is_empty() {
             return Stage::Pass(());
         }
         // Bounced while a client's retry can still be in time.
@@ -359,78 +370,108 @@
     }
 
     /// Second stage: the least loaded of the function's set.
-    fn place(&mut self, now: f64, id: usize) -> Stage<usize> {
+    ///
+    /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
+    /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
+    fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+        /// A worker may hold so many times the mean load that an answer takes this part of the due time. Without
+        /// a bound the homes of several hot functions drown beside idle workers.
+        const SPREAD: f64 = 0.5;
+        /// And this many more, for a mean near zero.
+        const SLACK: f64 = 1.5;
         let Some(a) = &self.activations[id] else { return Stage::End };
-        let key = a.function;
+        let (key, profile) = (a.function, a.profile);
         self.walk(key);
         let usage = self.usage(now, key);
         let Some(function) = &self.functions[key] else { return Stage::End };
-        let (lanes, latency) = (function.lanes, function.latency.max(self.latency));
-        let count = self.ring.len().max(1);
-        let ready = function.walk.len();
+        let due = self.profiles.get(profile).map_or(1.0, |p| p.due);
+        let n = function.walk.len().max(1) as f64;
         let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
-        let sizes: f64 = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / ready.max(1) as f64;
-        let mean = crowds.iter().sum::<f64>() / ready.max(1) as f64;
+        let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
+        let spread = (SPREAD * due / self.latency.max(1e-3)).max(1.25);
+        let bound = crowds.iter().sum::<f64>() / n * spread + SLACK;
         let (mut room, mut members, mut needed) = (0.0, 0, 0);
-        let (mut best, mut spill): (Option<(f64, usize)>, Option<(f64, usize)>) = (None, None);
+        // The least loaded member, the least loaded one with an instance, and the same past the set.
+        let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
-            if n >= count || !self.may_shoot(now, id, w) {
+            if !self.may_shoot(now, id, w) {
                 continue;
             }
-            // Traffic follows trust: a doubted worker is passed over with the chance of its doubt.
-            let doubt = self.doubt(now, w);
-            if doubt > 0.0 && self.chance.rand_float() < doubt {
+            // Traffic follows trust: a doubted worker is passed over the more often the more it is doubted.
+            let trust = 1.0 - self.doubt(now, w);
+            if trust < 1.0 && self.chance.rand_float() > trust.powi(3) {
                 continue;
             }
-            let size = self.fleet.size[w] / sizes.max(1e-9);
+            let size = self.fleet.size[w] / mean_size;
             let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
-            if room < usage || members < function.set {
-                if room < usage {
-                    needed += 1;
-                }
-                room += lanes * size;
-                members += 1;
-                if best.is_none_or(|(l, _)| load < l) {
-                    best = Some((load, w));
-                }
-            } else if spill.is_none_or(|(l, _)| load < l) {
-                // Beyond the set the first worker under the bound serves.
-                spill = Some((load, w));
-                if load <= SPREAD * mean + SLACK {
-                    break;
+            let member = room < usage || members < function.set;
+            needed += usize::from(room < usage);
+            members += usize::from(member);
+            room += function.lanes * size;
+            let warm = function.warm.iter().any(|&(v, until)| v == w && until > now);
+            if !member && load > bound {
+                continue;
+            }
+            for slot in [if member { 0 } else { 2 }, if member { 1 } else { 3 }]
+                .into_iter()
+                .take(1 + usize::from(warm))
+            {
+                // In the set the least loaded, past it the first on the walk.
+                if best[slot].is_none_or(|(least, _)| member && load < least) {
+                    best[slot] = Some((load, w));
                 }
             }
         }
-        /// A worker may hold this multiple of the mean load, and this much more, before the walk goes on past
-        /// the set: without it homes of several hot functions drown beside idle workers.
-        const SPREAD: f64 = 1.25;
-        const SLACK: f64 = 1.5;
-        let _ = latency;
+        let [any, warm, past, warm_past] = best;
+        let under = |x: Option<(f64, usize)>| x.filter(|&(load, _)| load <= bound);
+        let pick = if self.orders {
+            under(warm).or(warm_past).or(under(any)).or(past).or(any)
+        } else {
+            under(any).or(warm_past).or(past).or(any)
+        };
         let function = self.functions[key].as_mut().expect("known above");
-        let needed = needed.max(1);
-        if needed >= function.set {
-            function.set = needed;
-            function.roomy_since = now;
-        } else if now - function.roomy_since >= 30.0 {
-            // The paper's least interval between reductions.
-            function.set = needed;
+        // The paper's least interval between reductions.
+        if needed >= function.set || now - function.roomy_since >= 30.0 {
+            function.set = needed.max(1);
             function.roomy_since = now;
         }
-        match (best, spill) {
-            (Some((load, _)), Some((other, w))) if load > SPREAD * mean + SLACK && other < load => {
-                Stage::Pass(w)
-            }
-            (Some((_, w)), _) | (None, Some((_, w))) => Stage::Pass(w),
-            (None, None) => {
-                if self.activations[id].as_ref().is_some_and(|a| a.shots.iter().any(|s| s.out)) {
-                    Stage::Keep
-                } else if self.activations[id].as_ref().is_some_and(|a| a.shots.len() >= self.shots) {
-                    Stage::End
-                } else {
-                    Stage::Keep
+        let Some((_, worker)) = pick else {
+            let Some(a) = &self.activations[id] else { return Stage::End };
+            let spent = a.shots.len() >= self.shots && !a.shots.iter().any(|s| s.out);
+            return if spent { Stage::End } else { Stage::Keep };
+        };
+        if let Some((_, member)) = any.filter(|&(_, w)| w != worker) {
+            self.order(now, member, key, 1, host);
+        }
+        Stage::Pass(worker)
+    }
+
+    /// The one place where orders to load are given: within the ration, to ready workers only, one at a time.
+    fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, host: &mut dyn Host) -> bool {
+        let Some(f) = self.functions[key].as_mut() else { return false };
+        f.ordered.retain(|&(_, until)| until > now);
+        f.warm.retain(|&(_, until)| until > now);
+        let at_hand = f.warm.iter().chain(&f.ordered).any(|&(v, _)| v == w);
+        if !self.orders || at_hand || self.fleet.state[w] != State::Ready {
+            return false;
+        }
+        if let Some((window, free, share)) = self.ration {
+            let within = |log: &mut VecDeque<f64>| {
+                while log.front().is_some_and(|&t| now - t > window) {
+                    log.pop_front();
                 }
+                log.len() as f64
+            };
+            // The window's edge counts for orders and not for activations, so that rounding can't break the rule.
+            let (ordered, taken) = (within(&mut self.ordered), within(&mut self.taken));
+            if ordered + 1.0 > free + share * taken {
+                return false;
             }
+            self.ordered.push_back(now);
         }
+        f.ordered.push((w, now + self.order_wait));
+        host.hold(w, key, copies);
+        true
     }
 
     /// Rate over all routers times mean latency: the instances' lanes that the function keeps busy.
@@ -589,8 +630,9 @@
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
                 self.handled.add(now, RATE_HALF, 1.0);
                 let rate = self.handled.rate(now, RATE_HALF, now - self.born);
-                // The peak gives way slowly, so that a lull does not shut the door on what follows.
-                self.peak = rate.max(self.peak * (1.0 - 0.0002));
+                if rate > self.peak.now(now, PEAK_HALF) {
+                    self.peak = Fading { sum: rate, at: now };
+                }
             }
             Outcome::Failed | Outcome::Cut => self.judge(now, w, 1.0, 0.3),
             Outcome::Overdue => {
@@ -606,6 +648,10 @@
         if let Some(f) = self.functions[key].as_mut() {
             f.warm.retain(|&(v, t)| t > now && v != w);
             if answer.outcome == Outcome::Handled {
+                if warm && answer.found == Some(Found::BeganLoad) {
+                    // Released anew: what stood elsewhere is void as well.
+                    f.warm.clear();
+                }
                 f.warm.push((w, now + self.keep));
                 let cold = matches!(answer.found, Some(Found::BeganLoad | Found::AwaitedLoad))
                     || answer.found.is_none() && !warm;
@@ -715,11 +761,14 @@
     ) {
         if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
             f.warm.retain(|&(v, t)| t > now && v != worker);
+            f.ordered.retain(|&(v, t)| t > now && v != worker);
             if copies > 0 {
                 f.warm.push((worker, now + self.keep));
             }
         }
-        let _ = outcome;
+        if outcome == Outcome::Unreached {
+            self.judge(now, worker, 1.0, 0.7);
+        }
         self.release(now, host);
     }
 
@@ -797,7 +846,7 @@
                 && let (Some(shot), None) = (out.next(), out.next())
                 && silent[shot.worker]
                 && now - shot.sent > 1.5 * self.latency
-                && let Stage::Pass(w) = self.place(now, id)
+                && let Stage::Pass(w) = self.place(now, id, host)
             {
                 self.shoot(now, id, w, host);
             }
