Share buckets, copies ordered where lanes are short, a bound that acts on slow answers

The fleet-wide bound is wrong in both forms tried: from a peak rate it throttles bursts, gated on slow answers it opens too far and workers turn away as full.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,6 +50,8 @@
     out: Vec<usize>,
     /// When it last answered anything.
     heard: Vec<f64>,
+    /// When it last turned a shot away.
+    full: Vec<f64>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
     /// Distrust, 0 to 1, as of the time beside it.
@@ -61,6 +63,18 @@
     cold_shots: Vec<VecDeque<f64>>,
 }
 
+/// What a router believes of one function on one worker.
+struct Stand {
+    worker: usize,
+    /// Instances that stand there, until when unless used again.
+    copies: f64,
+    until: f64,
+    /// Until when an order to load may still be answered.
+    ordered: f64,
+    /// Own shots there.
+    out: f64,
+}
+
 struct Function {
     name: u64,
     lanes: f64,
@@ -73,10 +87,7 @@
     /// Workers in the order in which the walk from the home meets them, for the ring of that edition.
     walk: Vec<usize>,
     edition: u64,
-    /// Workers believed to hold an instance, and until when.
-    warm: Vec<(usize, f64)>,
-    /// Workers ordered to load one, and until when an answer may come.
-    ordered: Vec<(usize, f64)>,
+    stands: Vec<Stand>,
 }
 
 #[derive(Clone)]
@@ -89,10 +100,25 @@
     warm: bool,
 }
 
+impl Function {
+    fn stand(&mut self, worker: usize) -> &mut Stand {
+        let at = self.stands.iter().position(|s| s.worker == worker).unwrap_or_else(|| {
+            self.stands.push(Stand { worker, copies: 0.0, until: 0.0, ordered: 0.0, out: 0.0 });
+            self.stands.len() - 1
+        });
+        &mut self.stands[at]
+    }
+
+    /// Instances believed to stand on a worker, and own shots there.
+    fn standing(&self, now: f64, worker: usize) -> (f64, f64) {
+        let stand = self.stands.iter().find(|s| s.worker == worker);
+        stand.map_or((0.0, 0.0), |s| (if s.until > now { s.copies } else { 0.0 }, s.out))
+    }
+}
+
 struct Activation {
     function: usize,
     profile: usize,
-    client: usize,
     taken: f64,
     until: f64,
     /// The final answer is owed.
@@ -137,13 +163,19 @@
     activations: Vec<Option<Activation>>,
     live: Vec<usize>,
     kept: VecDeque<usize>,
-    clients: Vec<Fading>,
+    /// What each client group may still send within its share, as of when.
+    clients: Vec<(f64, f64)>,
     taken: VecDeque<f64>,
     ordered: VecDeque<f64>,
     handled: Fading,
+    /// Own shots out that met, or did not meet, a believed instance.
+    warm_out: usize,
+    cold_out: usize,
     /// The highest rate of handled answers seen lately, and when.
     peak: Fading,
     latency: f64,
+    /// The same over the last few dozen answers.
+    recent: f64,
     born: f64,
     awake: bool,
     ask_again: f64,
@@ -165,7 +197,7 @@
         Self {
             chance: Rand64::new(u128::from(charter.seed)),
             routers: charter.routers.max(1) as f64,
-            clients: vec![Fading::default(); charter.quotas.len()],
+            clients: vec![(0.0, now - 1.0); charter.quotas.len()],
             // A router's part of what its client groups may use.
             quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
             profiles: charter.profiles,
@@ -195,8 +227,11 @@
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
             handled: Fading::default(),
+            warm_out: 0,
+            cold_out: 0,
             peak: Fading::default(),
             latency: 0.3,
+            recent: 0.0,
             born: now,
             awake: false,
             ask_again: f64::INFINITY,
@@ -219,6 +254,7 @@
             f.cell.resize(n, 0);
             f.out.resize(n, 0);
             f.heard.resize(n, f64::NEG_INFINITY);
+            f.full.resize(n, f64::NEG_INFINITY);
             f.foreign.resize(n, None);
             f.doubt.resize(n, 0.0);
             f.doubt_at.resize(n, 0.0);
@@ -232,7 +268,7 @@
             f.doubt[w] = 0.0;
             f.foreign[w] = None;
             for function in self.functions.iter_mut().flatten() {
-                function.warm.retain(|&(at, _)| at != w);
+                function.stands.iter_mut().filter(|s| s.worker == w).for_each(|s| s.copies = 0.0);
             }
         }
         f.name[w] = line.name;
@@ -293,23 +329,28 @@
             roomy_since: now,
             walk: Vec::new(),
             edition: 0,
-            warm: Vec::new(),
-            ordered: Vec::new(),
+            stands: Vec::new(),
         });
         function.lanes = if a.lanes >= 1.0 { a.lanes } else { 1.0 };
         let mut over_share = false;
         // A client's repeat is no new demand: counted, it would stretch sets onto cold workers.
         if !a.repeat {
             function.arrivals.add(now, RATE_HALF, 1.0);
-            if let Some(client) = self.clients.get_mut(a.client) {
-                client.add(now, RATE_HALF, 1.0);
-                over_share = client.rate(now, RATE_HALF, now - self.born) > self.quotas[a.client];
+            /// Seconds of its share that a client group may use at once.
+            const BURST: f64 = 1.0;
+            if let Some((left, at)) = self.clients.get_mut(a.client) {
+                let quota = self.quotas[a.client];
+                *left = (*left + (now - *at) * quota).min((quota * BURST).max(1.0));
+                *at = now;
+                over_share = *left < 1.0;
+                if !over_share {
+                    *left -= 1.0;
+                }
             }
         }
         self.activations[id] = Some(Activation {
             function: a.function,
             profile: a.profile.min(self.profiles.len().saturating_sub(1)),
-            client: a.client,
             taken: now,
             until: now + a.patience,
             open: true,
@@ -342,11 +383,15 @@
 
     /// Own shots that may be at work at once: measured rate times the time an answer may take.
     fn bound(&self, now: f64) -> f64 {
-        /// Part of the due time that may pass at the workers.
-        const TIME: f64 = 0.8;
+        /// Part of the due time that may pass at the workers on average; the rest is for luck and waiting here.
+        const TIME: f64 = 0.45;
         /// Shots a worker can always have, while no rate is known yet.
         const FLOOR: f64 = 2.0;
         let due = self.profiles.iter().map(|p| p.due).fold(f64::INFINITY, f64::min);
+        // Nothing is bounded while answers are quick: the rate is then what clients ask, not what workers can do.
+        if self.recent < TIME * due {
+            return f64::INFINITY;
+        }
         let ready = self.fleet.state.iter().filter(|&&s| s == State::Ready).count() as f64;
         (self.peak.now(now, PEAK_HALF) * TIME * due).max(FLOOR * ready / self.routers)
     }
@@ -356,10 +401,8 @@
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
         // Shots that wait for a load keep no core busy.
-        let live = self.live.iter().filter_map(|&id| self.activations[id].as_ref());
-        let out = live.flat_map(|a| &a.shots).filter(|s| s.out && s.warm).count() as f64;
-        let bound = self.bound(now) * if a.over_share { 0.6 } else { 1.0 };
-        if out < bound && !self.ring.is_empty() {
+        let bound = self.bound(now) * if a.over_share { 0.5 } else { 1.0 };
+        if (self.warm_out as f64) < bound && !self.ring.is_empty() {
             return Stage::Pass(());
         }
         // Bounced while a client's retry can still be in time.
@@ -394,7 +437,8 @@
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
-            if !self.may_shoot(now, id, w) {
+            // What turned a shot away has no place for the next; asked at once again it only costs shots.
+            if !self.may_shoot(now, id, w) || now - self.fleet.full[w] < 0.5 * self.latency {
                 continue;
             }
             // Traffic follows trust: a doubted worker is passed over the more often the more it is doubted.
@@ -403,12 +447,15 @@
                 continue;
             }
             let size = self.fleet.size[w] / mean_size;
-            let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
+            let (copies, out) = function.standing(now, w);
+            // Beyond the lanes that stand there an activation waits whatever the cores do.
+            let excess = (out + 1.0 - function.lanes * copies.max(1.0)).max(0.0);
+            let load = (crowds[n] + 1.0 + excess) / size + 1e-6 * self.chance.rand_float();
             let member = room < usage || members < function.set;
             needed += usize::from(room < usage);
             members += usize::from(member);
             room += function.lanes * size;
-            let warm = function.warm.iter().any(|&(v, until)| v == w && until > now);
+            let warm = copies > 0.0;
             if !member && load > bound {
                 continue;
             }
@@ -443,15 +490,21 @@
         if let Some((_, member)) = any.filter(|&(_, w)| w != worker) {
             self.order(now, member, key, 1, host);
         }
+        // Where only an order adds an instance, one that has all lanes taken would make the rest wait in line.
+        let Some(function) = &self.functions[key] else { return Stage::End };
+        let (copies, out) = function.standing(now, worker);
+        let needed = ((out + 1.0) / function.lanes).ceil().min(16.0);
+        if copies > 0.0 && needed > copies {
+            self.order(now, worker, key, needed as u8, host);
+        }
         Stage::Pass(worker)
     }
 
     /// The one place where orders to load are given: within the ration, to ready workers only, one at a time.
     fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, host: &mut dyn Host) -> bool {
         let Some(f) = self.functions[key].as_mut() else { return false };
-        f.ordered.retain(|&(_, until)| until > now);
-        f.warm.retain(|&(_, until)| until > now);
-        let at_hand = f.warm.iter().chain(&f.ordered).any(|&(v, _)| v == w);
+        let stand = f.stand(w);
+        let at_hand = stand.ordered > now || stand.until > now && stand.copies >= f64::from(copies);
         if !self.orders || at_hand || self.fleet.state[w] != State::Ready {
             return false;
         }
@@ -469,7 +522,7 @@
             }
             self.ordered.push_back(now);
         }
-        f.ordered.push((w, now + self.order_wait));
+        stand.ordered = now + self.order_wait;
         host.hold(w, key, copies);
         true
     }
@@ -592,11 +645,13 @@
             return;
         }
         let Some(a) = self.activations[id].as_mut() else { return };
-        let warm = self.functions[a.function]
-            .as_ref()
-            .is_some_and(|f| f.warm.iter().any(|&(v, t)| v == w && t > now));
+        let Some(f) = self.functions[a.function].as_mut() else { return };
+        let (copies, out) = f.standing(now, w);
+        let warm = out < f.lanes * copies;
+        f.stand(w).out += 1.0;
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
+        *if warm { &mut self.warm_out } else { &mut self.cold_out } += 1;
         if now - self.fleet.started[w] < self.warm_up + self.tip_window {
             let log = &mut self.fleet.cold_shots[w];
             log.push_back(now);
@@ -621,6 +676,7 @@
             a.open = false;
         }
         // Back through `shoot`: the worker's figures.
+        *if warm { &mut self.warm_out } else { &mut self.cold_out } -= 1;
         self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
         self.reported(now, w, answer.report);
         match answer.outcome {
@@ -628,8 +684,8 @@
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
-                self.handled.add(now, RATE_HALF, 1.0);
-                let rate = self.handled.rate(now, RATE_HALF, now - self.born);
+                self.handled.add(now, 1.0, 1.0);
+                let rate = self.handled.rate(now, 1.0, now - self.born);
                 if rate > self.peak.now(now, PEAK_HALF) {
                     self.peak = Fading { sum: rate, at: now };
                 }
@@ -641,24 +697,32 @@
                 }
             }
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
-            Outcome::Full => self.fleet.heard[w] = now,
+            Outcome::Full => {
+                self.fleet.heard[w] = now;
+                self.fleet.full[w] = now;
+            }
             Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
         }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
-            f.warm.retain(|&(v, t)| t > now && v != w);
-            if answer.outcome == Outcome::Handled {
+            let stand = f.stand(w);
+            stand.out -= 1.0;
+            if answer.outcome == Outcome::Missed {
+                stand.copies = 0.0;
+            } else if answer.outcome == Outcome::Handled {
+                stand.copies = if stand.until > now { stand.copies } else { 0.0 }.max(1.0);
+                stand.until = now + self.keep;
                 if warm && answer.found == Some(Found::BeganLoad) {
                     // Released anew: what stood elsewhere is void as well.
-                    f.warm.clear();
+                    f.stands.iter_mut().filter(|s| s.worker != w).for_each(|s| s.copies = 0.0);
                 }
-                f.warm.push((w, now + self.keep));
                 let cold = matches!(answer.found, Some(Found::BeganLoad | Found::AwaitedLoad))
                     || answer.found.is_none() && !warm;
                 if !cold {
                     /// Weight of one answer in a mean.
                     const WEIGHT: f64 = 0.1;
                     self.latency += 0.02 * (answer.latency - self.latency);
+                    self.recent += 0.05 * (answer.latency - self.recent);
                     let mean = if f.latency > 0.0 { f.latency } else { self.latency };
                     f.latency = mean + WEIGHT * (answer.latency.min(3.0 * mean) - mean);
                 }
@@ -760,10 +824,11 @@
         host: &mut dyn Host,
     ) {
         if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
-            f.warm.retain(|&(v, t)| t > now && v != worker);
-            f.ordered.retain(|&(v, t)| t > now && v != worker);
+            let stand = f.stand(worker);
+            stand.ordered = 0.0;
             if copies > 0 {
-                f.warm.push((worker, now + self.keep));
+                stand.copies = copies.into();
+                stand.until = now + self.keep;
             }
         }
         if outcome == Outcome::Unreached {
