--- a/src/policy.rs
+++ b/src/policy.rs
@@ -50,8 +50,9 @@
     out: Vec<usize>,
     /// When it last answered anything.
     heard: Vec<f64>,
-    /// When it last turned a shot away.
+    /// When it last turned a shot away, and what it held then.
     full: Vec<f64>,
+    brim: Vec<f64>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
     /// Distrust, 0 to 1, as of the time beside it.
@@ -59,6 +60,11 @@
     doubt_at: Vec<f64>,
     /// Answers handled, fading.
     handled: Vec<Fading>,
+    /// Own shots out that met an instance, and the mean latency of such over recent answers.
+    busy: Vec<f64>,
+    latency: Vec<f64>,
+    /// The highest rate of handled answers, which gives way slowly.
+    peak: Vec<Fading>,
     /// Shots sent since it started cold.
     cold_shots: Vec<VecDeque<f64>>,
 }
@@ -97,6 +103,7 @@
     out: bool,
     /// Known never to have run.
     never_ran: bool,
+    /// Sent to an instance believed to stand there with a lane free.
     warm: bool,
 }
 
@@ -167,15 +174,7 @@
     clients: Vec<(f64, f64)>,
     taken: VecDeque<f64>,
     ordered: VecDeque<f64>,
-    handled: Fading,
-    /// Own shots out that met, or did not meet, a believed instance.
-    warm_out: usize,
-    cold_out: usize,
-    /// The highest rate of handled answers seen lately, and when.
-    peak: Fading,
     latency: f64,
-    /// The same over the last few dozen answers.
-    recent: f64,
     born: f64,
     awake: bool,
     ask_again: f64,
@@ -185,7 +184,7 @@
 /// for a function that turns hot to show within a second or two.
 const RATE_HALF: f64 = 3.0;
 
-/// The highest rate gives way this slowly, so that a lull does not shut the door on what follows.
+/// A worker's highest rate gives way this slowly, so that a lull or a slow spell does not shut the door for good.
 const PEAK_HALF: f64 = 30.0;
 
 impl Router {
@@ -226,12 +225,7 @@
             kept: VecDeque::new(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
-            handled: Fading::default(),
-            warm_out: 0,
-            cold_out: 0,
-            peak: Fading::default(),
             latency: 0.3,
-            recent: 0.0,
             born: now,
             awake: false,
             ask_again: f64::INFINITY,
@@ -254,11 +248,15 @@
             f.cell.resize(n, 0);
             f.out.resize(n, 0);
             f.heard.resize(n, f64::NEG_INFINITY);
-            f.full.resize(n, f64::NEG_INFINITY);
+            f.full.resize(n, 0.0);
+            f.brim.resize(n, f64::INFINITY);
             f.foreign.resize(n, None);
             f.doubt.resize(n, 0.0);
             f.doubt_at.resize(n, 0.0);
             f.handled.resize(n, Fading::default());
+            f.busy.resize(n, 0.0);
+            f.peak.resize(n, Fading::default());
+            f.latency.resize(n, 0.0);
             f.cold_shots.resize(n, VecDeque::new());
         }
         let started = line.started.unwrap_or(f64::NEG_INFINITY);
@@ -266,6 +264,7 @@
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
             f.doubt[w] = 0.0;
+            (f.latency[w], f.brim[w], f.peak[w]) = (0.0, f64::INFINITY, Fading::default());
             f.foreign[w] = None;
             for function in self.functions.iter_mut().flatten() {
                 function.stands.iter_mut().filter(|s| s.worker == w).for_each(|s| s.copies = 0.0);
@@ -365,12 +364,7 @@
 
     /// Takes an activation through the chain from its first stage.
     fn run(&mut self, now: f64, id: usize, host: &mut dyn Host) {
-        let verdict = match self.admit(now, id) {
-            Stage::Pass(()) => self.place(now, id, host),
-            Stage::Keep => Stage::Keep,
-            Stage::End => Stage::End,
-        };
-        match verdict {
+        match self.admit(now, id, host) {
             Stage::Pass(worker) => self.shoot(now, id, worker, host),
             Stage::Keep => {
                 if !self.kept.contains(&id) {
@@ -381,35 +375,38 @@
         }
     }
 
-    /// Own shots that may be at work at once: measured rate times the time an answer may take.
-    fn bound(&self, now: f64) -> f64 {
-        /// Part of the due time that may pass at the workers on average; the rest is for luck and waiting here.
+    /// Own shots that may be at work on a worker at once: its measured rate times the time an answer may take.
+    fn limit(&self, now: f64, w: usize, due: f64) -> f64 {
+        /// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here.
         const TIME: f64 = 0.45;
-        /// Shots a worker can always have, while no rate is known yet.
+        /// While answers are quick the rate is what clients ask, not what the worker can do: up to this much more.
+        const GROWTH: f64 = 2.0;
+        /// Shots beyond that, for a worker whose rate is not known yet.
         const FLOOR: f64 = 2.0;
-        let due = self.profiles.iter().map(|p| p.due).fold(f64::INFINITY, f64::min);
-        // Nothing is bounded while answers are quick: the rate is then what clients ask, not what workers can do.
-        if self.recent < TIME * due {
-            return f64::INFINITY;
-        }
-        let ready = self.fleet.state.iter().filter(|&&s| s == State::Ready).count() as f64;
-        (self.peak.now(now, PEAK_HALF) * TIME * due).max(FLOOR * ready / self.routers)
+        let f = &self.fleet;
+        let time = TIME * due;
+        f.peak[w].now(now, PEAK_HALF) * time * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH) + FLOOR
+    }
+
+    /// Shots that a worker takes before it turns more away, as last seen; held to be more as time passes.
+    fn brim(&self, now: f64, w: usize) -> f64 {
+        /// Long enough that trying costs few shots, short against the length of a trouble.
+        const DOUBLES: f64 = 5.0;
+        self.fleet.brim[w] * ((now - self.fleet.full[w]) / DOUBLES).exp2()
     }
 
-    /// First stage: what is beyond the fleet waits, those beyond their share first; what cannot be in time ends.
-    fn admit(&mut self, now: f64, id: usize) -> Stage<()> {
+    /// First stage: an activation for which no worker has room waits while an answer can still be in time.
+    fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+        /// Part of the due time that may pass before the first shot.
+        const WAIT: f64 = 0.3;
+        match self.place(now, id, host) {
+            Stage::Keep => {}
+            other => return other,
+        }
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
-        // Shots that wait for a load keep no core busy.
-        let bound = self.bound(now) * if a.over_share { 0.5 } else { 1.0 };
-        if (self.warm_out as f64) < bound && !self.ring.is_empty() {
-            return Stage::Pass(());
-        }
         // Bounced while a client's retry can still be in time.
-        if now - a.taken > (due - 0.7 * due).min(a.until - a.taken) && a.shots.is_empty() {
-            return Stage::End;
-        }
-        Stage::Keep
+        if now - a.taken > WAIT * due && !a.shots.iter().any(|s| s.out) { Stage::End } else { Stage::Keep }
     }
 
     /// Second stage: the least loaded of the function's set.
@@ -417,13 +414,8 @@
     /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
     /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
-        /// A worker may hold so many times the mean load that an answer takes this part of the due time. Without
-        /// a bound the homes of several hot functions drown beside idle workers.
-        const SPREAD: f64 = 0.5;
-        /// And this many more, for a mean near zero.
-        const SLACK: f64 = 1.5;
         let Some(a) = &self.activations[id] else { return Stage::End };
-        let (key, profile) = (a.function, a.profile);
+        let (key, profile, over_share) = (a.function, a.profile, a.over_share);
         self.walk(key);
         let usage = self.usage(now, key);
         let Some(function) = &self.functions[key] else { return Stage::End };
@@ -431,14 +423,12 @@
         let n = function.walk.len().max(1) as f64;
         let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
-        let spread = (SPREAD * due / self.latency.max(1e-3)).max(1.25);
-        let bound = crowds.iter().sum::<f64>() / n * spread + SLACK;
+        let due = due * if over_share { 0.5 } else { 1.0 };
         let (mut room, mut members, mut needed) = (0.0, 0, 0);
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
-            // What turned a shot away has no place for the next; asked at once again it only costs shots.
-            if !self.may_shoot(now, id, w) || now - self.fleet.full[w] < 0.5 * self.latency {
+            if !self.may_shoot(now, id, w) {
                 continue;
             }
             // Traffic follows trust: a doubted worker is passed over the more often the more it is doubted.
@@ -456,7 +446,8 @@
             members += usize::from(member);
             room += function.lanes * size;
             let warm = copies > 0.0;
-            if !member && load > bound {
+            // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
+            if self.fleet.busy[w] + 1.0 > self.limit(now, w, due) || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
             }
             for slot in [if member { 0 } else { 2 }, if member { 1 } else { 3 }]
@@ -470,12 +461,7 @@
             }
         }
         let [any, warm, past, warm_past] = best;
-        let under = |x: Option<(f64, usize)>| x.filter(|&(load, _)| load <= bound);
-        let pick = if self.orders {
-            under(warm).or(warm_past).or(under(any)).or(past).or(any)
-        } else {
-            under(any).or(warm_past).or(past).or(any)
-        };
+        let pick = if self.orders { warm.or(warm_past).or(any).or(past) } else { any.or(warm_past).or(past) };
         let function = self.functions[key].as_mut().expect("known above");
         // The paper's least interval between reductions.
         if needed >= function.set || now - function.roomy_since >= 30.0 {
@@ -651,7 +637,7 @@
         f.stand(w).out += 1.0;
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
-        *if warm { &mut self.warm_out } else { &mut self.cold_out } += 1;
+        self.fleet.busy[w] += f64::from(u8::from(warm));
         if now - self.fleet.started[w] < self.warm_up + self.tip_window {
             let log = &mut self.fleet.cold_shots[w];
             log.push_back(now);
@@ -675,8 +661,10 @@
         if answer.settled {
             a.open = false;
         }
+        /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
+        const WEIGHT: f64 = 0.1;
         // Back through `shoot`: the worker's figures.
-        *if warm { &mut self.warm_out } else { &mut self.cold_out } -= 1;
+        self.fleet.busy[w] -= f64::from(u8::from(warm));
         self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
         self.reported(now, w, answer.report);
         match answer.outcome {
@@ -684,10 +672,9 @@
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
-                self.handled.add(now, 1.0, 1.0);
-                let rate = self.handled.rate(now, 1.0, now - self.born);
-                if rate > self.peak.now(now, PEAK_HALF) {
-                    self.peak = Fading { sum: rate, at: now };
+                let rate = self.fleet.handled[w].rate(now, RATE_HALF, now - self.born);
+                if rate > self.fleet.peak[w].now(now, PEAK_HALF) {
+                    self.fleet.peak[w] = Fading { sum: rate, at: now };
                 }
             }
             Outcome::Failed | Outcome::Cut => self.judge(now, w, 1.0, 0.3),
@@ -699,6 +686,7 @@
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
             Outcome::Full => {
                 self.fleet.heard[w] = now;
+                self.fleet.brim[w] = self.crowd(w).max(1.0);
                 self.fleet.full[w] = now;
             }
             Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
@@ -719,10 +707,9 @@
                 let cold = matches!(answer.found, Some(Found::BeganLoad | Found::AwaitedLoad))
                     || answer.found.is_none() && !warm;
                 if !cold {
-                    /// Weight of one answer in a mean.
-                    const WEIGHT: f64 = 0.1;
+                    let mean = &mut self.fleet.latency[w];
+                    *mean += WEIGHT * (answer.latency - *mean);
                     self.latency += 0.02 * (answer.latency - self.latency);
-                    self.recent += 0.05 * (answer.latency - self.recent);
                     let mean = if f.latency > 0.0 { f.latency } else { self.latency };
                     f.latency = mean + WEIGHT * (answer.latency.min(3.0 * mean) - mean);
                 }
