--- a/src/policy.rs
+++ b/src/policy.rs
@@ -174,6 +174,10 @@
     clients: Vec<(f64, f64)>,
     taken: VecDeque<f64>,
     ordered: VecDeque<f64>,
+    /// Orders not answered yet.
+    loading: f64,
+    /// Ready workers.
+    ready: f64,
     latency: f64,
     born: f64,
     awake: bool,
@@ -225,6 +229,8 @@
             kept: VecDeque::new(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
+            loading: 0.0,
+            ready: 0.0,
             latency: 0.3,
             born: now,
             awake: false,
@@ -293,6 +299,7 @@
             let point = |p| (xxh3_64_with_seed(&f.name[w].to_le_bytes(), p), w);
             self.ring.extend((0..POINTS).map(point));
         }
+        self.ready = self.ring.len() as f64 / POINTS as f64;
         self.ring.sort_unstable_by_key(|&(at, w)| (at, f.name[w]));
         self.edition += 1;
         self.release(now, host);
@@ -424,7 +431,7 @@
         let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let due = due * if over_share { 0.5 } else { 1.0 };
-        let (mut room, mut members, mut needed) = (0.0, 0, 0);
+        let (mut room, mut members, mut needed, mut somewhere) = (0.0, 0, 0, false);
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
@@ -446,14 +453,13 @@
             members += usize::from(member);
             room += function.lanes * size;
             let warm = copies > 0.0;
+            somewhere |= warm;
             // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
             if self.fleet.busy[w] + 1.0 > self.limit(now, w, due) || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
             }
-            for slot in [if member { 0 } else { 2 }, if member { 1 } else { 3 }]
-                .into_iter()
-                .take(1 + usize::from(warm))
-            {
+            let slots = [if member { 0 } else { 2 }, if member { 1 } else { 3 }];
+            for slot in slots.into_iter().take(1 + usize::from(warm)) {
                 // In the set the least loaded, past it the first on the walk.
                 if best[slot].is_none_or(|(least, _)| member && load < least) {
                     best[slot] = Some((load, w));
@@ -461,7 +467,17 @@
             }
         }
         let [any, warm, past, warm_past] = best;
-        let pick = if self.orders { warm.or(warm_past).or(any).or(past) } else { any.or(warm_past).or(past) };
+        let cold = any.or(past);
+        // A load on the request's path only where no instance stands: elsewhere one is ordered, and waited for.
+        let pick = match warm.or(warm_past) {
+            None if self.orders && somewhere => None,
+            None => cold,
+            found if self.orders => found,
+            found => any.or(found),
+        };
+        if let Some((_, w)) = cold.filter(|&cold| warm.is_none() && pick != Some(cold) || any == Some(cold)) {
+            self.order(now, w, key, 1, host);
+        }
         let function = self.functions[key].as_mut().expect("known above");
         // The paper's least interval between reductions.
         if needed >= function.set || now - function.roomy_since >= 30.0 {
@@ -473,9 +489,6 @@
             let spent = a.shots.len() >= self.shots && !a.shots.iter().any(|s| s.out);
             return if spent { Stage::End } else { Stage::Keep };
         };
-        if let Some((_, member)) = any.filter(|&(_, w)| w != worker) {
-            self.order(now, member, key, 1, host);
-        }
         // Where only an order adds an instance, one that has all lanes taken would make the rest wait in line.
         let Some(function) = &self.functions[key] else { return Stage::End };
         let (copies, out) = function.standing(now, worker);
@@ -491,6 +504,11 @@
         let Some(f) = self.functions[key].as_mut() else { return false };
         let stand = f.stand(w);
         let at_hand = stand.ordered > now || stand.until > now && stand.copies >= f64::from(copies);
+        /// Loads asked for ahead that may be under way for each worker of this router's part.
+        const AHEAD: f64 = 0.25;
+        if self.loading > self.ready * AHEAD / self.routers {
+            return false;
+        }
         if !self.orders || at_hand || self.fleet.state[w] != State::Ready {
             return false;
         }
@@ -509,6 +527,7 @@
             self.ordered.push_back(now);
         }
         stand.ordered = now + self.order_wait;
+        self.loading += 1.0;
         host.hold(w, key, copies);
         true
     }
@@ -813,6 +832,7 @@
         if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
             let stand = f.stand(worker);
             stand.ordered = 0.0;
+            self.loading -= 1.0;
             if copies > 0 {
                 stand.copies = copies.into();
                 stand.until = now + self.keep;
