Activations wait for a free lane before one more instance is called for

Cause: beyond its lanes a worker loads a further instance on its own and pushes other functions out of memory.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -103,7 +103,7 @@
     out: bool,
     /// Known never to have run.
     never_ran: bool,
-    /// Sent to an instance believed to stand there with a lane free.
+    /// Sent to an instance believed to stand there.
     warm: bool,
 }
 
@@ -412,8 +412,11 @@
         }
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
-        // Bounced while a client's retry can still be in time.
-        if now - a.taken > WAIT * due && !a.shots.iter().any(|s| s.out) { Stage::End } else { Stage::Keep }
+        let loaded =
+            self.functions[a.function].as_ref().is_some_and(|f| f.stands.iter().any(|s| s.until > now));
+        // Bounced while a client's retry can still be in time; what waits for a load would wait elsewhere as well.
+        let wait = if loaded { WAIT * due } else { due - self.latency };
+        if now - a.taken > wait && !a.shots.iter().any(|s| s.out) { Stage::End } else { Stage::Keep }
     }
 
     /// Second stage: the least loaded of the function's set.
@@ -421,8 +424,10 @@
     /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
     /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+        /// Part of the due time that may pass waiting for a lane before one more instance is called for.
+        const LANE_WAIT: f64 = 0.1;
         let Some(a) = &self.activations[id] else { return Stage::End };
-        let (key, profile, over_share) = (a.function, a.profile, a.over_share);
+        let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
         self.walk(key);
         let usage = self.usage(now, key);
         let Some(function) = &self.functions[key] else { return Stage::End };
@@ -445,15 +450,18 @@
             }
             let size = self.fleet.size[w] / mean_size;
             let (copies, out) = function.standing(now, w);
-            // Beyond the lanes that stand there an activation waits whatever the cores do.
-            let excess = (out + 1.0 - function.lanes * copies.max(1.0)).max(0.0);
-            let load = (crowds[n] + 1.0 + excess) / size + 1e-6 * self.chance.rand_float();
+            let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
             let member = room < usage || members < function.set;
             needed += usize::from(room < usage);
             members += usize::from(member);
             room += function.lanes * size;
             let warm = copies > 0.0;
             somewhere |= warm;
+            // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at the cost of
+            // others' memory: for a while it is better to wait here for a lane.
+            if out >= function.lanes * copies.max(1.0) && waited < LANE_WAIT * due {
+                continue;
+            }
             // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
             if self.fleet.busy[w] + 1.0 > self.limit(now, w, due) || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
@@ -652,7 +660,7 @@
         let Some(a) = self.activations[id].as_mut() else { return };
         let Some(f) = self.functions[a.function].as_mut() else { return };
         let (copies, out) = f.standing(now, w);
-        let warm = out < f.lanes * copies;
+        let warm = copies > 0.0;
         f.stand(w).out += 1.0;
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
