--- a/src/policy.rs
+++ b/src/policy.rs
@@ -75,8 +75,8 @@
     /// Instances that stand there, until when unless used again.
     copies: f64,
     until: f64,
-    /// Until when an order to load may still be answered.
-    ordered: f64,
+    /// Until when a load that an order or a shot began may still be under way.
+    coming: f64,
     /// Own shots there.
     out: f64,
 }
@@ -110,16 +110,18 @@
 impl Function {
     fn stand(&mut self, worker: usize) -> &mut Stand {
         let at = self.stands.iter().position(|s| s.worker == worker).unwrap_or_else(|| {
-            self.stands.push(Stand { worker, copies: 0.0, until: 0.0, ordered: 0.0, out: 0.0 });
+            self.stands.push(Stand { worker, copies: 0.0, until: 0.0, coming: 0.0, out: 0.0 });
             self.stands.len() - 1
         });
         &mut self.stands[at]
     }
 
-    /// Instances believed to stand on a worker, and own shots there.
-    fn standing(&self, now: f64, worker: usize) -> (f64, f64) {
+    /// Instances believed to stand on a worker, whether one is on its way there, and own shots there.
+    fn standing(&self, now: f64, worker: usize) -> (f64, bool, f64) {
         let stand = self.stands.iter().find(|s| s.worker == worker);
-        stand.map_or((0.0, 0.0), |s| (if s.until > now { s.copies } else { 0.0 }, s.out))
+        stand.map_or((0.0, false, 0.0), |s| {
+            (if s.until > now { s.copies } else { 0.0 }, s.coming > now, s.out)
+        })
     }
 }
 
@@ -179,6 +181,8 @@
     /// Ready workers.
     ready: f64,
     latency: f64,
+    /// Mean latency of answers that waited for a load.
+    load: f64,
     born: f64,
     awake: bool,
     ask_again: f64,
@@ -232,6 +236,7 @@
             loading: 0.0,
             ready: 0.0,
             latency: 0.3,
+            load: 1.0,
             born: now,
             awake: false,
             ask_again: f64::INFINITY,
@@ -412,8 +417,9 @@
         }
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
-        let loaded =
-            self.functions[a.function].as_ref().is_some_and(|f| f.stands.iter().any(|s| s.until > now));
+        let loaded = self.functions[a.function]
+            .as_ref()
+            .is_some_and(|f| f.stands.iter().any(|s| s.copies > 0.0 && s.until > now));
         // Bounced while a client's retry can still be in time; what waits for a load would wait elsewhere as well.
         let wait = if loaded { WAIT * due } else { due - self.latency };
         if now - a.taken > wait && !a.shots.iter().any(|s| s.out) { Stage::End } else { Stage::Keep }
@@ -436,7 +442,7 @@
         let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let due = due * if over_share { 0.5 } else { 1.0 };
-        let (mut room, mut members, mut needed, mut somewhere) = (0.0, 0, 0, false);
+        let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
@@ -449,14 +455,14 @@
                 continue;
             }
             let size = self.fleet.size[w] / mean_size;
-            let (copies, out) = function.standing(now, w);
+            let (copies, coming, out) = function.standing(now, w);
             let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
             let member = room < usage || members < function.set;
             needed += usize::from(room < usage);
             members += usize::from(member);
             room += function.lanes * size;
             let warm = copies > 0.0;
-            somewhere |= warm;
+            somewhere |= warm || coming;
             // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at the cost of
             // others' memory: for a while it is better to wait here for a lane.
             if out >= function.lanes * copies.max(1.0) && waited < LANE_WAIT * due {
@@ -466,6 +472,9 @@
             if self.fleet.busy[w] + 1.0 > self.limit(now, w, due) || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
             }
+            if coming && !warm {
+                on_way = on_way.or(Some((load, w)));
+            }
             let slots = [if member { 0 } else { 2 }, if member { 1 } else { 3 }];
             for slot in slots.into_iter().take(1 + usize::from(warm)) {
                 // In the set the least loaded, past it the first on the walk.
@@ -476,9 +485,9 @@
         }
         let [any, warm, past, warm_past] = best;
         let cold = any.or(past);
-        // A load on the request's path only where no instance stands: elsewhere one is ordered, and waited for.
+        // A load on the request's path only where no instance stands or comes: elsewhere one is ordered.
         let pick = match warm.or(warm_past) {
-            None if self.orders && somewhere => None,
+            None if somewhere => on_way,
             None => cold,
             found if self.orders => found,
             found => any.or(found),
@@ -499,7 +508,7 @@
         };
         // Where only an order adds an instance, one that has all lanes taken would make the rest wait in line.
         let Some(function) = &self.functions[key] else { return Stage::End };
-        let (copies, out) = function.standing(now, worker);
+        let (copies, _, out) = function.standing(now, worker);
         let needed = ((out + 1.0) / function.lanes).ceil().min(16.0);
         if copies > 0.0 && needed > copies {
             self.order(now, worker, key, needed as u8, host);
@@ -511,7 +520,7 @@
     fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, host: &mut dyn Host) -> bool {
         let Some(f) = self.functions[key].as_mut() else { return false };
         let stand = f.stand(w);
-        let at_hand = stand.ordered > now || stand.until > now && stand.copies >= f64::from(copies);
+        let at_hand = stand.coming > now || stand.until > now && stand.copies >= f64::from(copies);
         /// Loads asked for ahead that may be under way for each worker of this router's part.
         const AHEAD: f64 = 0.25;
         if self.loading > self.ready * AHEAD / self.routers {
@@ -534,7 +543,7 @@
             }
             self.ordered.push_back(now);
         }
-        stand.ordered = now + self.order_wait;
+        stand.coming = now + self.order_wait;
         self.loading += 1.0;
         host.hold(w, key, copies);
         true
@@ -654,14 +663,19 @@
 
     /// Last stage: the one place where shots are sent.
     fn shoot(&mut self, now: f64, id: usize, w: usize, host: &mut dyn Host) {
+        /// So many times its usual time a load may take before another is begun elsewhere.
+        const SLOW: f64 = 4.0;
         if !self.may_shoot(now, id, w) {
             return;
         }
         let Some(a) = self.activations[id].as_mut() else { return };
         let Some(f) = self.functions[a.function].as_mut() else { return };
-        let (copies, out) = f.standing(now, w);
-        let warm = copies > 0.0;
-        f.stand(w).out += 1.0;
+        let warm = f.standing(now, w).0 > 0.0;
+        let stand = f.stand(w);
+        stand.out += 1.0;
+        if !warm {
+            stand.coming = stand.coming.max(now + SLOW * self.load);
+        }
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
@@ -722,17 +736,27 @@
         if let Some(f) = self.functions[key].as_mut() {
             let stand = f.stand(w);
             stand.out -= 1.0;
+            let outlasted = !warm && answer.latency > self.load;
             if answer.outcome == Outcome::Missed {
-                stand.copies = 0.0;
+                (stand.copies, stand.coming) = (0.0, 0.0);
+            } else if matches!(answer.outcome, Outcome::Withdrawn | Outcome::Overdue) && outlasted {
+                // The load goes on when nobody waits for it any more: begun again elsewhere it would never end.
+                stand.copies = stand.copies.max(1.0);
+                stand.until = now + self.keep;
+            } else if answer.outcome.never_ran() || answer.outcome == Outcome::Failed && !warm {
+                stand.coming = 0.0;
             } else if answer.outcome == Outcome::Handled {
                 stand.copies = if stand.until > now { stand.copies } else { 0.0 }.max(1.0);
-                stand.until = now + self.keep;
+                (stand.until, stand.coming) = (now + self.keep, 0.0);
                 if warm && answer.found == Some(Found::BeganLoad) {
                     // Released anew: what stood elsewhere is void as well.
                     f.stands.iter_mut().filter(|s| s.worker != w).for_each(|s| s.copies = 0.0);
                 }
                 let cold = matches!(answer.found, Some(Found::BeganLoad | Found::AwaitedLoad))
                     || answer.found.is_none() && !warm;
+                if !warm {
+                    self.load += WEIGHT * (answer.latency - self.load);
+                }
                 if !cold {
                     let mean = &mut self.fleet.latency[w];
                     *mean += WEIGHT * (answer.latency - *mean);
@@ -839,7 +863,7 @@
     ) {
         if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
             let stand = f.stand(worker);
-            stand.ordered = 0.0;
+            stand.coming = 0.0;
             self.loading -= 1.0;
             if copies > 0 {
                 stand.copies = copies.into();
