--- a/src/policy.rs
+++ b/src/policy.rs
@@ -430,6 +430,10 @@
     /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
     /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+        /// A member is above the common load when it holds so many times the mean, and so many more: the homes of
+        /// several busy functions would drown beside idle workers.
+        const SPREAD: f64 = 1.25;
+        const SLACK: f64 = 1.5;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.1;
         let Some(a) = &self.activations[id] else { return Stage::End };
@@ -441,6 +445,7 @@
         let n = function.walk.len().max(1) as f64;
         let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
+        let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
         // The least loaded member, the least loaded one with an instance, and the same past the set.
@@ -475,6 +480,10 @@
             if coming && !warm {
                 on_way = on_way.or(Some((load, w)));
             }
+            // Past the set only what is not itself above the common load.
+            if !member && load > fair {
+                continue;
+            }
             let slots = [if member { 0 } else { 2 }, if member { 1 } else { 3 }];
             for slot in slots.into_iter().take(1 + usize::from(warm)) {
                 // In the set the least loaded, past it the first on the walk.
@@ -484,7 +493,10 @@
             }
         }
         let [any, warm, past, warm_past] = best;
-        let cold = any.or(past);
+        let above = any.is_none_or(|(load, _)| load > fair);
+        let cold = if above { past.or(any) } else { any };
+        let warm_past = warm_past.filter(|_| above);
+        let warm = if above { warm_past.or(warm) } else { warm };
         // A load on the request's path only where no instance stands or comes: elsewhere one is ordered.
         let pick = match warm.or(warm_past) {
             None if somewhere => on_way,
@@ -492,7 +504,7 @@
             found if self.orders => found,
             found => any.or(found),
         };
-        if let Some((_, w)) = cold.filter(|&cold| warm.is_none() && pick != Some(cold) || any == Some(cold)) {
+        if let Some((_, w)) = cold.filter(|&cold| pick != Some(cold) && warm_past.is_none()) {
             self.order(now, w, key, 1, host);
         }
         let function = self.functions[key].as_mut().expect("known above");
