--- a/src/policy.rs
+++ b/src/policy.rs
@@ -433,7 +433,7 @@
         /// A member is above the common load when it holds so many times the mean, and so many more: the homes of
         /// several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
-        const SLACK: f64 = 1.5;
+        const SLACK: f64 = 3.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.1;
         let Some(a) = &self.activations[id] else { return Stage::End };
