--- a/src/policy.rs
+++ b/src/policy.rs
@@ -44,6 +44,8 @@
     state: Vec<State>,
     started: Vec<f64>,
     size: Vec<f64>,
+    /// In MB; boundless where it is not told.
+    memory: Vec<f64>,
     zone: Vec<usize>,
     cell: Vec<usize>,
     /// Own shots out.
@@ -84,6 +86,7 @@
 struct Function {
     name: u64,
     lanes: f64,
+    memory: f64,
     arrivals: Fading,
     since: f64,
     latency: f64,
@@ -158,6 +161,8 @@
     asks: bool,
     come_back: Option<f64>,
     keep: f64,
+    /// Memory of each kind of worker, in MB.
+    memory: Vec<f64>,
     ration: Option<(f64, f64, f64)>,
     order_wait: f64,
     cold_share: f64,
@@ -216,6 +221,7 @@
             asks,
             come_back: charter.come_back,
             keep: charter.keep,
+            memory: charter.memory,
             ration: charter.ration,
             order_wait: charter.order_wait,
             cold_share: charter.cold_share.clamp(0.0, 1.0),
@@ -255,6 +261,7 @@
             f.state.resize(n, State::Gone);
             f.started.resize(n, f64::NEG_INFINITY);
             f.size.resize(n, 1.0);
+            f.memory.resize(n, f64::INFINITY);
             f.zone.resize(n, 0);
             f.cell.resize(n, 0);
             f.out.resize(n, 0);
@@ -284,6 +291,7 @@
         f.name[w] = line.name;
         f.state[w] = line.state;
         f.size[w] = if line.size.is_finite() && line.size > 0.0 { line.size } else { 1.0 };
+        f.memory[w] = self.memory.get(line.kind).copied().unwrap_or(f64::INFINITY);
         f.zone[w] = line.zone;
         f.cell[w] = line.cell;
     }
@@ -333,6 +341,7 @@
         let function = self.functions[a.function].get_or_insert_with(|| Function {
             name: a.name,
             lanes: 1.0,
+            memory: a.memory.max(0.0),
             arrivals: Fading::default(),
             since: now,
             latency: 0.0,
@@ -538,7 +547,16 @@
         if self.loading > self.ready * AHEAD / self.routers {
             return false;
         }
-        if !self.orders || at_hand || self.fleet.state[w] != State::Ready {
+        /// Part of a worker's memory that may be taken by instances believed to stand there before none is added:
+        /// past it an instance ordered ahead pushes out one that will be loaded again.
+        const FILLED: f64 = 0.5;
+        let memory = f.memory;
+        if at_hand || self.filled(now, w) + memory * f64::from(copies) > FILLED * self.fleet.memory[w] {
+            return false;
+        }
+        let Some(f) = self.functions[key].as_mut() else { return false };
+        let stand = f.stand(w);
+        if !self.orders || self.fleet.state[w] != State::Ready {
             return false;
         }
         if let Some((window, free, share)) = self.ration {
@@ -561,6 +579,12 @@
         true
     }
 
+    /// Memory of a worker that believed instances take, in MB.
+    fn filled(&self, now: f64, w: usize) -> f64 {
+        let functions = self.functions.iter().flatten();
+        functions.map(|f| f.memory * f.standing(now, w).0).sum()
+    }
+
     /// Rate over all routers times mean latency: the instances' lanes that the function keeps busy.
     fn usage(&self, now: f64, key: usize) -> f64 {
         let Some(f) = &self.functions[key] else { return 0.0 };
