--- a/src/policy.rs
+++ b/src/policy.rs
@@ -479,11 +479,13 @@
             somewhere |= warm || coming;
             // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at the cost of
             // others' memory: for a while it is better to wait here for a lane.
-            if out >= function.lanes * copies.max(1.0) && waited < LANE_WAIT * due {
+            if out >= function.lanes * copies.max(1.0) && (!warm || waited < LANE_WAIT * due) {
                 continue;
             }
             // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
-            if self.fleet.busy[w] + 1.0 > self.limit(now, w, due) || crowds[n] + 1.0 > self.brim(now, w) {
+            // What must load first loads at home: under load elsewhere it would scatter instances over all workers.
+            let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
+            if self.fleet.busy[w] + 1.0 > bound || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
             }
             if coming && !warm {
