--- a/src/policy.rs
+++ b/src/policy.rs
@@ -399,11 +399,11 @@
     /// Own shots that may be at work on a worker at once: its measured rate times the time an answer may take.
     fn limit(&self, now: f64, w: usize, due: f64) -> f64 {
         /// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here.
-        const TIME: f64 = 0.45;
+        const TIME: f64 = 0.35;
         /// While answers are quick the rate is what clients ask, not what the worker can do: up to this much more.
         const GROWTH: f64 = 2.0;
         /// Shots beyond that, for a worker whose rate is not known yet.
-        const FLOOR: f64 = 2.0;
+        const FLOOR: f64 = 1.0;
         let f = &self.fleet;
         let time = TIME * due;
         f.peak[w].now(now, PEAK_HALF) * time * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH) + FLOOR
@@ -419,7 +419,7 @@
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
     fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
         /// Part of the due time that may pass before the first shot.
-        const WAIT: f64 = 0.3;
+        const WAIT: f64 = 0.2;
         match self.place(now, id, host) {
             Stage::Keep => {}
             other => return other,
