--- a/src/policy.rs
+++ b/src/policy.rs
@@ -419,7 +419,7 @@
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
     fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
         /// Part of the due time that may pass before the first shot.
-        const WAIT: f64 = 0.2;
+        const WAIT: f64 = 0.15;
         match self.place(now, id, host) {
             Stage::Keep => {}
             other => return other,
@@ -551,7 +551,7 @@
         }
         /// Part of a worker's memory that may be taken by instances believed to stand there before none is added:
         /// past it an instance ordered ahead pushes out one that will be loaded again.
-        const FILLED: f64 = 0.5;
+        const FILLED: f64 = 0.6;
         let memory = f.memory;
         if at_hand || self.filled(now, w) + memory * f64::from(copies) > FILLED * self.fleet.memory[w] {
             return false;
