--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -191,24 +191,21 @@
         }
         for entry in entries.chunks_exact(crate::frame::ENTRY).map(Cells) {
             let (id, started) = (entry.u32(0), entry.u64(4));
-            router.listed(
-                now,
-                Listing {
-                    worker: names.workers.take(id),
-                    name: id.into(),
-                    started: (started > 0).then(|| (started as f64 - names.origin as f64) / 1e6),
-                    cell: entry.u16(12).into(),
-                    size: entry.f32(14),
-                    kind: entry.u8(18).into(),
-                    state: match entry.u8(19) {
-                        0 => State::Gone,
-                        1 => State::Ready,
-                        2 => State::Draining,
-                        other => return Err(Malformed(format!("{other} is no state of a worker"))),
-                    },
-                    zone: entry.u8(20).into(),
+            router.listed(Listing {
+                worker: names.workers.take(id),
+                name: id.into(),
+                started: (started > 0).then(|| (started as f64 - names.origin as f64) / 1e6),
+                cell: entry.u16(12).into(),
+                size: entry.f32(14),
+                kind: entry.u8(18).into(),
+                state: match entry.u8(19) {
+                    0 => State::Gone,
+                    1 => State::Ready,
+                    2 => State::Draining,
+                    other => return Err(Malformed(format!("{other} is no state of a worker"))),
                 },
-            );
+                zone: entry.u8(20).into(),
+            });
         }
         router.list_complete(now, &mut Wire { names, reply });
         Ok(())
@@ -238,7 +235,7 @@
             }
             40 => {
                 if let Some(id) = names.activations.get(e.u64(3)) {
-                    router.started(now, id, e.u16(19).into(), &mut Wire { names, reply });
+                    router.started(id, e.u16(19).into(), &mut Wire { names, reply });
                 }
             }
             50 => {
@@ -264,14 +261,15 @@
             }
             60 => {
                 if let Some(id) = names.activations.get(e.u64(3)) {
-                    router.left(now, id, &mut Wire { names, reply });
+                    router.left(id, &mut Wire { names, reply });
                 }
             }
             70 => router.woken(now, &mut Wire { names, reply }),
             80 => {
-                let (outcome, report) = (outcome(e.u16(3))?, report(&names.report, e, 13)?);
+                outcome(e.u16(3))?;
+                let report = report(&names.report, e, 13)?;
                 if let Some(worker) = names.workers.get(e.u32(5)) {
-                    router.probed(now, worker, outcome, report);
+                    router.reported(worker, report);
                 }
             }
             // No router here sends word to others, so nothing that arrives concerns it.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -57,9 +57,8 @@
     brim: Vec<f64>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
-    /// Distrust, 0 to 1, as of the time beside it.
-    doubt: Vec<f64>,
-    doubt_at: Vec<f64>,
+    /// Distrust, 0 to 1.
+    doubt: Vec<Fading>,
     /// Answers handled, fading.
     handled: Vec<Fading>,
     /// Own shots out that met an instance, and the mean latency of such over recent answers.
@@ -81,6 +80,22 @@
     coming: f64,
     /// Own shots there.
     out: f64,
+    /// When it was last found to lack the function.
+    missed: f64,
+}
+
+/// Resizes each of the arrays, filling what is new.
+macro_rules! resize {
+    ($fleet:ident to $n:expr, $($array:ident: $fill:expr),* $(,)?) => { $($fleet.$array.resize($n, $fill);)* };
+}
+
+impl Fleet {
+    fn grow(&mut self, n: usize) {
+        let (never, none) = (f64::NEG_INFINITY, Fading::default());
+        resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY, zone: 0,
+            cell: 0, out: 0, heard: never, full: 0.0, brim: f64::INFINITY, foreign: None, doubt: none,
+            handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
+    }
 }
 
 struct Function {
@@ -113,7 +128,14 @@
 impl Function {
     fn stand(&mut self, worker: usize) -> &mut Stand {
         let at = self.stands.iter().position(|s| s.worker == worker).unwrap_or_else(|| {
-            self.stands.push(Stand { worker, copies: 0.0, until: 0.0, coming: 0.0, out: 0.0 });
+            self.stands.push(Stand {
+                worker,
+                copies: 0.0,
+                until: 0.0,
+                coming: 0.0,
+                out: 0.0,
+                missed: f64::NEG_INFINITY,
+            });
             self.stands.len() - 1
         });
         &mut self.stands[at]
@@ -135,7 +157,6 @@
     until: f64,
     /// The final answer is owed.
     open: bool,
-    streaming: bool,
     over_share: bool,
     shots: Vec<Shot>,
 }
@@ -197,6 +218,9 @@
 /// for a function that turns hot to show within a second or two.
 const RATE_HALF: f64 = 3.0;
 
+/// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
+const DOUBT_HALF: f64 = 4.0;
+
 /// A worker's highest rate gives way this slowly, so that a lull or a slow spell does not shut the door for good.
 const PEAK_HALF: f64 = 30.0;
 
@@ -252,38 +276,18 @@
     // ---- the list of workers ----
 
     /// One line of the list. A line that repeats a known worker changes it.
-    pub fn listed(&mut self, _now: f64, line: Listing) {
+    pub fn listed(&mut self, line: Listing) {
         let f = &mut self.fleet;
         let w = line.worker;
         if w >= f.name.len() {
-            let n = w + 1;
-            f.name.resize(n, 0);
-            f.state.resize(n, State::Gone);
-            f.started.resize(n, f64::NEG_INFINITY);
-            f.size.resize(n, 1.0);
-            f.memory.resize(n, f64::INFINITY);
-            f.zone.resize(n, 0);
-            f.cell.resize(n, 0);
-            f.out.resize(n, 0);
-            f.heard.resize(n, f64::NEG_INFINITY);
-            f.full.resize(n, 0.0);
-            f.brim.resize(n, f64::INFINITY);
-            f.foreign.resize(n, None);
-            f.doubt.resize(n, 0.0);
-            f.doubt_at.resize(n, 0.0);
-            f.handled.resize(n, Fading::default());
-            f.busy.resize(n, 0.0);
-            f.peak.resize(n, Fading::default());
-            f.latency.resize(n, 0.0);
-            f.cold_shots.resize(n, VecDeque::new());
+            f.grow(w + 1);
         }
         let started = line.started.unwrap_or(f64::NEG_INFINITY);
         if started > f.started[w] {
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
-            f.doubt[w] = 0.0;
-            (f.latency[w], f.brim[w], f.peak[w]) = (0.0, f64::INFINITY, Fading::default());
-            f.foreign[w] = None;
+            (f.doubt[w], f.peak[w]) = (Fading::default(), Fading::default());
+            (f.latency[w], f.brim[w], f.foreign[w]) = (0.0, f64::INFINITY, None);
             for function in self.functions.iter_mut().flatten() {
                 function.stands.iter_mut().filter(|s| s.worker == w).for_each(|s| s.copies = 0.0);
             }
@@ -335,8 +339,11 @@
         if a.function >= self.functions.len() {
             self.functions.resize_with(a.function + 1, || None);
         }
-        if self.ration.is_some() {
+        if let Some((window, ..)) = self.ration {
             self.taken.push_back(now);
+            while self.taken.front().is_some_and(|&t| now - t >= window) {
+                self.taken.pop_front();
+            }
         }
         let function = self.functions[a.function].get_or_insert_with(|| Function {
             name: a.name,
@@ -374,7 +381,6 @@
             taken: now,
             until: now + a.patience,
             open: true,
-            streaming: false,
             over_share,
             shots: Vec::new(),
         });
@@ -392,7 +398,7 @@
                     self.kept.push_back(id);
                 }
             }
-            Stage::End => self.give_up(now, id, host),
+            Stage::End => self.give_up(id, host),
         }
     }
 
@@ -420,6 +426,10 @@
     fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
         /// Part of the due time that may pass before the first shot.
         const WAIT: f64 = 0.15;
+        let waits = self.activations[id].as_ref().is_some_and(|a| a.shots.iter().any(|s| s.out));
+        if !waits && !self.may_go_on(now, id) {
+            return Stage::End;
+        }
         match self.place(now, id, host) {
             Stage::Keep => {}
             other => return other,
@@ -431,7 +441,7 @@
             .is_some_and(|f| f.stands.iter().any(|s| s.copies > 0.0 && s.until > now));
         // Bounced while a client's retry can still be in time; what waits for a load would wait elsewhere as well.
         let wait = if loaded { WAIT * due } else { due - self.latency };
-        if now - a.taken > wait && !a.shots.iter().any(|s| s.out) { Stage::End } else { Stage::Keep }
+        if now - a.taken > wait && !waits { Stage::End } else { Stage::Keep }
     }
 
     /// Second stage: the least loaded of the function's set.
@@ -457,6 +467,7 @@
         let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
+        let mut lacking = None;
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
         for (n, &w) in function.walk.iter().enumerate() {
@@ -488,6 +499,12 @@
             if self.fleet.busy[w] + 1.0 > bound || crowds[n] + 1.0 > self.brim(now, w) {
                 continue;
             }
+            // Where a worker loads nothing unasked, one that missed is sent nothing until an order is confirmed.
+            let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
+            if self.misses && !warm && (coming || missed) {
+                lacking = lacking.or(Some(w));
+                continue;
+            }
             if coming && !warm {
                 on_way = on_way.or(Some((load, w)));
             }
@@ -504,6 +521,10 @@
             }
         }
         let [any, warm, past, warm_past] = best;
+        if let Some(w) = lacking.filter(|_| warm.or(warm_past).is_none()) {
+            self.order(now, w, key, 1, false, host);
+            return Stage::Keep;
+        }
         let above = any.is_none_or(|(load, _)| load > fair);
         let cold = if above { past.or(any) } else { any };
         let warm_past = warm_past.filter(|_| above);
@@ -516,7 +537,7 @@
             found => any.or(found),
         };
         if let Some((_, w)) = cold.filter(|&cold| pick != Some(cold) && warm_past.is_none()) {
-            self.order(now, w, key, 1, host);
+            self.order(now, w, key, 1, true, host);
         }
         let function = self.functions[key].as_mut().expect("known above");
         // The paper's least interval between reductions.
@@ -524,61 +545,51 @@
             function.set = needed.max(1);
             function.roomy_since = now;
         }
-        let Some((_, worker)) = pick else {
-            let Some(a) = &self.activations[id] else { return Stage::End };
-            let spent = a.shots.len() >= self.shots && !a.shots.iter().any(|s| s.out);
-            return if spent { Stage::End } else { Stage::Keep };
-        };
+        let Some((_, worker)) = pick else { return Stage::Keep };
         // Where only an order adds an instance, one that has all lanes taken would make the rest wait in line.
         let Some(function) = &self.functions[key] else { return Stage::End };
         let (copies, _, out) = function.standing(now, worker);
         let needed = ((out + 1.0) / function.lanes).ceil().min(16.0);
         if copies > 0.0 && needed > copies {
-            self.order(now, worker, key, needed as u8, host);
+            self.order(now, worker, key, needed as u8, true, host);
         }
         Stage::Pass(worker)
     }
 
-    /// The one place where orders to load are given: within the ration, to ready workers only, one at a time.
-    fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, host: &mut dyn Host) -> bool {
-        let Some(f) = self.functions[key].as_mut() else { return false };
-        let stand = f.stand(w);
-        let at_hand = stand.coming > now || stand.until > now && stand.copies >= f64::from(copies);
+    /// The one place where orders to load are given: to ready workers, one at a time, within the ration; and
+    /// `ahead` of need only as far as loads under way and the worker's memory allow.
+    fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, ahead: bool, host: &mut dyn Host) {
         /// Loads asked for ahead that may be under way for each worker of this router's part.
         const AHEAD: f64 = 0.25;
-        if self.loading > self.ready * AHEAD / self.routers {
-            return false;
-        }
-        /// Part of a worker's memory that may be taken by instances believed to stand there before none is added:
-        /// past it an instance ordered ahead pushes out one that will be loaded again.
+        /// Part of a worker's memory that believed instances may fill: past it one ordered ahead pushes out one
+        /// that will be loaded again.
         const FILLED: f64 = 0.6;
-        let memory = f.memory;
-        if at_hand || self.filled(now, w) + memory * f64::from(copies) > FILLED * self.fleet.memory[w] {
-            return false;
+        let Some(f) = &self.functions[key] else { return };
+        let (standing, coming, _) = f.standing(now, w);
+        let wanted = f64::from(copies);
+        if !self.orders || self.fleet.state[w] != State::Ready || coming || standing >= wanted {
+            return;
         }
-        let Some(f) = self.functions[key].as_mut() else { return false };
-        let stand = f.stand(w);
-        if !self.orders || self.fleet.state[w] != State::Ready {
-            return false;
+        let full = self.filled(now, w) + f.memory * wanted > FILLED * self.fleet.memory[w];
+        if ahead && (full || self.loading > self.ready * AHEAD / self.routers) {
+            return;
         }
         if let Some((window, free, share)) = self.ration {
-            let within = |log: &mut VecDeque<f64>| {
-                while log.front().is_some_and(|&t| now - t > window) {
-                    log.pop_front();
-                }
-                log.len() as f64
-            };
-            // The window's edge counts for orders and not for activations, so that rounding can't break the rule.
-            let (ordered, taken) = (within(&mut self.ordered), within(&mut self.taken));
-            if ordered + 1.0 > free + share * taken {
-                return false;
+            // What is just at the window's edge counts as an order but not as an activation.
+            while self.ordered.front().is_some_and(|&t| now - t > window) {
+                self.ordered.pop_front();
+            }
+            let taken = self.taken.iter().filter(|&&t| now - t < window).count();
+            if self.ordered.len() as f64 + 1.0 > free + share * taken as f64 {
+                return;
             }
             self.ordered.push_back(now);
         }
-        stand.coming = now + self.order_wait;
+        if let Some(f) = self.functions[key].as_mut() {
+            f.stand(w).coming = now + self.order_wait;
+        }
         self.loading += 1.0;
         host.hold(w, key, copies);
-        true
     }
 
     /// Memory of a worker that believed instances take, in MB.
@@ -619,53 +630,44 @@
         self.fleet.out[w] as f64 + self.fleet.foreign[w].unwrap_or(average)
     }
 
-    /// Distrust of a worker now: it fades with time.
+    /// Distrust of a worker now; a single failure in a healthy stream means nothing.
     fn doubt(&self, now: f64, w: usize) -> f64 {
-        /// Long enough that a trial shot each few seconds finds out whether a trouble lasts.
-        const HALF: f64 = 4.0;
-        let f = &self.fleet;
-        let doubt = f.doubt[w] * (-(now - f.doubt_at[w]).max(0.0) / HALF).exp2();
-        // A single failure in a healthy stream means nothing.
+        let doubt = self.fleet.doubt[w].now(now, DOUBT_HALF);
         if doubt < 0.25 { 0.0 } else { doubt }
     }
 
+    /// Moves the distrust of a worker towards the fault that one answer, or its absence, showed.
     fn judge(&mut self, now: f64, w: usize, fault: f64, weight: f64) {
-        let doubt = self.fleet.doubt[w] * (-(now - self.fleet.doubt_at[w]).max(0.0) / 4.0).exp2();
-        self.fleet.doubt[w] = doubt + weight * (fault - doubt);
-        self.fleet.doubt_at[w] = now;
+        let doubt = self.fleet.doubt[w].now(now, DOUBT_HALF);
+        self.fleet.doubt[w] = Fading { sum: doubt + weight * (fault - doubt), at: now };
     }
 
-    /// The rules that every shot keeps: list state, time, number, repeats, and the budget of a cold worker.
-    fn may_shoot(&self, now: f64, id: usize, w: usize) -> bool {
+    /// Whether rules and sense allow yet another shot, on some worker.
+    fn may_go_on(&self, now: f64, id: usize) -> bool {
         let Some(a) = &self.activations[id] else { return false };
         let Some(profile) = self.profiles.get(a.profile) else { return false };
-        let f = &self.fleet;
-        if !a.open
-            || a.streaming
-            || f.state[w] != State::Ready
-            || a.shots.len() >= self.shots
-            || now >= a.until
-        {
-            return false;
-        }
-        if !self.second_copies && a.shots.iter().any(|s| s.out) {
-            return false;
-        }
         let mut ran = a.shots.iter().filter(|s| !s.never_ran);
         let repeatable = match profile.effect {
             Effect::Pure => true,
             Effect::Effectful => ran.next().is_none(),
-            Effect::Receipted { group, memory } => ran.all(|s| {
-                now - s.sent < memory
-                    && match group {
-                        Group::All => true,
-                        Group::Zone => f.zone[s.worker] == f.zone[w],
-                        Group::Cell => f.cell[s.worker] == f.cell[w],
-                    }
-            }),
+            Effect::Receipted { memory, .. } => ran.all(|s| now - s.sent < memory),
         };
-        // A worker that failed this activation is not asked again.
-        repeatable && !a.shots.iter().any(|s| s.worker == w) && self.cold_room(now, w)
+        let alone = self.second_copies || !a.shots.iter().any(|s| s.out);
+        a.open && a.shots.len() < self.shots && now < a.until && repeatable && alone
+    }
+
+    /// The rules that every shot keeps: number, time, repeats, list state, and the budget of a cold worker.
+    fn may_shoot(&self, now: f64, id: usize, w: usize) -> bool {
+        let (Some(a), f) = (&self.activations[id], &self.fleet) else { return false };
+        let known = |s: &Shot| match self.profiles[a.profile].effect {
+            Effect::Receipted { group: Group::Zone, .. } => s.never_ran || f.zone[s.worker] == f.zone[w],
+            Effect::Receipted { group: Group::Cell, .. } => s.never_ran || f.cell[s.worker] == f.cell[w],
+            _ => true,
+        };
+        // A worker that failed this activation is not asked again, unless all it lacked was the function.
+        let fresh = |s: &Shot| s.worker != w || self.misses && s.never_ran;
+        let allowed = self.may_go_on(now, id) && f.state[w] == State::Ready;
+        allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
     }
 
     /// Whether a worker that started lately can take one more shot of ours without being pushed over.
@@ -737,15 +739,12 @@
         shot.out = false;
         shot.never_ran = answer.outcome.never_ran();
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
-        if answer.settled {
-            a.open = false;
-        }
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
         // Back through `shoot`: the worker's figures.
         self.fleet.busy[w] -= f64::from(u8::from(warm));
         self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
-        self.reported(now, w, answer.report);
+        self.reported(w, answer.report);
         match answer.outcome {
             Outcome::Handled => {
                 self.judge(now, w, 0.0, 0.2);
@@ -776,7 +775,7 @@
             stand.out -= 1.0;
             let outlasted = !warm && answer.latency > self.load;
             if answer.outcome == Outcome::Missed {
-                (stand.copies, stand.coming) = (0.0, 0.0);
+                (stand.copies, stand.coming, stand.missed) = (0.0, 0.0, now);
             } else if matches!(answer.outcome, Outcome::Withdrawn | Outcome::Overdue) && outlasted {
                 // The load goes on when nobody waits for it any more: begun again elsewhere it would never end.
                 stand.copies = stand.copies.max(1.0);
@@ -805,7 +804,10 @@
             }
         }
         // Back through `admit`: ended, or another shot.
-        self.finish(now, id, host);
+        if answer.settled {
+            self.close(id, None, host);
+        }
+        self.finish(id, host);
         if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
             self.run(now, id, host);
         }
@@ -813,41 +815,29 @@
     }
 
     /// A streamed answer has begun: it belongs to the client now.
-    pub fn started(&mut self, now: f64, id: usize, shot: usize, host: &mut dyn Host) {
-        if let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) {
-            a.streaming = true;
-            a.open = false;
-            if self.cancels {
-                for other in (0..a.shots.len()).filter(|&s| s != shot && a.shots[s].out) {
-                    host.cancel(id, other);
-                }
-            }
-        }
-        self.finish(now, id, host);
+    pub fn started(&mut self, id: usize, shot: usize, host: &mut dyn Host) {
+        self.close(id, Some(shot), host);
     }
 
     /// The client has left; nothing more is owed.
-    pub fn left(&mut self, now: f64, id: usize, host: &mut dyn Host) {
-        if let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) {
-            a.open = false;
-        }
-        self.finish(now, id, host);
+    pub fn left(&mut self, id: usize, host: &mut dyn Host) {
+        self.close(id, None, host);
     }
 
-    /// Lets go of an activation that has its answer, calling off what is still out.
-    fn finish(&mut self, _now: f64, id: usize, host: &mut dyn Host) {
+    /// The final answer is no longer owed: calls off what is still out, but for a shot that streams.
+    fn close(&mut self, id: usize, streams: Option<usize>, host: &mut dyn Host) {
         let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
-        if a.open {
-            return;
-        }
-        let mut out = 0;
-        for (n, shot) in a.shots.iter().enumerate().filter(|(_, s)| s.out) {
-            out += 1;
-            if self.cancels && !a.streaming && shot.sent >= 0.0 {
-                host.cancel(id, n);
+        if std::mem::replace(&mut a.open, false) && self.cancels {
+            for shot in (0..a.shots.len()).filter(|&n| a.shots[n].out && Some(n) != streams) {
+                host.cancel(id, shot);
             }
         }
-        if out == 0 {
+        self.finish(id, host);
+    }
+
+    /// Lets go of an activation that has its answer once nothing of it is out.
+    fn finish(&mut self, id: usize, host: &mut dyn Host) {
+        if self.activations[id].as_ref().is_some_and(|a| !a.open && !a.shots.iter().any(|s| s.out)) {
             self.activations[id] = None;
             self.live.retain(|&other| other != id);
             self.kept.retain(|&other| other != id);
@@ -856,12 +846,11 @@
     }
 
     /// The final answer of an activation that cannot be handled: a bounce where that is harmless.
-    fn give_up(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+    fn give_up(&mut self, id: usize, host: &mut dyn Host) {
         let Some(a) = self.activations[id].as_mut() else { return };
         if !a.open {
             return;
         }
-        a.open = false;
         let none_ran = a.shots.iter().all(|s| s.never_ran);
         let harmless = none_ran
             || self.profiles.get(a.profile).is_some_and(|p| match p.effect {
@@ -874,7 +863,7 @@
         } else {
             host.terminate(id);
         }
-        self.finish(now, id, host);
+        self.close(id, None, host);
     }
 
     /// Tries what is kept again.
@@ -914,12 +903,8 @@
         self.release(now, host);
     }
 
-    /// A probe came back.
-    pub fn probed(&mut self, now: f64, worker: usize, _outcome: Outcome, report: Option<Report>) {
-        self.reported(now, worker, report);
-    }
-
-    fn reported(&mut self, _now: f64, w: usize, report: Option<Report>) {
+    /// A worker's report came in, with an answer or a probe.
+    pub fn reported(&mut self, w: usize, report: Option<Report>) {
         let Some(report) = report else { return };
         let own = self.fleet.out[w] as f64;
         let foreign = match (report.held, report.waiting) {
@@ -952,7 +937,7 @@
         }
         for id in self.live.clone() {
             if self.activations[id].as_ref().is_some_and(|a| a.open && now >= a.until - self.margin) {
-                self.give_up(now, id, host);
+                self.give_up(id, host);
             }
         }
         self.look_for_silence(now, host);
