Stories for rules and decisions; wakes in time for short patience; a shortage of lanes orders nothing past the set

The random story of legal events found answers later than a client's patience where that was shorter than a pulse.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -210,7 +210,8 @@
     /// Mean latency of answers that waited for a load.
     load: f64,
     born: f64,
-    awake: bool,
+    /// The next look at the time that was asked for.
+    wake: f64,
     ask_again: f64,
 }
 
@@ -268,7 +269,7 @@
             latency: 0.3,
             load: 1.0,
             born: now,
-            awake: false,
+            wake: f64::INFINITY,
             ask_again: f64::INFINITY,
         }
     }
@@ -326,7 +327,7 @@
     pub fn list_failed(&mut self, now: f64, host: &mut dyn Host) {
         if self.asks {
             self.ask_again = now + 0.5 + self.chance.rand_float();
-            self.stay_awake(host);
+            self.wake_by(now, self.ask_again, host);
         }
     }
 
@@ -385,7 +386,10 @@
             shots: Vec::new(),
         });
         self.live.push(id);
-        self.stay_awake(host);
+        if a.patience <= self.margin {
+            return self.give_up(id, host);
+        }
+        self.wake_by(now, now + (a.patience - self.margin).min(self.margin), host);
         self.run(now, id, host);
     }
 
@@ -467,6 +471,7 @@
         let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
+        let mut pressed = false;
         let mut lacking = None;
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
@@ -497,6 +502,7 @@
             // What must load first loads at home: under load elsewhere it would scatter instances over all workers.
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
             if self.fleet.busy[w] + 1.0 > bound || crowds[n] + 1.0 > self.brim(now, w) {
+                pressed |= member;
                 continue;
             }
             // Where a worker loads nothing unasked, one that missed is sent nothing until an order is confirmed.
@@ -525,7 +531,7 @@
             self.order(now, w, key, 1, false, host);
             return Stage::Keep;
         }
-        let above = any.is_none_or(|(load, _)| load > fair);
+        let above = any.map_or(pressed, |(load, _)| load > fair);
         let cold = if above { past.or(any) } else { any };
         let warm_past = warm_past.filter(|_| above);
         let warm = if above { warm_past.or(warm) } else { warm };
@@ -859,7 +865,10 @@
                 Effect::Effectful => false,
             });
         if harmless {
-            host.bounce(id, None);
+            /// Part of the due time after which a client is asked to come back: not into the same crowd, and in time.
+            const AWAY: f64 = 0.08;
+            let due = self.profiles.get(a.profile).map_or(0.0, |p| p.due);
+            host.bounce(id, self.come_back.map(|most| most.min(AWAY * due)));
         } else {
             host.terminate(id);
         }
@@ -916,21 +925,22 @@
         self.fleet.foreign[w] = Some(old + 0.5 * (foreign - old));
     }
 
-    fn stay_awake(&mut self, host: &mut dyn Host) {
-        if !self.awake {
-            self.awake = true;
-            host.wake(self.pulse());
+    /// Asks to be woken at a time, unless that happens anyway.
+    fn wake_by(&mut self, now: f64, at: f64, host: &mut dyn Host) {
+        if at < self.wake {
+            self.wake = at;
+            host.wake((at - now).max(0.0));
         }
     }
 
-    /// Seconds between two looks at what is open.
-    fn pulse(&self) -> f64 {
-        self.margin.max(0.01) / 2.0
-    }
-
     /// Time has passed.
     pub fn woken(&mut self, now: f64, host: &mut dyn Host) {
-        self.awake = false;
+        /// Seconds between two looks at what is open: short against any due time, long against the work of it.
+        const PULSE: f64 = 0.005;
+        if now < self.wake - 1e-6 {
+            return;
+        }
+        self.wake = f64::INFINITY;
         if now >= self.ask_again {
             self.ask_again = f64::INFINITY;
             host.follow();
@@ -942,8 +952,10 @@
         }
         self.look_for_silence(now, host);
         self.release(now, host);
-        if !self.live.is_empty() || self.ask_again.is_finite() {
-            self.stay_awake(host);
+        if !self.live.is_empty() {
+            self.wake_by(now, now + PULSE, host);
+        } else if self.ask_again.is_finite() {
+            self.wake_by(now, self.ask_again, host);
         }
     }
 
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,166 @@
+//! One story for each decision, and for each failure met in service or on the bench.
+
+mod common;
+
+use common::{Did, Town, charter, line, pure};
+use milletpath::host::{Charter, Outcome, State};
+use test_case::test_case;
+
+#[test]
+fn routers_agree_on_a_function_s_home() {
+    let mut one = Town::new(charter(pure()), 8);
+    let mut other = Town::new(Charter { seed: 99, routers: 2, ..charter(pure()) }, 8);
+    for function in 0..20 {
+        assert_eq!(one.serve(function, 0.1), other.serve(function, 0.1));
+    }
+}
+
+#[test]
+fn a_function_that_turns_hot_reaches_more_workers() {
+    let mut town = Town::new(charter(pure()), 8);
+    for _ in 0..60 {
+        let ids: Vec<_> = (0..6).map(|_| town.arrive(0, 4.0)).collect();
+        town.pass(0.2);
+        for id in ids {
+            (0..town.shots(id).len()).for_each(|shot| town.answer(id, shot, Outcome::Handled, 0.2));
+        }
+        for (_, worker) in town.holds() {
+            town.router.held(town.host.now, worker, 0, Outcome::Handled, 1, &mut town.host);
+        }
+    }
+    let mut met: Vec<_> = (0..360).flat_map(|id| town.shots(id)).collect();
+    met.sort_unstable();
+    met.dedup();
+    assert!(met.len() >= 3, "{met:?}");
+}
+
+#[test]
+fn a_full_worker_is_given_no_more_for_a_while() {
+    let mut town = Town::new(charter(pure()), 4);
+    let home = town.serve(0, 0.1);
+    let id = town.arrive(0, 4.0);
+    town.answer(id, 0, Outcome::Full, 0.0);
+    assert_ne!(town.shots(id)[1], home);
+}
+
+#[test]
+fn a_load_that_outlives_its_shot_is_not_begun_again_elsewhere() {
+    // Loads begun by shots that were called off left no trace, and each next one began on another worker.
+    let mut town = Town::new(charter(pure()), 8);
+    let id = town.arrive(0, 1.5);
+    town.pass(1.5);
+    town.answer(id, 0, Outcome::Withdrawn, 1.5);
+    let next = town.arrive(0, 4.0);
+    assert_eq!(town.shots(next)[0], town.shots(id)[0]);
+}
+
+#[test]
+fn activations_join_a_load_up_to_its_lanes_and_wait_beyond_them() {
+    let mut town = Town::new(charter(pure()), 8);
+    let ids: Vec<_> = (0..3).map(|_| town.arrive(0, 4.0)).collect();
+    assert_eq!(town.shots(ids[0]), town.shots(ids[1]));
+    assert!(town.shots(ids[2]).is_empty());
+    town.pass(0.5);
+    town.answer(ids[0], 0, Outcome::Handled, 0.5);
+    assert_eq!(town.shots(ids[2]), town.shots(ids[0]));
+}
+
+#[test_case(false; "told nothing of memory")]
+#[test_case(true; "memory filled")]
+fn no_instance_is_ordered_ahead_where_memory_is_filled(filled: bool) {
+    let memory = if filled { vec![120.0] } else { vec![] };
+    let mut town = Town::new(Charter { memory, ..charter(pure()) }, 4);
+    for _ in 0..20 {
+        let ids: Vec<_> = (0..8).map(|_| town.arrive(0, 4.0)).collect();
+        town.pass(0.3);
+        ids.iter().filter(|&&id| !town.shots(id).is_empty()).for_each(|_| ());
+        for id in ids {
+            (0..town.shots(id).len()).for_each(|shot| town.answer(id, shot, Outcome::Handled, 0.3));
+        }
+    }
+    assert_eq!(town.holds().is_empty(), filled);
+}
+
+#[test]
+fn a_silent_worker_loses_its_traffic_and_what_it_holds_is_sent_again() {
+    let mut town = Town::new(charter(pure()), 6);
+    let home = town.serve(0, 0.1);
+    (0..30).for_each(|_| _ = town.serve(0, 0.1));
+    let held: Vec<_> = (0..2).map(|_| town.arrive(0, 4.0)).collect();
+    town.pass(1.5);
+    assert!(held.iter().all(|&id| town.shots(id).len() == 2 && town.shots(id)[1] != home));
+    let next: Vec<_> = (0..10).map(|_| town.arrive(0, 4.0)).collect();
+    assert!(next.iter().filter(|&&id| town.shots(id).contains(&home)).count() <= 1);
+}
+
+#[test]
+fn a_worker_that_fails_fast_loses_its_traffic_and_gets_it_back() {
+    let mut town = Town::new(charter(pure()), 6);
+    let home = town.serve(0, 0.1);
+    let mut kept = 0;
+    for _ in 0..40 {
+        let id = town.arrive(0, 4.0);
+        for shot in 0..4 {
+            let Some(&worker) = town.shots(id).get(shot) else { break };
+            let bad = worker == home;
+            kept += usize::from(bad);
+            town.pass(0.01);
+            town.answer(id, shot, if bad { Outcome::Failed } else { Outcome::Handled }, 0.01);
+        }
+    }
+    assert!(kept <= 10, "{kept} of 40");
+    town.pass(30.0);
+    assert!((0..40).any(|_| town.serve(0, 0.01) == home));
+}
+
+#[test]
+fn a_miss_is_answered_by_an_order_and_another_shot_once_it_stands() {
+    let mut town = Town::new(Charter { misses: true, ..charter(pure()) }, 4);
+    let id = town.arrive(0, 4.0);
+    let home = town.shots(id)[0];
+    town.answer(id, 0, Outcome::Missed, 0.0);
+    assert!(town.did(&Did::Hold { worker: home, function: 0, copies: 1 }));
+    assert_eq!(town.shots(id), [home]);
+    town.pass(0.5);
+    town.router.held(town.host.now, home, 0, Outcome::Handled, 1, &mut town.host);
+    assert_eq!(town.shots(id), [home, home]);
+}
+
+#[test]
+fn clients_beyond_their_share_wait_first() {
+    let mut town = Town::new(Charter { quotas: vec![2.0], over_share: 0.1, ..charter(pure()) }, 1);
+    town.serve(0, 0.5);
+    (0..12).for_each(|_| _ = town.arrive(0, 4.0));
+    town.pass(0.9);
+    let bounced = (0..13).filter(|&id| town.did(&Did::Bounce { id })).count();
+    assert!(bounced >= 6, "{bounced}");
+}
+
+#[test]
+fn a_subscription_that_broke_is_asked_for_again() {
+    let mut town = Town::new(Charter { asks: Some(10.0), ..charter(pure()) }, 2);
+    town.router.list_failed(town.host.now, &mut town.host);
+    town.pass(3.0);
+    assert_eq!(town.host.did.iter().filter(|(_, d)| *d == Did::Follow).count(), 2);
+}
+
+#[test]
+fn a_restarted_worker_is_forgiven_and_taken_to_be_empty() {
+    let mut town = Town::new(charter(pure()), 6);
+    let home = town.serve(0, 0.1);
+    town.list(vec![line(home, State::Ready, Some(town.host.now))]);
+    let next = town.serve(0, 0.1);
+    assert_ne!(next, home, "it has no capacity yet that is known");
+}
+
+#[test]
+fn late_and_unknown_word_is_passed_over() {
+    let mut town = Town::new(charter(pure()), 2);
+    let id = town.arrive(0, 4.0);
+    town.answer(id, 0, Outcome::Handled, 0.1);
+    town.answer(id, 0, Outcome::Handled, 0.1);
+    town.answer(id + 7, 3, Outcome::Cut, f64::NAN);
+    town.router.left(id + 9, &mut town.host);
+    town.router.held(town.host.now, 1, 99, Outcome::Overdue, 0, &mut town.host);
+    assert_eq!(town.host.forgotten, [id]);
+}
