Many workers silent at once wait for what they share and are not doubted

Guards against moving loads away from a slow store; also covers a cut between router and workers. Harmful when over a third of the workers truly hang.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -762,18 +762,15 @@
                 }
             }
             Outcome::Failed | Outcome::Cut => self.judge(now, w, 1.0, 0.3),
-            Outcome::Overdue => {
-                if self.fleet.heard[w] < sent {
-                    self.judge(now, w, 1.0, 0.5);
-                }
-            }
+            // Overdue while it waited for a load tells of the store, and overdue among answers of a long activation.
+            Outcome::Overdue if warm && self.fleet.heard[w] < sent => self.judge(now, w, 1.0, 0.5),
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
             Outcome::Full => {
                 self.fleet.heard[w] = now;
                 self.fleet.brim[w] = self.crowd(w).max(1.0);
                 self.fleet.full[w] = now;
             }
-            Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
+            Outcome::Overdue | Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
         }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
@@ -969,14 +966,17 @@
         }
         /// Silence of this many mean latencies is more than chance or one load explains.
         const PATIENCE: f64 = 4.0;
+        /// Part of the workers that may fail by themselves at one time, by what is known of such troubles.
+        const MANY: f64 = 0.34;
         let patience = (PATIENCE * self.latency).max(0.8);
-        let mut silent = vec![false; oldest.len()];
-        for (w, &sent) in oldest.iter().enumerate() {
-            if self.fleet.out[w] >= 2 && now - sent.max(self.fleet.heard[w]) > patience {
-                silent[w] = true;
-                self.judge(now, w, 1.0, 0.9);
-            }
+        let quiet = |w: usize| self.fleet.out[w] >= 2 && now - oldest[w].max(self.fleet.heard[w]) > patience;
+        let silent: Vec<bool> = (0..oldest.len()).map(quiet).collect();
+        // Where many fall silent at once they wait for something they share, such as a slow store: moved elsewhere,
+        // their loads would begin again and crowd it more.
+        if silent.iter().filter(|&&s| s).count() as f64 > MANY * self.ready {
+            return;
         }
+        (0..oldest.len()).filter(|&w| silent[w]).for_each(|w| self.judge(now, w, 1.0, 0.9));
         for id in self.live.clone() {
             let Some(a) = &self.activations[id] else { continue };
             let mut out = a.shots.iter().filter(|s| s.out);
