--- a/src/policy.rs
+++ b/src/policy.rs
@@ -416,7 +416,7 @@
         const FLOOR: f64 = 1.0;
         let f = &self.fleet;
         let time = TIME * due;
-        f.peak[w].now(now, PEAK_HALF) * time * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH) + FLOOR
+        (f.peak[w].now(now, PEAK_HALF) * time + FLOOR) * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH)
     }
 
     /// Shots that a worker takes before it turns more away, as last seen; held to be more as time passes.
