Cold functions load only in the set; a worker that turns loads away still serves what stands there

Also covers workers out of memory. Harmful where a worker's full queue clears within less than the rest.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -52,9 +52,8 @@
     out: Vec<usize>,
     /// When it last answered anything.
     heard: Vec<f64>,
-    /// When it last turned a shot away, and what it held then.
-    full: Vec<f64>,
-    brim: Vec<f64>,
+    /// When it last turned away a shot that had to load, and one that met an instance.
+    full: Vec<[f64; 2]>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
     /// Distrust, 0 to 1.
@@ -93,7 +92,7 @@
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY, zone: 0,
-            cell: 0, out: 0, heard: never, full: 0.0, brim: f64::INFINITY, foreign: None, doubt: none,
+            cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, doubt: none,
             handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
     }
 }
@@ -274,8 +273,6 @@
         }
     }
 
-    // ---- the list of workers ----
-
     /// One line of the list. A line that repeats a known worker changes it.
     pub fn listed(&mut self, line: Listing) {
         let f = &mut self.fleet;
@@ -288,11 +285,10 @@
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
             (f.doubt[w], f.peak[w]) = (Fading::default(), Fading::default());
-            (f.latency[w], f.brim[w], f.foreign[w]) = (0.0, f64::INFINITY, None);
-            for function in self.functions.iter_mut().flatten() {
-                function.stands.iter_mut().filter(|s| s.worker == w).for_each(|s| s.copies = 0.0);
-            }
+            (f.latency[w], f.foreign[w]) = (0.0, None);
+            self.emptied(w);
         }
+        let f = &mut self.fleet;
         f.name[w] = line.name;
         f.state[w] = line.state;
         f.size[w] = if line.size.is_finite() && line.size > 0.0 { line.size } else { 1.0 };
@@ -301,6 +297,12 @@
         f.cell[w] = line.cell;
     }
 
+    /// Nothing stands on a worker any more.
+    fn emptied(&mut self, w: usize) {
+        let stands = self.functions.iter_mut().flatten().flat_map(|f| &mut f.stands);
+        stands.filter(|s| s.worker == w).for_each(|s| (s.copies, s.coming) = (0.0, 0.0));
+    }
+
     /// A complete list begins: who is not on it is gone.
     pub fn list_renewed(&mut self) {
         self.fleet.state.fill(State::Gone);
@@ -331,8 +333,6 @@
         }
     }
 
-    // ---- activations ----
-
     pub fn arrived(&mut self, now: f64, id: usize, a: Arrival, host: &mut dyn Host) {
         if id >= self.activations.len() {
             self.activations.resize_with(id + 1, || None);
@@ -419,13 +419,6 @@
         (f.peak[w].now(now, PEAK_HALF) * time + FLOOR) * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH)
     }
 
-    /// Shots that a worker takes before it turns more away, as last seen; held to be more as time passes.
-    fn brim(&self, now: f64, w: usize) -> f64 {
-        /// Long enough that trying costs few shots, short against the length of a trouble.
-        const DOUBLES: f64 = 5.0;
-        self.fleet.brim[w] * ((now - self.fleet.full[w]) / DOUBLES).exp2()
-    }
-
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
     fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
         /// Part of the due time that may pass before the first shot.
@@ -459,6 +452,9 @@
         const SLACK: f64 = 3.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.1;
+        /// Seconds for which a worker that turned a shot away gets no other of its sort: with no memory or no place
+        /// for one more load it still has lanes for what stands there.
+        const REST: f64 = 0.3;
         let Some(a) = &self.activations[id] else { return Stage::End };
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
         self.walk(key);
@@ -501,7 +497,7 @@
             // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
             // What must load first loads at home: under load elsewhere it would scatter instances over all workers.
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
-            if self.fleet.busy[w] + 1.0 > bound || crowds[n] + 1.0 > self.brim(now, w) {
+            if self.fleet.busy[w] + 1.0 > bound || now - self.fleet.full[w][usize::from(warm)] < REST {
                 pressed |= member;
                 continue;
             }
@@ -535,10 +531,11 @@
         let cold = if above { past.or(any) } else { any };
         let warm_past = warm_past.filter(|_| above);
         let warm = if above { warm_past.or(warm) } else { warm };
-        // A load on the request's path only where no instance stands or comes: elsewhere one is ordered.
+        // A load on the request's path only where no instance stands or comes, and never past the set: what a full
+        // home turns away would else load at one worker after the other, and crowd the store for good.
         let pick = match warm.or(warm_past) {
             None if somewhere => on_way,
-            None => cold,
+            None => any,
             found if self.orders => found,
             found => any.or(found),
         };
@@ -670,8 +667,8 @@
             Effect::Receipted { group: Group::Cell, .. } => s.never_ran || f.cell[s.worker] == f.cell[w],
             _ => true,
         };
-        // A worker that failed this activation is not asked again, unless all it lacked was the function.
-        let fresh = |s: &Shot| s.worker != w || self.misses && s.never_ran;
+        // A worker that may have failed this activation is not asked again.
+        let fresh = |s: &Shot| s.worker != w || s.never_ran;
         let allowed = self.may_go_on(now, id) && f.state[w] == State::Ready;
         allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
     }
@@ -761,14 +758,17 @@
                     self.fleet.peak[w] = Fading { sum: rate, at: now };
                 }
             }
-            Outcome::Failed | Outcome::Cut => self.judge(now, w, 1.0, 0.3),
+            Outcome::Failed => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store, and overdue among answers of a long activation.
             Outcome::Overdue if warm && self.fleet.heard[w] < sent => self.judge(now, w, 1.0, 0.5),
-            Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
+            Outcome::Cut | Outcome::Unreached => {
+                // It most likely died, long before the list can tell: what stood there is lost.
+                self.judge(now, w, 1.0, if answer.outcome == Outcome::Cut { 0.3 } else { 0.7 });
+                self.emptied(w);
+            }
             Outcome::Full => {
                 self.fleet.heard[w] = now;
-                self.fleet.brim[w] = self.crowd(w).max(1.0);
-                self.fleet.full[w] = now;
+                self.fleet.full[w][usize::from(warm)] = now;
             }
             Outcome::Overdue | Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
         }
@@ -882,8 +882,6 @@
         }
     }
 
-    // ---- orders, probes, time ----
-
     /// An order to hold was answered.
     pub fn held(
         &mut self,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -40,7 +40,7 @@
     let home = town.serve(0, 0.1);
     let id = town.arrive(0, 4.0);
     town.answer(id, 0, Outcome::Full, 0.0);
-    assert_ne!(town.shots(id)[1], home);
+    assert!(town.shots(id)[1..].iter().all(|&w| w != home));
 }
 
 #[test]
