--- a/src/policy.rs
+++ b/src/policy.rs
@@ -160,10 +160,9 @@
     shots: Vec<Shot>,
 }
 
-/// What a stage does with an activation.
-#[derive(PartialEq)]
-enum Stage<T> {
-    Pass(T),
+/// What a stage does with an activation: on to a worker, kept here, or ended.
+enum Stage {
+    Pass(usize),
     Keep,
     End,
 }
@@ -196,7 +195,7 @@
     functions: Vec<Option<Function>>,
     activations: Vec<Option<Activation>>,
     live: Vec<usize>,
-    kept: VecDeque<usize>,
+    kept: Vec<usize>,
     /// What each client group may still send within its share, as of when.
     clients: Vec<(f64, f64)>,
     taken: VecDeque<f64>,
@@ -260,7 +259,7 @@
             functions: Vec::new(),
             activations: Vec::new(),
             live: Vec::new(),
-            kept: VecDeque::new(),
+            kept: Vec::new(),
             taken: VecDeque::new(),
             ordered: VecDeque::new(),
             loading: 0.0,
@@ -390,20 +389,17 @@
             return self.give_up(id, host);
         }
         self.wake_by(now, now + (a.patience - self.margin).min(self.margin), host);
-        self.run(now, id, host);
+        self.run(now, id, false, host);
     }
 
-    /// Takes an activation through the chain from its first stage.
-    fn run(&mut self, now: f64, id: usize, host: &mut dyn Host) {
-        match self.admit(now, id, host) {
+    /// Takes an activation through the chain from its first stage; tells whether it was not kept.
+    fn run(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> bool {
+        match self.admit(now, id, stuck, host) {
             Stage::Pass(worker) => self.shoot(now, id, worker, host),
-            Stage::Keep => {
-                if !self.kept.contains(&id) {
-                    self.kept.push_back(id);
-                }
-            }
             Stage::End => self.give_up(id, host),
+            Stage::Keep => self.kept.push(id),
         }
+        self.kept.last() != Some(&id)
     }
 
     /// Own shots that may be at work on a worker at once: its measured rate times the time an answer may take.
@@ -420,14 +416,14 @@
     }
 
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
-    fn admit(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+    fn admit(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> Stage {
         /// Part of the due time that may pass before the first shot.
         const WAIT: f64 = 0.15;
         let waits = self.activations[id].as_ref().is_some_and(|a| a.shots.iter().any(|s| s.out));
         if !waits && !self.may_go_on(now, id) {
             return Stage::End;
         }
-        match self.place(now, id, host) {
+        match if stuck { Stage::Keep } else { self.place(now, id, host) } {
             Stage::Keep => {}
             other => return other,
         }
@@ -445,7 +441,7 @@
     ///
     /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
     /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
-    fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage<usize> {
+    fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage {
         /// A member is above the common load when it holds so many times the mean, and so many more: the homes of
         /// several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
@@ -462,7 +458,7 @@
         let Some(function) = &self.functions[key] else { return Stage::End };
         let due = self.profiles.get(profile).map_or(1.0, |p| p.due);
         let n = function.walk.len().max(1) as f64;
-        let crowds: Vec<f64> = function.walk.iter().map(|&w| self.crowd(w)).collect();
+        let crowds = self.crowds(&function.walk);
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
@@ -625,12 +621,13 @@
         }
     }
 
-    /// Activations a worker is taken to hold: our own and what its reports say of others'.
-    fn crowd(&self, w: usize) -> f64 {
-        let heard = self.fleet.foreign.iter().flatten();
-        let (n, sum) = heard.fold((0.0, 0.0), |(n, sum), x| (n + 1.0, sum + x));
-        let average = if n > 0.0 { sum / n } else { 0.0 };
-        self.fleet.out[w] as f64 + self.fleet.foreign[w].unwrap_or(average)
+    /// Activations that workers are taken to hold: our own and what their reports say of others', of which one not
+    /// heard from has the average.
+    fn crowds(&self, workers: &[usize]) -> Vec<f64> {
+        let f = &self.fleet;
+        let heard: Vec<f64> = workers.iter().filter_map(|&w| f.foreign[w]).collect();
+        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        workers.iter().map(|&w| f.out[w] as f64 + f.foreign[w].unwrap_or(average)).collect()
     }
 
     /// Distrust of a worker now; a single failure in a healthy stream means nothing.
@@ -812,7 +809,7 @@
         }
         self.finish(id, host);
         if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
-            self.run(now, id, host);
+            self.run(now, id, false, host);
         }
         self.release(now, host);
     }
@@ -874,10 +871,13 @@
 
     /// Tries what is kept again.
     fn release(&mut self, now: f64, host: &mut dyn Host) {
-        for _ in 0..self.kept.len() {
-            let Some(id) = self.kept.pop_front() else { break };
-            if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
-                self.run(now, id, host);
+        // One that stays kept speaks for those behind it that want the same function.
+        let mut stuck = Vec::new();
+        for id in std::mem::take(&mut self.kept) {
+            let Some(a) = &self.activations[id] else { continue };
+            let key = (a.function, a.over_share);
+            if a.open && !a.shots.iter().any(|s| s.out) && !self.run(now, id, stuck.contains(&key), host) {
+                stuck.push(key);
             }
         }
     }
