A cut connection is one lost shot and a slight doubt, no more

Harmful where a worker that dies resets connections for long before it refuses them; refusals still doubt it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -758,11 +758,8 @@
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store, and overdue among answers of a long activation.
             Outcome::Overdue if warm && self.fleet.heard[w] < sent => self.judge(now, w, 1.0, 0.5),
-            Outcome::Cut | Outcome::Unreached => {
-                // It most likely died, long before the list can tell: what stood there is lost.
-                self.judge(now, w, 1.0, if answer.outcome == Outcome::Cut { 0.3 } else { 0.7 });
-                self.emptied(w);
-            }
+            Outcome::Cut => self.judge(now, w, 1.0, 0.1),
+            Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
             Outcome::Full => {
                 self.fleet.heard[w] = now;
                 self.fleet.full[w][usize::from(warm)] = now;
