--- a/src/policy.rs
+++ b/src/policy.rs
@@ -574,11 +574,12 @@
             return;
         }
         if let Some((window, free, share)) = self.ration {
-            // What is just at the window's edge counts as an order but not as an activation.
-            while self.ordered.front().is_some_and(|&t| now - t > window) {
+            /// What is at the window's edge, to within the rounding of a clock, counts as an order but not as taken.
+            const HAIR: f64 = 1e-5;
+            while self.ordered.front().is_some_and(|&t| now - t > window + HAIR) {
                 self.ordered.pop_front();
             }
-            let taken = self.taken.iter().filter(|&&t| now - t < window).count();
+            let taken = self.taken.iter().filter(|&&t| now - t < window - HAIR).count();
             if self.ordered.len() as f64 + 1.0 > free + share * taken as f64 {
                 return;
             }
