--- a/src/policy.rs
+++ b/src/policy.rs
@@ -447,7 +447,7 @@
         const SPREAD: f64 = 1.25;
         const SLACK: f64 = 3.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
-        const LANE_WAIT: f64 = 0.1;
+        const LANE_WAIT: f64 = 0.05;
         /// Seconds for which a worker that turned a shot away gets no other of its sort: with no memory or no place
         /// for one more load it still has lanes for what stands there.
         const REST: f64 = 0.3;
