--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -118,10 +118,6 @@
     fn forget(&mut self, activation: usize) {
         self.names.activations.give_back(activation);
     }
-
-    fn forget_function(&mut self, function: usize) {
-        self.names.functions.give_back(function);
-    }
 }
 
 /// Whole microseconds; nothing below zero.
--- a/drill/src/terms.rs
+++ b/drill/src/terms.rs
@@ -46,12 +46,7 @@
         (Some("guarded"), None) => return Err(named("the setting KeyScope is missing or senseless".into())),
         _ => return Err(named("the setting Effect is missing or senseless".into())),
     };
-    Ok(Profile {
-        due: seconds(class, "/Objective").map_err(named)?,
-        effect,
-        importance: at(class, "/Gain").unwrap_or(1.0),
-        late_importance: at(class, "/LateWorth").unwrap_or(0.0),
-    })
+    Ok(Profile { due: seconds(class, "/Objective").map_err(named)?, effect })
 }
 
 /// The charter that the settings spell out, or the name of what is wrong with them.
@@ -66,7 +61,6 @@
         let free = at(&s, "/FamilyInfo/FreeLoads").unwrap_or(0.0);
         (window, free, at(&s, "/FamilyInfo/LoadShare").unwrap_or(0.0))
     });
-    let asks = at::<&str>(&s, "/RegistryMode") == Some("subscribe");
     Ok(Charter {
         seed,
         routers: positive(&s, "/Balancers")? as usize,
@@ -76,21 +70,17 @@
         shots: positive(&s, "/Limits/MaxAttempts")? as usize,
         second_copies: flag("/Limits/MayDuplicate"),
         cancels: flag("/Limits/Cancelling"),
-        probes: flag("/Limits/Probing"),
         orders: flag("/FamilyInfo/PlacementCalls"),
         misses: at::<&str>(&s, "/FamilyInfo/MissMode") == Some("miss"),
-        asks: asks.then(|| time("/Rules/AskWithin").unwrap_or(0.0)),
+        asks: at::<&str>(&s, "/RegistryMode") == Some("subscribe"),
         come_back: time("/Limits/MaxRetryAfter").filter(|_| flag("/Limits/RetryAfter")),
         keep: time("/FamilyInfo/KeepAlive").unwrap_or(0.0),
         ration,
         order_wait: time("/FamilyInfo/LoadWait").unwrap_or(f64::INFINITY),
-        grace: seconds(&s, "/Rules/DrainGrace")?,
         cold_share: figure(&s, "/Rules/StartCapacity")?,
         warm_up: seconds(&s, "/Rules/WarmUp")?,
         tip_multiple: figure(&s, "/Rules/TipMultiple")?,
         tip_window: seconds(&s, "/Rules/OverloadFor")?,
-        reports_on_probe: at::<&str>(&s, "/Telemetry/Via") == Some("on_probe"),
-        idle_price: at(&s, "/FamilyInfo/PriceOfIdle").unwrap_or(0.0),
         memory: at(&s, "/FamilyInfo/MemoryMbByKind").unwrap_or_default(),
         tick: seconds(&s, "/Tick")?,
     })
--- a/src/host.rs
+++ b/src/host.rs
@@ -24,8 +24,6 @@
     fn follow(&mut self);
     /// The router will not name this activation again; its index may be given to another.
     fn forget(&mut self, activation: usize);
-    /// The router knows no more of this function; its index may be given to another.
-    fn forget_function(&mut self, function: usize);
 }
 
 /// How harmful it is to run an activation twice.
@@ -50,12 +48,9 @@
 /// A kind of activation.
 #[derive(Clone, Copy, Debug)]
 pub struct Profile {
-    /// Seconds within which an answer has its full importance.
+    /// Seconds within which an answer is wanted.
     pub due: f64,
     pub effect: Effect,
-    pub importance: f64,
-    /// The part of the importance that an answer after the due time still has.
-    pub late_importance: f64,
 }
 
 /// What an installation states when a router starts.
@@ -73,13 +68,12 @@
     pub shots: usize,
     pub second_copies: bool,
     pub cancels: bool,
-    pub probes: bool,
     /// Orders to hold and unload are possible.
     pub orders: bool,
     /// A worker without the function answers a miss rather than load it unasked.
     pub misses: bool,
-    /// Changes of the worker list must be asked for, again within this many seconds.
-    pub asks: Option<f64>,
+    /// Changes of the worker list come only when asked for.
+    pub asks: bool,
     /// The longest advice to stay away that clients heed; none where they are told nothing.
     pub come_back: Option<f64>,
     /// Seconds an idle instance remains at least.
@@ -88,8 +82,6 @@
     pub ration: Option<(f64, f64, f64)>,
     /// Seconds after which an order to hold counts as unanswered.
     pub order_wait: f64,
-    /// Seconds within which sends to a draining or gone worker must cease.
-    pub grace: f64,
     /// A worker starts at this part of its capacity or above ...
     pub cold_share: f64,
     /// ... and is warm after this many seconds.
@@ -98,10 +90,6 @@
     pub tip_multiple: f64,
     /// ... for this long, it falls over.
     pub tip_window: f64,
-    /// Worker reports come only with the answers to probes.
-    pub reports_on_probe: bool,
-    /// What idle and loading instances cost, were they to fill all memory.
-    pub idle_price: f64,
     /// Memory of each kind of worker, in MB; empty where it is not stated.
     pub memory: Vec<f64>,
     /// The least time between two turns of the router.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -178,6 +178,8 @@
     orders: bool,
     misses: bool,
     asks: bool,
+    /// Beyond a client group's share an activation matters less.
+    sheds: bool,
     come_back: Option<f64>,
     keep: f64,
     /// Memory of each kind of worker, in MB.
@@ -225,8 +227,7 @@
 
 impl Router {
     pub fn new(charter: Charter, now: f64, host: &mut dyn Host) -> Self {
-        let asks = charter.asks.is_some();
-        if asks {
+        if charter.asks {
             host.follow();
         }
         Self {
@@ -241,7 +242,8 @@
             cancels: charter.cancels,
             orders: charter.orders,
             misses: charter.misses,
-            asks,
+            asks: charter.asks,
+            sheds: charter.over_share < 1.0,
             come_back: charter.come_back,
             keep: charter.keep,
             memory: charter.memory,
@@ -369,8 +371,8 @@
                 let quota = self.quotas[a.client];
                 *left = (*left + (now - *at) * quota).min((quota * BURST).max(1.0));
                 *at = now;
-                over_share = *left < 1.0;
-                if !over_share {
+                over_share = self.sheds && *left < 1.0;
+                if *left >= 1.0 {
                     *left -= 1.0;
                 }
             }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -48,7 +48,6 @@
     fn forget(&mut self, id: usize) {
         self.forgotten.push(id);
     }
-    fn forget_function(&mut self, _function: usize) {}
 }
 
 /// A router on its fake host, with the workers it was told of.
@@ -59,7 +58,7 @@
 }
 
 pub fn pure() -> Profile {
-    Profile { due: 1.0, effect: Effect::Pure, importance: 1.0, late_importance: 0.1 }
+    Profile { due: 1.0, effect: Effect::Pure }
 }
 
 /// A plain charter: one router, one profile, orders and second copies allowed, nothing rationed.
@@ -73,21 +72,17 @@
         shots: 4,
         second_copies: true,
         cancels: true,
-        probes: false,
         orders: true,
         misses: false,
-        asks: None,
+        asks: false,
         come_back: None,
         keep: 10.0,
         ration: None,
         order_wait: 10.0,
-        grace: 0.5,
         cold_share: 0.2,
         warm_up: 15.0,
         tip_multiple: 2.5,
         tip_window: 2.0,
-        reports_on_probe: false,
-        idle_price: 0.0,
         memory: vec![],
         tick: 0.004,
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -138,7 +138,7 @@
 
 #[test]
 fn a_subscription_that_broke_is_asked_for_again() {
-    let mut town = Town::new(Charter { asks: Some(10.0), ..charter(pure()) }, 2);
+    let mut town = Town::new(Charter { asks: true, ..charter(pure()) }, 2);
     town.router.list_failed(town.host.now, &mut town.host);
     town.pass(3.0);
     assert_eq!(town.host.did.iter().filter(|(_, d)| *d == Did::Follow).count(), 2);
