--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -1,4 +1,4 @@
-//! Plays the milletpath library over a binary event wire: frames of events come in on standard input, one reply
+//! Plays the milletpath library over a binary event wire: frames of events come on standard input, one reply
 //! of actions goes out for each. It translates and maps ids; all decisions are the library's.
 
 mod frame;
@@ -77,7 +77,7 @@
             100 => {
                 instances.remove(&number);
             }
-            // What still comes for an instance that is off or never started concerns nobody, but must be sound.
+            // What comes for an instance that is off or never started concerns nobody but must be sound.
             code => match instances.get_mut(&number) {
                 Some(instance) => instance.event(batch.clock, e, &mut reply)?,
                 None if matches!(code, 30..=110) && code % 10 == 0 => {}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,10 +1,10 @@
 //! Every decision of a router. A host (see `host.rs`, the interface) calls the router as things happen:
-//! `listed` and `list_complete` for the worker list, `arrived`, `answered`, `started`, `left` for activations,
+//! `listed`, `list_complete` for the worker list, `arrived`, `answered`, `started`, `left` for activations,
 //! `held` for orders, `probed` for probes and `woken` for time. The router acts through the `Host` passed in.
 //!
-//! An activation passes the stages `admit`, `place` and `shoot`; each passes it on, keeps it (in `kept`) or ends
-//! it. What comes back runs the other way: `shoot` books it on the worker, `place` on the function, `admit` ends
-//! it or sends it round again. `may_shoot` and `order` are the only doors for shots and orders to load.
+//! An activation passes the stages `admit`, `place` and `shoot`; each passes it on, keeps it or ends
+//! it. What comes back runs the other way: `shoot` books it on the worker, `place` on the function, `admit`
+//! ends it or sends it round again. `may_shoot` and `order` are the only doors for shots and orders to load.
 
 use crate::host::{
     Answer, Arrival, Charter, Effect, Found, Group, Host, Listing, Outcome, Profile, Report, State,
@@ -85,14 +85,14 @@
 
 /// Resizes each of the arrays, filling what is new.
 macro_rules! resize {
-    ($fleet:ident to $n:expr, $($array:ident: $fill:expr),* $(,)?) => { $($fleet.$array.resize($n, $fill);)* };
+    ($f:ident to $n:expr, $($array:ident: $fill:expr),* $(,)?) => { $($f.$array.resize($n, $fill);)* };
 }
 
 impl Fleet {
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
-        resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY, zone: 0,
-            cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, doubt: none,
+        resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
+            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, doubt: none,
             handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
     }
 }
@@ -222,7 +222,7 @@
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
 const DOUBT_HALF: f64 = 4.0;
 
-/// A worker's highest rate gives way this slowly, so that a lull or a slow spell does not shut the door for good.
+/// A worker's highest rate gives way this slowly, so that no lull or slow spell shuts the door for good.
 const PEAK_HALF: f64 = 30.0;
 
 impl Router {
@@ -253,7 +253,7 @@
             warm_up: charter.warm_up,
             tip_multiple: charter.tip_multiple,
             tip_window: charter.tip_window,
-            // An activation ends this long before its client gives up, so that no turn of the clock is missed.
+            // An activation ends so long before its client gives up: no turn of the clock is missed.
             margin: 2.0 * charter.tick.max(0.001),
             fleet: Fleet::default(),
             ring: Vec::new(),
@@ -404,11 +404,11 @@
         self.kept.last() != Some(&id)
     }
 
-    /// Own shots that may be at work on a worker at once: its measured rate times the time an answer may take.
+    /// Own shots that may be at work on a worker: its measured rate times the time an answer may take.
     fn limit(&self, now: f64, w: usize, due: f64) -> f64 {
         /// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here.
         const TIME: f64 = 0.35;
-        /// While answers are quick the rate is what clients ask, not what the worker can do: up to this much more.
+        /// While answers are quick the rate is what clients ask, not what it can do: so much more.
         const GROWTH: f64 = 2.0;
         /// Shots beyond that, for a worker whose rate is not known yet.
         const FLOOR: f64 = 1.0;
@@ -434,24 +434,24 @@
         let loaded = self.functions[a.function]
             .as_ref()
             .is_some_and(|f| f.stands.iter().any(|s| s.copies > 0.0 && s.until > now));
-        // Bounced while a client's retry can still be in time; what waits for a load would wait elsewhere as well.
+        // Bounced while a retry can still be in time; what waits for a load would wait elsewhere as well.
         let wait = if loaded { WAIT * due } else { due - self.latency };
         if now - a.taken > wait && !waits { Stage::End } else { Stage::Keep }
     }
 
     /// Second stage: the least loaded of the function's set.
     ///
-    /// A member without an instance is ordered one and joins the pick once it stands, as long as a worker with
+    /// A member without an instance is ordered one and joins the pick once it stands, as long as one with
     /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage {
-        /// A member is above the common load when it holds so many times the mean, and so many more: the homes of
+        /// A member is above the common load when it holds so many times the mean, and so many more: homes of
         /// several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
         const SLACK: f64 = 3.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
-        /// Seconds for which a worker that turned a shot away gets no other of its sort: with no memory or no place
-        /// for one more load it still has lanes for what stands there.
+        /// Seconds for which a worker that turned a shot away gets no other of its sort: without memory
+        /// or place for one more load it still has lanes for what stands there.
         const REST: f64 = 0.3;
         let Some(a) = &self.activations[id] else { return Stage::End };
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
@@ -487,19 +487,19 @@
             room += function.lanes * size;
             let warm = copies > 0.0;
             somewhere |= warm || coming;
-            // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at the cost of
+            // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at cost of
             // others' memory: for a while it is better to wait here for a lane.
             if out >= function.lanes * copies.max(1.0) && (!warm || waited < LANE_WAIT * due) {
                 continue;
             }
-            // What is over its limit takes nothing: the walk goes on past the set, or the activation waits here.
-            // What must load first loads at home: under load elsewhere it would scatter instances over all workers.
+            // What is over its limit takes nothing: the walk goes on past the set, or it waits here.
+            // What must load first loads at home: elsewhere it would scatter instances over all workers.
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
             if self.fleet.busy[w] + 1.0 > bound || now - self.fleet.full[w][usize::from(warm)] < REST {
                 pressed |= member;
                 continue;
             }
-            // Where a worker loads nothing unasked, one that missed is sent nothing until an order is confirmed.
+            // Where workers load nothing unasked, one that missed is sent nothing until an order stands.
             let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
             if self.misses && !warm && (coming || missed) {
                 lacking = lacking.or(Some(w));
@@ -529,7 +529,7 @@
         let cold = if above { past.or(any) } else { any };
         let warm_past = warm_past.filter(|_| above);
         let warm = if above { warm_past.or(warm) } else { warm };
-        // A load on the request's path only where no instance stands or comes, and never past the set: what a full
+        // A load on the request's path only where no instance stands or comes, in the set: what a full
         // home turns away would else load at one worker after the other, and crowd the store for good.
         let pick = match warm.or(warm_past) {
             None if somewhere => on_way,
@@ -547,7 +547,7 @@
             function.roomy_since = now;
         }
         let Some((_, worker)) = pick else { return Stage::Keep };
-        // Where only an order adds an instance, one that has all lanes taken would make the rest wait in line.
+        // Where only an order adds an instance, all lanes taken would make the rest wait in line.
         let Some(function) = &self.functions[key] else { return Stage::End };
         let (copies, _, out) = function.standing(now, worker);
         let needed = ((out + 1.0) / function.lanes).ceil().min(16.0);
@@ -562,8 +562,8 @@
     fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, ahead: bool, host: &mut dyn Host) {
         /// Loads asked for ahead that may be under way for each worker of this router's part.
         const AHEAD: f64 = 0.25;
-        /// Part of a worker's memory that believed instances may fill: past it one ordered ahead pushes out one
-        /// that will be loaded again.
+        /// Part of a worker's memory that instances may fill: past it one ordered ahead pushes out one
+        /// that is loaded again.
         const FILLED: f64 = 0.6;
         let Some(f) = &self.functions[key] else { return };
         let (standing, coming, _) = f.standing(now, w);
@@ -576,7 +576,7 @@
             return;
         }
         if let Some((window, free, share)) = self.ration {
-            /// What is at the window's edge, to within the rounding of a clock, counts as an order but not as taken.
+            /// What is at the window's edge, but for a clock's rounding, counts as order but not as taken.
             const HAIR: f64 = 1e-5;
             while self.ordered.front().is_some_and(|&t| now - t > window + HAIR) {
                 self.ordered.pop_front();
@@ -624,7 +624,7 @@
         }
     }
 
-    /// Activations that workers are taken to hold: our own and what their reports say of others', of which one not
+    /// Activations that workers are taken to hold: our own and what reports say of others', of which one not
     /// heard from has the average.
     fn crowds(&self, workers: &[usize]) -> Vec<f64> {
         let f = &self.fleet;
@@ -759,7 +759,7 @@
                 }
             }
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
-            // Overdue while it waited for a load tells of the store, and overdue among answers of a long activation.
+            // Overdue while it waited for a load tells of the store; among answers, of a long activation.
             Outcome::Overdue if warm && self.fleet.heard[w] < sent => self.judge(now, w, 1.0, 0.5),
             Outcome::Cut => self.judge(now, w, 1.0, 0.1),
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
@@ -777,7 +777,7 @@
             if answer.outcome == Outcome::Missed {
                 (stand.copies, stand.coming, stand.missed) = (0.0, 0.0, now);
             } else if matches!(answer.outcome, Outcome::Withdrawn | Outcome::Overdue) && outlasted {
-                // The load goes on when nobody waits for it any more: begun again elsewhere it would never end.
+                // The load goes on when nobody waits for it: begun again elsewhere it would never end.
                 stand.copies = stand.copies.max(1.0);
                 stand.until = now + self.keep;
             } else if answer.outcome.never_ran() || answer.outcome == Outcome::Failed && !warm {
@@ -859,7 +859,7 @@
                 Effect::Effectful => false,
             });
         if harmless {
-            /// Part of the due time after which a client is asked to come back: not into the same crowd, and in time.
+            /// Part of the due time after which to come back: not into the same crowd, and in time.
             const AWAY: f64 = 0.08;
             let due = self.profiles.get(a.profile).map_or(0.0, |p| p.due);
             host.bounce(id, self.come_back.map(|most| most.min(AWAY * due)));
@@ -930,7 +930,7 @@
 
     /// Time has passed.
     pub fn woken(&mut self, now: f64, host: &mut dyn Host) {
-        /// Seconds between two looks at what is open: short against any due time, long against the work of it.
+        /// Seconds between two looks at what is open: short against due times, long against its work.
         const PULSE: f64 = 0.005;
         if now < self.wake - 1e-6 {
             return;
@@ -969,7 +969,7 @@
         let patience = (PATIENCE * self.latency).max(0.8);
         let quiet = |w: usize| self.fleet.out[w] >= 2 && now - oldest[w].max(self.fleet.heard[w]) > patience;
         let silent: Vec<bool> = (0..oldest.len()).map(quiet).collect();
-        // Where many fall silent at once they wait for something they share, such as a slow store: moved elsewhere,
+        // Where many fall silent at once they wait for what they share, such as the store: moved elsewhere,
         // their loads would begin again and crowd it more.
         if silent.iter().filter(|&&s| s).count() as f64 > MANY * self.ready {
             return;
