--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -115,19 +115,19 @@
 #[test_case(4, 1.0; "four routers")]
 #[test_case(1, 0.25; "a slow day")]
 fn a_cold_worker_is_not_sent_more_than_its_budget(routers: usize, pace: f64) {
-    let terms = milletpath::host::Charter { routers, ..charter(pure()) };
+    let terms = milletpath::host::Charter { routers, orders: false, ..charter(pure()) };
     let budget = terms.tip_multiple * terms.cold_share * terms.tip_window / routers as f64;
     let mut town = Town::new(terms, 2);
     for n in 0..200 {
-        town.serve(n % 20, 0.05 / pace);
+        town.serve(n % 60, 0.05 / pace);
     }
     // A warm worker takes about ten a second times the pace, and one that is alike starts.
     let rate = 10.0 * pace * routers as f64;
     let start = town.host.now;
     town.list(vec![line(9, State::Ready, Some(start))]);
-    for n in 0..60 {
-        town.arrive(n % 20, 4.0);
-        town.pass(0.02);
+    for n in 0..180 {
+        town.arrive(n % 60, 4.0);
+        town.pass(0.01);
     }
     let to = town.host.did.iter().filter(|(_, d)| matches!(d, Did::Send { worker: 9, .. })).count();
     assert!(to as f64 <= budget * rate * 1.4, "{to} shots against {}", budget * rate);
