Usage counts only arrivals beyond their own chance, over a short and a long window

Cause: one arrival at one of many routers read as hundreds a second and stretched the set over the whole fleet. Helps with any function seen seldom; could harm one that turns hot at many routers at once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -101,7 +101,8 @@
     name: u64,
     lanes: f64,
     memory: f64,
-    arrivals: Fading,
+    /// Arrivals over a short and a long while.
+    arrivals: [Fading; 2],
     since: f64,
     latency: f64,
     /// Workers in the set, and since when the set could be smaller.
@@ -219,6 +220,10 @@
 /// for a function that turns hot to show within a second or two.
 const RATE_HALF: f64 = 3.0;
 
+/// Half lives of the counts behind a function's usage: the short one shows what turns hot within a second or
+/// two, the long one what one of many routers sees too seldom for that.
+const DEMAND_HALVES: [f64; 2] = [RATE_HALF, 15.0];
+
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
 const DOUBT_HALF: f64 = 4.0;
 
@@ -351,7 +356,7 @@
             name: a.name,
             lanes: 1.0,
             memory: a.memory.max(0.0),
-            arrivals: Fading::default(),
+            arrivals: Default::default(),
             since: now,
             latency: 0.0,
             set: 1,
@@ -364,7 +369,9 @@
         let mut over_share = false;
         // A client's repeat is no new demand: counted, it would stretch sets onto cold workers.
         if !a.repeat {
-            function.arrivals.add(now, RATE_HALF, 1.0);
+            for (count, half) in function.arrivals.iter_mut().zip(DEMAND_HALVES) {
+                count.add(now, half, 1.0);
+            }
             /// Seconds of its share that a client group may use at once.
             const BURST: f64 = 1.0;
             if let Some((left, at)) = self.clients.get_mut(a.client) {
@@ -604,7 +611,14 @@
     fn usage(&self, now: f64, key: usize) -> f64 {
         let Some(f) = &self.functions[key] else { return 0.0 };
         let latency = if f.latency > 0.0 { f.latency } else { self.latency };
-        f.arrivals.rate(now, RATE_HALF, now - f.since) * self.routers * latency
+        // Few arrivals are weak evidence: of a count only what is beyond its own chance, or one arrival at one
+        // of many routers would read as hundreds a second and stretch the set over all workers.
+        let rate = |(count, half): (&Fading, f64)| {
+            let n = count.now(now, half);
+            count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
+        };
+        let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
+        rate * self.routers * latency
     }
 
     /// Brings a function's walk up to the present ring.
