Room of a worker leaves lanes free for the chance of what other routers send

Acts only where there are several routers; harms where memory is too small for one more instance of a function.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -455,6 +455,8 @@
         /// several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
         const SLACK: f64 = 3.0;
+        /// Deviations of chance, squared, that an instance's lanes have room for beside the mean.
+        const LUCK: f64 = 1.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
         /// Seconds for which a worker that turned a shot away gets no other of its sort: without memory
@@ -471,6 +473,10 @@
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
+        // What a router does not see of the others comes on top by chance: so much of an instance's lanes is
+        // left free that a worker seldom holds more than them, and begins no load for one moment's crowd.
+        let unseen = LUCK * (1.0 - 1.0 / self.routers);
+        let lanes = function.lanes + unseen / 2.0 - (unseen * (function.lanes + unseen / 4.0)).sqrt();
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
         let mut pressed = false;
         let mut lacking = None;
@@ -491,7 +497,7 @@
             let member = room < usage || members < function.set;
             needed += usize::from(room < usage);
             members += usize::from(member);
-            room += function.lanes * size;
+            room += lanes * size;
             let warm = copies > 0.0;
             somewhere |= warm || coming;
             // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at cost of
