A worker whose report is old is probed before a shot joins its queue

Cause: where reports come on probes only, no router of many sees what others send to a worker; jams at homes of hot functions last. Before a shot to a worker not heard from for 1 s it is probed, and the shot waits for that up to 0.03 of the due time. Reports older than 4 s count as average. Should also catch slow workers; harms where probes are dear or wait in the worker's queue.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -262,10 +262,9 @@
             }
             70 => router.woken(now, &mut Wire { names, reply }),
             80 => {
-                outcome(e.u16(3))?;
-                let report = report(&names.report, e, 13)?;
+                let (outcome, report) = (outcome(e.u16(3))?, report(&names.report, e, 13)?);
                 if let Some(worker) = names.workers.get(e.u32(5)) {
-                    router.reported(worker, report);
+                    router.probed(now, worker, outcome, report, &mut Wire { names, reply });
                 }
             }
             // No router here sends word to others, so nothing that arrives concerns it.
--- a/drill/src/terms.rs
+++ b/drill/src/terms.rs
@@ -73,6 +73,7 @@
         orders: flag("/FamilyInfo/PlacementCalls"),
         misses: at::<&str>(&s, "/FamilyInfo/MissMode") == Some("miss"),
         asks: at::<&str>(&s, "/RegistryMode") == Some("subscribe"),
+        probes: flag("/Limits/Probing") && at::<&str>(&s, "/Telemetry/Via").is_some_and(|via| via != "off"),
         come_back: time("/Limits/MaxRetryAfter").filter(|_| flag("/Limits/RetryAfter")),
         keep: time("/FamilyInfo/KeepAlive").unwrap_or(0.0),
         ration,
--- a/src/host.rs
+++ b/src/host.rs
@@ -74,6 +74,8 @@
     pub misses: bool,
     /// Changes of the worker list come only when asked for.
     pub asks: bool,
+    /// Workers may be probed, and tell their load when they are.
+    pub probes: bool,
     /// The longest advice to stay away that clients heed; none where they are told nothing.
     pub come_back: Option<f64>,
     /// Seconds an idle instance remains at least.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,9 @@
     full: Vec<[f64; 2]>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
+    /// When that came, and when a probe went out that is not answered yet.
+    told: Vec<f64>,
+    asked: Vec<f64>,
     /// Distrust, 0 to 1.
     doubt: Vec<Fading>,
     /// Answers handled, fading.
@@ -92,8 +95,8 @@
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
-            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, doubt: none,
-            handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
+            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, told: never,
+            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
     }
 }
 
@@ -179,6 +182,7 @@
     orders: bool,
     misses: bool,
     asks: bool,
+    probes: bool,
     /// Beyond a client group's share an activation matters less.
     sheds: bool,
     come_back: Option<f64>,
@@ -227,6 +231,9 @@
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
 const DOUBT_HALF: f64 = 4.0;
 
+/// Seconds for which a worker's report says what it holds: about as long as a queue takes to change.
+const FRESH: f64 = 1.0;
+
 /// A worker's highest rate gives way this slowly, so that no lull or slow spell shuts the door for good.
 const PEAK_HALF: f64 = 30.0;
 
@@ -248,6 +255,7 @@
             orders: charter.orders,
             misses: charter.misses,
             asks: charter.asks,
+            probes: charter.probes,
             sheds: charter.over_share < 1.0,
             come_back: charter.come_back,
             keep: charter.keep,
@@ -457,6 +465,8 @@
         const SLACK: f64 = 3.0;
         /// Deviations of chance, squared, that an instance's lanes have room for beside the mean.
         const LUCK: f64 = 1.0;
+        /// Part of the due time that probes before a shot may take.
+        const ASK: f64 = 0.03;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
         /// Seconds for which a worker that turned a shot away gets no other of its sort: without memory
@@ -469,7 +479,7 @@
         let Some(function) = &self.functions[key] else { return Stage::End };
         let due = self.profiles.get(profile).map_or(1.0, |p| p.due);
         let n = function.walk.len().max(1) as f64;
-        let crowds = self.crowds(&function.walk);
+        let crowds = self.crowds(now, &function.walk);
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
         let due = due * if over_share { 0.5 } else { 1.0 };
@@ -560,6 +570,16 @@
             function.roomy_since = now;
         }
         let Some((_, worker)) = pick else { return Stage::Keep };
+        // What others send is seen in reports alone: an old one is asked for anew, which takes no time to speak
+        // of, before a queue that this router knows nothing of is joined. An answer that stays out is not
+        // waited for.
+        if self.probes && self.routers > 1.0 && now - self.fleet.told[worker] > FRESH && waited < ASK * due {
+            if self.fleet.asked[worker] == f64::NEG_INFINITY {
+                self.fleet.asked[worker] = now;
+                host.probe(worker);
+            }
+            return Stage::Keep;
+        }
         // Where only an order adds an instance, all lanes taken would make the rest wait in line.
         let Some(function) = &self.functions[key] else { return Stage::End };
         let (copies, _, out) = function.standing(now, worker);
@@ -645,12 +665,13 @@
     }
 
     /// Activations that workers are taken to hold: our own and what reports say of others', of which one not
-    /// heard from has the average.
-    fn crowds(&self, workers: &[usize]) -> Vec<f64> {
+    /// heard from lately has the average.
+    fn crowds(&self, now: f64, workers: &[usize]) -> Vec<f64> {
         let f = &self.fleet;
-        let heard: Vec<f64> = workers.iter().filter_map(|&w| f.foreign[w]).collect();
+        let told = |w: usize| f.foreign[w].filter(|_| now - f.told[w] < 4.0 * FRESH);
+        let heard: Vec<f64> = workers.iter().filter_map(|&w| told(w)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        workers.iter().map(|&w| f.out[w] as f64 + f.foreign[w].unwrap_or(average)).collect()
+        workers.iter().map(|&w| f.out[w] as f64 + told(w).unwrap_or(average)).collect()
     }
 
     /// Distrust of a worker now; a single failure in a healthy stream means nothing.
@@ -767,7 +788,7 @@
         // Back through `shoot`: the worker's figures.
         self.fleet.busy[w] -= f64::from(u8::from(warm));
         self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
-        self.reported(w, answer.report);
+        self.reported(now, w, answer.report);
         match answer.outcome {
             Outcome::Handled => {
                 self.judge(now, w, 0.0, 0.2);
@@ -927,8 +948,25 @@
         self.release(now, host);
     }
 
+    /// A probe was answered, or was not.
+    pub fn probed(
+        &mut self,
+        now: f64,
+        w: usize,
+        outcome: Outcome,
+        report: Option<Report>,
+        host: &mut dyn Host,
+    ) {
+        self.fleet.asked[w] = f64::NEG_INFINITY;
+        self.reported(now, w, report);
+        if outcome == Outcome::Unreached {
+            self.judge(now, w, 1.0, 0.7);
+        }
+        self.release(now, host);
+    }
+
     /// A worker's report came in, with an answer or a probe.
-    pub fn reported(&mut self, w: usize, report: Option<Report>) {
+    fn reported(&mut self, now: f64, w: usize, report: Option<Report>) {
         let Some(report) = report else { return };
         let own = self.fleet.out[w] as f64;
         let foreign = match (report.held, report.waiting) {
@@ -936,8 +974,11 @@
             (None, Some(waiting)) => waiting * (self.routers - 1.0) / self.routers,
             _ => return,
         };
+        // Of what was told before, the more counts the shorter ago that was.
+        let kept = 0.5 * (-(now - self.fleet.told[w]) / FRESH).exp2();
         let old = self.fleet.foreign[w].unwrap_or(foreign);
-        self.fleet.foreign[w] = Some(old + 0.5 * (foreign - old));
+        self.fleet.foreign[w] = Some(foreign + kept * (old - foreign));
+        self.fleet.told[w] = now;
     }
 
     /// Asks to be woken at a time, unless that happens anyway.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -75,6 +75,7 @@
         orders: true,
         misses: false,
         asks: false,
+        probes: false,
         come_back: None,
         keep: 10.0,
         ration: None,
