--- a/src/policy.rs
+++ b/src/policy.rs
@@ -68,8 +68,8 @@
     latency: Vec<f64>,
     /// The highest rate of handled answers, which gives way slowly.
     peak: Vec<Fading>,
-    /// Shots sent since it started cold.
-    cold_shots: Vec<VecDeque<f64>>,
+    /// Where it is cold: when the present turn began, and the shots that it may still have in it.
+    turn: Vec<(f64, f64)>,
 }
 
 /// What a router believes of one function on one worker.
@@ -96,7 +96,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, told: never,
-            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, cold_shots: VecDeque::new());
+            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -215,6 +215,8 @@
     /// Mean latency of answers that waited for a load.
     load: f64,
     born: f64,
+    /// What warm workers handle a second for their size, and as of when.
+    pace: (f64, f64),
     /// The next look at the time that was asked for.
     wake: f64,
     ask_again: f64,
@@ -282,6 +284,7 @@
             latency: 0.3,
             load: 1.0,
             born: now,
+            pace: (f64::NEG_INFINITY, 0.0),
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
         }
@@ -299,7 +302,7 @@
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
             (f.doubt[w], f.peak[w]) = (Fading::default(), Fading::default());
-            (f.latency[w], f.foreign[w]) = (0.0, None);
+            (f.latency[w], f.foreign[w], f.turn[w]) = (0.0, None, (f64::NEG_INFINITY, 0.0));
             self.emptied(w);
         }
         let f = &mut self.fleet;
@@ -328,14 +331,20 @@
         /// functions to several successors instead of one.
         const POINTS: u64 = 32;
         let f = &self.fleet;
-        self.ring.clear();
-        for w in (0..f.name.len()).filter(|&w| f.state[w] == State::Ready) {
-            let point = |p| (xxh3_64_with_seed(&f.name[w].to_le_bytes(), p), w);
-            self.ring.extend((0..POINTS).map(point));
+        let ready = |w: usize| f.state[w] == State::Ready;
+        let before = self.ring.len();
+        self.ring.retain(|&(_, w)| ready(w));
+        let mut known = vec![false; f.name.len()];
+        self.ring.iter().for_each(|&(_, w)| known[w] = true);
+        let new = (0..known.len()).filter(|&w| ready(w) && !known[w]);
+        let point = |w: usize, p| (xxh3_64_with_seed(&f.name[w].to_le_bytes(), p), w);
+        let points: Vec<_> = new.flat_map(|w| (0..POINTS).map(move |p| point(w, p))).collect();
+        if before != self.ring.len() || !points.is_empty() {
+            self.ring.extend(points);
+            self.ring.sort_by_key(|&(at, w)| (at, f.name[w]));
+            self.ready = self.ring.len() as f64 / POINTS as f64;
+            self.edition += 1;
         }
-        self.ready = self.ring.len() as f64 / POINTS as f64;
-        self.ring.sort_unstable_by_key(|&(at, w)| (at, f.name[w]));
-        self.edition += 1;
         self.release(now, host);
     }
 
@@ -476,23 +485,33 @@
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
         self.walk(key);
         let usage = self.usage(now, key);
-        let Some(function) = &self.functions[key] else { return Stage::End };
-        let due = self.profiles.get(profile).map_or(1.0, |p| p.due);
+        let Some(function) = self.functions[key].take() else { return Stage::End };
+        let due = self.profiles.get(profile).map_or(1.0, |p| p.due) * if over_share { 0.5 } else { 1.0 };
         let n = function.walk.len().max(1) as f64;
-        let crowds = self.crowds(now, &function.walk);
+        let (average, mean) = self.crowd(now, &function.walk);
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
-        let fair = crowds.iter().sum::<f64>() / n * SPREAD + SLACK;
-        let due = due * if over_share { 0.5 } else { 1.0 };
+        let fair = mean * SPREAD + SLACK;
+        let stands = |s: &&Stand| s.copies > 0.0 && s.until > now || s.coming > now;
+        let ready = |s: &&Stand| self.fleet.state[s.worker] == State::Ready;
+        let live = function.stands.iter().filter(stands).filter(ready).count();
         // What a router does not see of the others comes on top by chance: so much of an instance's lanes is
         // left free that a worker seldom holds more than them, and begins no load for one moment's crowd.
         let unseen = LUCK * (1.0 - 1.0 / self.routers);
         let lanes = function.lanes + unseen / 2.0 - (unseen * (function.lanes + unseen / 4.0)).sqrt();
-        let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, false, None);
+        let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, 0, None);
         let mut pressed = false;
         let mut lacking = None;
         // The least loaded member, the least loaded one with an instance, and the same past the set.
         let mut best: [Option<(f64, usize)>; 4] = [None; 4];
-        for (n, &w) in function.walk.iter().enumerate() {
+        for &w in &function.walk {
+            let member = room < usage || members < function.set;
+            // The walk ends where nothing further on could be picked.
+            let [any, warm, past, _] = best;
+            let fits = any.is_some_and(|(load, _)| load <= fair) || past.is_some();
+            if !member && fits && (warm.is_some() && any.is_some_and(|(l, _)| l <= fair) || somewhere == live)
+            {
+                break;
+            }
             if !self.may_shoot(now, id, w) {
                 continue;
             }
@@ -503,13 +522,12 @@
             }
             let size = self.fleet.size[w] / mean_size;
             let (copies, coming, out) = function.standing(now, w);
-            let load = (crowds[n] + 1.0) / size + 1e-6 * self.chance.rand_float();
-            let member = room < usage || members < function.set;
+            let load = (self.holds(now, w, average) + 1.0) / size + 1e-6 * self.chance.rand_float();
             needed += usize::from(room < usage);
             members += usize::from(member);
             room += lanes * size;
             let warm = copies > 0.0;
-            somewhere |= warm || coming;
+            somewhere += usize::from(warm || coming);
             // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at cost of
             // others' memory: for a while it is better to wait here for a lane.
             if out >= function.lanes * copies.max(1.0) && (!warm || waited < LANE_WAIT * due) {
@@ -543,6 +561,7 @@
                 }
             }
         }
+        self.functions[key] = Some(function);
         let [any, warm, past, warm_past] = best;
         if let Some(w) = lacking.filter(|_| warm.or(warm_past).is_none()) {
             self.order(now, w, key, 1, false, host);
@@ -555,7 +574,7 @@
         // A load on the request's path only where no instance stands or comes, in the set: what a full
         // home turns away would else load at one worker after the other, and crowd the store for good.
         let pick = match warm.or(warm_past) {
-            None if somewhere => on_way,
+            None if somewhere > 0 => on_way,
             None => any,
             found if self.orders => found,
             found => any.or(found),
@@ -657,21 +676,32 @@
         f.walk.clear();
         let home = xxh3_64_with_seed(&f.name.to_le_bytes(), 0);
         let from = self.ring.partition_point(|&(at, _)| at < home);
+        let mut met = vec![false; self.fleet.name.len()];
         for &(_, w) in self.ring[from..].iter().chain(&self.ring[..from]) {
-            if !f.walk.contains(&w) {
+            if !std::mem::replace(&mut met[w], true) {
                 f.walk.push(w);
             }
         }
     }
 
-    /// Activations that workers are taken to hold: our own and what reports say of others', of which one not
+    /// What reports say that a worker holds of others', where that is not long ago.
+    fn told(&self, now: f64, w: usize) -> Option<f64> {
+        self.fleet.foreign[w].filter(|_| now - self.fleet.told[w] < 4.0 * FRESH)
+    }
+
+    /// Activations that a worker is taken to hold: our own and what reports say of others', of which one not
     /// heard from lately has the average.
-    fn crowds(&self, now: f64, workers: &[usize]) -> Vec<f64> {
-        let f = &self.fleet;
-        let told = |w: usize| f.foreign[w].filter(|_| now - f.told[w] < 4.0 * FRESH);
-        let heard: Vec<f64> = workers.iter().filter_map(|&w| told(w)).collect();
-        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        workers.iter().map(|&w| f.out[w] as f64 + told(w).unwrap_or(average)).collect()
+    fn holds(&self, now: f64, w: usize, average: f64) -> f64 {
+        self.fleet.out[w] as f64 + self.told(now, w).unwrap_or(average)
+    }
+
+    /// The average of what reports say, and of what workers hold.
+    fn crowd(&self, now: f64, workers: &[usize]) -> (f64, f64) {
+        let heard = workers.iter().filter_map(|&w| self.told(now, w));
+        let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
+        let out: usize = workers.iter().map(|&w| self.fleet.out[w]).sum();
+        let average = sum / f64::max(count, 1.0);
+        (average, average + out as f64 / workers.len().max(1) as f64)
     }
 
     /// Distrust of a worker now; a single failure in a healthy stream means nothing.
@@ -701,7 +731,7 @@
     }
 
     /// The rules that every shot keeps: number, time, repeats, list state, and the budget of a cold worker.
-    fn may_shoot(&self, now: f64, id: usize, w: usize) -> bool {
+    fn may_shoot(&mut self, now: f64, id: usize, w: usize) -> bool {
         let (Some(a), f) = (&self.activations[id], &self.fleet) else { return false };
         let known = |s: &Shot| match self.profiles[a.profile].effect {
             Effect::Receipted { group: Group::Zone, .. } => s.never_ran || f.zone[s.worker] == f.zone[w],
@@ -714,35 +744,55 @@
         allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
     }
 
-    /// Whether a worker that started lately can take one more shot of ours without being pushed over.
-    fn cold_room(&self, now: f64, w: usize) -> bool {
-        let f = &self.fleet;
-        let age = now - f.started[w];
-        if age >= self.warm_up + self.tip_window {
-            return true;
+    /// What warm workers handle a second for their size: at least that is known to be within their capacity.
+    fn pace(&mut self, now: f64) -> f64 {
+        /// Seconds for which it is taken not to change.
+        const STEADY: f64 = 0.1;
+        let (at, pace) = self.pace;
+        if now - at < STEADY {
+            return pace;
         }
-        /// Part of the stated limit that is used: work differs from its mean and counts lag.
-        const CAUTION: f64 = 0.6;
-        // What warm workers take, per size: at least that is known to be within their capacity.
         let (mut rate, mut size) = (0.0, 0.0);
+        let f = &self.fleet;
         for v in 0..f.name.len() {
             if f.state[v] == State::Ready && now - f.started[v] >= self.warm_up && self.doubt(now, v) == 0.0 {
                 rate += f.handled[v].rate(now, RATE_HALF, now - self.born);
                 size += f.size[v];
             }
         }
-        let full = if size > 0.0 { rate / size * f.size[w] * self.routers } else { 0.0 };
+        self.pace = (now, if size > 0.0 { rate / size } else { 0.0 });
+        self.pace.1
+    }
+
+    /// Whether a worker that started lately can take one more shot of ours without being pushed over.
+    ///
+    /// The stated window is cut into turns. In each this router may send its part of what the worker can take;
+    /// of a part of one shot, chance decides. So many routers come to the same as one, none saves up for a
+    /// crowd, and no window holds more than one turn beyond its own.
+    fn cold_room(&mut self, now: f64, w: usize) -> bool {
+        if !self.cold(now, w) {
+            return true;
+        }
+        /// Part of the stated limit that is used: work differs from its mean and counts lag.
+        const CAUTION: f64 = 0.6;
+        const TURNS: f64 = 4.0;
+        let (turn, left) = self.fleet.turn[w];
+        if now - turn < self.tip_window / TURNS {
+            return left >= 1.0;
+        }
+        let full = self.pace(now) * self.fleet.size[w];
+        let age = now - self.fleet.started[w];
         let grown = if self.warm_up > 0.0 { (age / self.warm_up).clamp(0.0, 1.0) } else { 1.0 };
         let capacity = full * (self.cold_share + (1.0 - self.cold_share) * grown);
-        let budget = CAUTION * self.tip_multiple * capacity * self.tip_window / self.routers;
-        let recent = f.cold_shots[w].iter().rev().take_while(|&&t| now - t < self.tip_window).count() as f64;
-        if budget >= 1.0 {
-            recent + 1.0 <= budget
-        } else {
-            // Less than one shot a window: one in as many windows as it takes.
-            let last = f.cold_shots[w].back().copied().unwrap_or(f.started[w].max(self.born));
-            budget > 0.0 && now - last >= self.tip_window / budget
-        }
+        let part = CAUTION * self.tip_multiple * capacity * self.tip_window / TURNS;
+        let left = (part + self.chance.rand_float()).floor();
+        self.fleet.turn[w] = (now, left);
+        left >= 1.0
+    }
+
+    /// Whether a worker started lately.
+    fn cold(&self, now: f64, w: usize) -> bool {
+        now - self.fleet.started[w] < self.warm_up + self.tip_window
     }
 
     /// Last stage: the one place where shots are sent.
@@ -763,13 +813,7 @@
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
-        if now - self.fleet.started[w] < self.warm_up + self.tip_window {
-            let log = &mut self.fleet.cold_shots[w];
-            log.push_back(now);
-            while log.front().is_some_and(|&t| now - t > self.tip_window) && log.len() > 1 {
-                log.pop_front();
-            }
-        }
+        self.fleet.turn[w].1 -= 1.0;
         host.send(id, w, a.until);
     }
 
