A worker that reports hold over the fleet's rate times time takes nothing for a moment

Cause: in flight was bounded by each router's own count alone, plus one; many routers together bound nothing, queues filled and all that was handled was late.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,8 @@
     full: Vec<[f64; 2]>,
     /// Reported load that is not our own, smoothed; none until it reports.
     foreign: Vec<Option<f64>>,
+    /// How busy its cores were by that; wholly where it does not say.
+    cores: Vec<f64>,
     /// When that came, and when a probe went out that is not answered yet.
     told: Vec<f64>,
     asked: Vec<f64>,
@@ -95,7 +97,7 @@
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
-            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, told: never,
+            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, told: never,
             asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
     }
 }
@@ -215,8 +217,8 @@
     /// Mean latency of answers that waited for a load.
     load: f64,
     born: f64,
-    /// What warm workers handle a second for their size, and as of when.
-    pace: (f64, f64),
+    /// What warm workers handle a second for their size, as of when, and the most that was.
+    pace: (f64, f64, Fading),
     /// The next look at the time that was asked for.
     wake: f64,
     ask_again: f64,
@@ -233,6 +235,15 @@
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
 const DOUBT_HALF: f64 = 4.0;
 
+/// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here.
+const TIME: f64 = 0.35;
+
+/// While answers are quick the rate is what clients ask, not what it can do: so much more.
+const GROWTH: f64 = 2.0;
+
+/// Shots beyond that, for a worker whose rate is not known yet.
+const FLOOR: f64 = 1.0;
+
 /// Seconds for which a worker's report says what it holds: about as long as a queue takes to change.
 const FRESH: f64 = 1.0;
 
@@ -284,7 +295,7 @@
             latency: 0.3,
             load: 1.0,
             born: now,
-            pace: (f64::NEG_INFINITY, 0.0),
+            pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
         }
@@ -430,17 +441,24 @@
 
     /// Own shots that may be at work on a worker: its measured rate times the time an answer may take.
     fn limit(&self, now: f64, w: usize, due: f64) -> f64 {
-        /// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here.
-        const TIME: f64 = 0.35;
-        /// While answers are quick the rate is what clients ask, not what it can do: so much more.
-        const GROWTH: f64 = 2.0;
-        /// Shots beyond that, for a worker whose rate is not known yet.
-        const FLOOR: f64 = 1.0;
         let f = &self.fleet;
         let time = TIME * due;
         (f.peak[w].now(now, PEAK_HALF) * time + FLOOR) * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH)
     }
 
+    /// Whether what others and we sent to a worker takes too much of the due time, at the rate at which workers
+    /// of its size are known to handle: `limit` for all routers together, by what reports tell. Near the bound
+    /// chance decides, as other routers read the same report.
+    fn swamped(&mut self, now: f64, w: usize, due: f64) -> bool {
+        /// With so much of its cores in use a worker may have a queue; with less it has none to speak of.
+        const BUSY: f64 = 0.9;
+        let Some(foreign) = self.told(now, w).filter(|_| self.fleet.cores[w] > BUSY) else { return false };
+        let time = TIME * due;
+        let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
+        let bound = (rate * time + FLOOR) * (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
+        self.routers > 1.0 && self.fleet.out[w] as f64 + foreign > bound * (0.5 + self.chance.rand_float())
+    }
+
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
     fn admit(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> Stage {
         /// Part of the due time that may pass before the first shot.
@@ -489,6 +507,7 @@
         let due = self.profiles.get(profile).map_or(1.0, |p| p.due) * if over_share { 0.5 } else { 1.0 };
         let n = function.walk.len().max(1) as f64;
         let (average, mean) = self.crowd(now, &function.walk);
+        self.pace(now);
         let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
         let fair = mean * SPREAD + SLACK;
         let stands = |s: &&Stand| s.copies > 0.0 && s.until > now || s.coming > now;
@@ -536,7 +555,8 @@
             // What is over its limit takes nothing: the walk goes on past the set, or it waits here.
             // What must load first loads at home: elsewhere it would scatter instances over all workers.
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
-            if self.fleet.busy[w] + 1.0 > bound || now - self.fleet.full[w][usize::from(warm)] < REST {
+            let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
+            if self.fleet.busy[w] + 1.0 > bound || rests || self.swamped(now, w, due) {
                 pressed |= member;
                 continue;
             }
@@ -748,7 +768,7 @@
     fn pace(&mut self, now: f64) -> f64 {
         /// Seconds for which it is taken not to change.
         const STEADY: f64 = 0.1;
-        let (at, pace) = self.pace;
+        let (at, pace, mut peak) = self.pace;
         if now - at < STEADY {
             return pace;
         }
@@ -760,8 +780,12 @@
                 size += f.size[v];
             }
         }
-        self.pace = (now, if size > 0.0 { rate / size } else { 0.0 });
-        self.pace.1
+        let pace = if size > 0.0 { rate / size } else { 0.0 };
+        if pace > peak.now(now, PEAK_HALF) {
+            peak = Fading { sum: pace, at: now };
+        }
+        self.pace = (now, pace, peak);
+        pace
     }
 
     /// Whether a worker that started lately can take one more shot of ours without being pushed over.
@@ -1023,6 +1047,7 @@
         let old = self.fleet.foreign[w].unwrap_or(foreign);
         self.fleet.foreign[w] = Some(foreign + kept * (old - foreign));
         self.fleet.told[w] = now;
+        self.fleet.cores[w] = report.busy.unwrap_or(1.0);
     }
 
     /// Asks to be woken at a time, unless that happens anyway.
