--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,6 +58,8 @@
     foreign: Vec<Option<f64>>,
     /// How busy its cores were by that; wholly where it does not say.
     cores: Vec<f64>,
+    /// Whether that counts activations at work as well as those that wait.
+    held: Vec<bool>,
     /// When that came, and when a probe went out that is not answered yet.
     told: Vec<f64>,
     asked: Vec<f64>,
@@ -97,7 +99,7 @@
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
-            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, told: never,
+            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
             asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
     }
 }
@@ -455,7 +457,8 @@
         let Some(foreign) = self.told(now, w).filter(|_| self.fleet.cores[w] > BUSY) else { return false };
         let time = TIME * due;
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
-        let bound = (rate * time + FLOOR) * (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
+        let work = if self.fleet.held[w] { self.latency.min(time) } else { 0.0 };
+        let bound = (rate * (time + work) + FLOOR) * (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
         self.routers > 1.0 && self.fleet.out[w] as f64 + foreign > bound * (0.5 + self.chance.rand_float())
     }
 
@@ -1048,6 +1051,7 @@
         self.fleet.foreign[w] = Some(foreign + kept * (old - foreign));
         self.fleet.told[w] = now;
         self.fleet.cores[w] = report.busy.unwrap_or(1.0);
+        self.fleet.held[w] = report.held.is_some();
     }
 
     /// Asks to be woken at a time, unless that happens anyway.
