--- a/src/policy.rs
+++ b/src/policy.rs
@@ -112,6 +112,8 @@
     arrivals: [Fading; 2],
     since: f64,
     latency: f64,
+    /// Activations of it in work at all workers of the set, by what answers tell of their company.
+    company: Fading,
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
@@ -389,6 +391,7 @@
             arrivals: Default::default(),
             since: now,
             latency: 0.0,
+            company: Fading::default(),
             set: 1,
             roomy_since: now,
             walk: Vec::new(),
@@ -686,7 +689,8 @@
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
         };
         let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
-        rate * self.routers * latency
+        // What an answer met at one worker of the set is a sight of the whole fleet's usage.
+        (rate * self.routers * latency).max(f.company.now(now, RATE_HALF))
     }
 
     /// Brings a function's walk up to the present ring.
@@ -881,8 +885,13 @@
             }
             Outcome::Overdue | Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
         }
+        /// Weight of one answer's company: two or three in a row make a set grow.
+        const COMPANY: f64 = 0.4;
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
+            let seen = answer.company * f.set as f64;
+            let company = f.company.now(now, RATE_HALF);
+            f.company = Fading { sum: company + COMPANY * (seen - company), at: now };
             let stand = f.stand(w);
             stand.out -= 1.0;
             let outlasted = !warm && answer.latency > self.load;
