--- a/src/policy.rs
+++ b/src/policy.rs
@@ -223,6 +223,8 @@
     born: f64,
     /// What warm workers handle a second for their size, as of when, and the most that was.
     pace: (f64, f64, Fading),
+    /// Second copies that may be sent on suspicion alone.
+    spare: f64,
     /// The next look at the time that was asked for.
     wake: f64,
     ask_again: f64,
@@ -300,6 +302,7 @@
             load: 1.0,
             born: now,
             pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
+            spare: 1.0,
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
         }
@@ -858,6 +861,7 @@
         shot.out = false;
         shot.never_ran = answer.outcome.never_ran();
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
+        let rescues = a.shots[..answer.shot].iter().any(|s| s.out);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
         // Back through `shoot`: the worker's figures.
@@ -866,6 +870,10 @@
         self.reported(now, w, answer.report);
         match answer.outcome {
             Outcome::Handled => {
+                // A second copy that was needed pays for another; else a tenth of what is handled may have one,
+                // so that a jam is not made worse.
+                let rescued = answer.settled && rescues;
+                self.spare = (self.spare + if rescued { 1.1 } else { 0.1 }).min(3.0);
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
@@ -1118,16 +1126,33 @@
             return;
         }
         (0..oldest.len()).filter(|&w| silent[w]).for_each(|w| self.judge(now, w, 1.0, 0.9));
+        /// So many times as long as such a shot takes on average, or the part of the due time that is more, one
+        /// is waited for alone: beyond that it is lost more likely than slow, and there is time for another.
+        const LOST: f64 = 3.0;
+        const PART: f64 = 0.4;
+        const IDLE: f64 = 0.9;
         for id in self.live.clone() {
             let Some(a) = &self.activations[id] else { continue };
             let mut out = a.shots.iter().filter(|s| s.out);
-            if a.open
-                && self.second_copies
-                && let (Some(shot), None) = (out.next(), out.next())
-                && silent[shot.worker]
-                && now - shot.sent > 1.5 * self.latency
+            let (Some(shot), None) = (out.next(), out.next()) else { continue };
+            let due = self.profiles.get(a.profile).map_or(1.0, |p| p.due);
+            let usual = if shot.warm { self.latency } else { self.latency.max(self.load) };
+            let late = now - shot.sent > (LOST * usual).max(PART * due) && self.spare >= 1.0;
+            // Lost and slow are told apart by what the worker says of itself: with cores to spare, that long
+            // after the shot came, it has not got it any more.
+            let w = shot.worker;
+            let told = self.fleet.told[w] > shot.sent + usual;
+            let lost = late && told && self.fleet.cores[w] < IDLE;
+            if late && !told && self.probes && a.open && self.fleet.asked[w] == f64::NEG_INFINITY {
+                self.fleet.asked[w] = now;
+                host.probe(w);
+            }
+            let worth = a.open && self.second_copies && now + self.latency < a.until;
+            if worth
+                && (lost || silent[shot.worker] && now - shot.sent > 1.5 * self.latency)
                 && let Stage::Pass(w) = self.place(now, id, host)
             {
+                self.spare -= f64::from(u8::from(lost));
                 self.shoot(now, id, w, host);
             }
         }
