After a failed load a router rests from loads, longer each time, out of step with others

Should catch any shared thing that fails loads; could hold back loads where a single function's load always fails.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -223,6 +223,8 @@
     born: f64,
     /// What warm workers handle a second for their size, as of when, and the most that was.
     pace: (f64, f64, Fading),
+    /// How long this router begins no load after the last that failed, and until when.
+    rest: (f64, f64),
     /// Second copies that may be sent on suspicion alone.
     spare: f64,
     /// The next look at the time that was asked for.
@@ -302,6 +304,7 @@
             load: 1.0,
             born: now,
             pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
+            rest: (0.0, 0.0),
             spare: 1.0,
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
@@ -565,6 +568,7 @@
             // What must load first loads at home: elsewhere it would scatter instances over all workers.
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
+            let rests = rests || !warm && !coming && now < self.rest.1;
             if self.fleet.busy[w] + 1.0 > bound || rests || self.swamped(now, w, due) {
                 pressed |= member;
                 continue;
@@ -649,7 +653,8 @@
         let Some(f) = &self.functions[key] else { return };
         let (standing, coming, _) = f.standing(now, w);
         let wanted = f64::from(copies);
-        if !self.orders || self.fleet.state[w] != State::Ready || coming || standing >= wanted {
+        let able = self.orders && self.fleet.state[w] == State::Ready && now >= self.rest.1;
+        if !able || coming || standing >= wanted {
             return;
         }
         let full = self.filled(now, w) + f.memory * wanted > FILLED * self.fleet.memory[w];
@@ -851,6 +856,20 @@
         host.send(id, w, a.until);
     }
 
+    /// A load ended. What turns loads away or fails them is shared by all: begun again at once, elsewhere or
+    /// here, by every router that wants it, they would push the store over. Each router rests, longer from
+    /// failure to failure and never in step with the others.
+    fn load_ended(&mut self, now: f64, well: bool) {
+        const SHORTEST: f64 = 0.1;
+        const LONGEST: f64 = 2.0;
+        if well {
+            self.rest.0 /= 2.0;
+        } else if now >= self.rest.1 {
+            let rest = (2.0 * self.rest.0).clamp(SHORTEST, LONGEST);
+            self.rest = (rest, now + rest * (0.5 + self.chance.rand_float()));
+        }
+    }
+
     /// What came back of a shot: up the chain.
     pub fn answered(&mut self, now: f64, id: usize, answer: Answer, host: &mut dyn Host) {
         let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
@@ -895,6 +914,11 @@
         }
         /// Weight of one answer's company: two or three in a row make a set grow.
         const COMPANY: f64 = 0.4;
+        if answer.outcome == Outcome::Missed && !self.misses || answer.found == Some(Found::LoadFailed) {
+            self.load_ended(now, false);
+        } else if answer.found == Some(Found::BeganLoad) && answer.outcome == Outcome::Handled {
+            self.load_ended(now, true);
+        }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
             let seen = answer.company * f.set as f64;
@@ -1030,8 +1054,10 @@
                 stand.until = now + self.keep;
             }
         }
-        if outcome == Outcome::Unreached {
-            self.judge(now, worker, 1.0, 0.7);
+        match outcome {
+            Outcome::Unreached => self.judge(now, worker, 1.0, 0.7),
+            Outcome::Failed | Outcome::Handled => self.load_ended(now, outcome == Outcome::Handled),
+            _ => {}
         }
         self.release(now, host);
     }
