--- a/src/policy.rs
+++ b/src/policy.rs
@@ -130,6 +130,8 @@
     out: bool,
     /// Known never to have run.
     never_ran: bool,
+    /// Turned away: asked again the worker would say the same.
+    turned: bool,
     /// Sent to an instance believed to stand there.
     warm: bool,
 }
@@ -774,7 +776,7 @@
             _ => true,
         };
         // A worker that may have failed this activation is not asked again.
-        let fresh = |s: &Shot| s.worker != w || s.never_ran;
+        let fresh = |s: &Shot| s.worker != w || s.never_ran && !s.turned;
         let allowed = self.may_go_on(now, id) && f.state[w] == State::Ready;
         allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
     }
@@ -849,7 +851,7 @@
         if !warm {
             stand.coming = stand.coming.max(now + SLOW * self.load);
         }
-        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
+        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, turned: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
         self.fleet.turn[w].1 -= 1.0;
@@ -879,6 +881,7 @@
         }
         shot.out = false;
         shot.never_ran = answer.outcome.never_ran();
+        shot.turned = answer.outcome == Outcome::Full;
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
         let rescues = a.shots[..answer.shot].iter().any(|s| s.out);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
