--- a/src/policy.rs
+++ b/src/policy.rs
@@ -515,6 +515,7 @@
         const REST: f64 = 0.3;
         let Some(a) = &self.activations[id] else { return Stage::End };
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
+        let left = a.until - now;
         self.walk(key);
         let usage = self.usage(now, key);
         let Some(function) = self.functions[key].take() else { return Stage::End };
@@ -571,7 +572,7 @@
             let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
             let rests = rests || !warm && !coming && now < self.rest.1;
-            if self.fleet.busy[w] + 1.0 > bound || rests || self.swamped(now, w, due) {
+            if self.fleet.busy[w] + 1.0 > bound || rests || self.swamped(now, w, due.min(left)) {
                 pressed |= member;
                 continue;
             }
