--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,6 +63,8 @@
     /// When that came, and when a probe went out that is not answered yet.
     told: Vec<f64>,
     asked: Vec<f64>,
+    /// When a probe last stayed unanswered.
+    mute: Vec<f64>,
     /// Distrust, 0 to 1.
     doubt: Vec<Fading>,
     /// Answers handled, fading.
@@ -100,7 +102,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
-            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
+            asked: never, mute: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -257,6 +259,9 @@
 /// Seconds for which a worker's report says what it holds: about as long as a queue takes to change.
 const FRESH: f64 = 1.0;
 
+/// Part of the due time that probes before a shot may take.
+const ASK: f64 = 0.03;
+
 /// A worker's highest rate gives way this slowly, so that no lull or slow spell shuts the door for good.
 const PEAK_HALF: f64 = 30.0;
 
@@ -465,6 +470,11 @@
     fn swamped(&mut self, now: f64, w: usize, due: f64) -> bool {
         /// With so much of its cores in use a worker may have a queue; with less it has none to speak of.
         const BUSY: f64 = 0.9;
+        // A probe that stays out waits in the same queue, or the worker is gone: no shot does better.
+        let out = self.fleet.asked[w];
+        if out > f64::NEG_INFINITY && now - out > ASK * due || now - self.fleet.mute[w] < FRESH {
+            return true;
+        }
         let Some(foreign) = self.told(now, w).filter(|_| self.fleet.cores[w] > BUSY) else { return false };
         let time = TIME * due;
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
@@ -506,8 +516,6 @@
         const SLACK: f64 = 3.0;
         /// Deviations of chance, squared, that an instance's lanes have room for beside the mean.
         const LUCK: f64 = 1.0;
-        /// Part of the due time that probes before a shot may take.
-        const ASK: f64 = 0.03;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
         /// Seconds for which a worker that turned a shot away gets no other of its sort: without memory
@@ -1076,6 +1084,7 @@
         host: &mut dyn Host,
     ) {
         self.fleet.asked[w] = f64::NEG_INFINITY;
+        self.fleet.mute[w] = if outcome == Outcome::Handled { f64::NEG_INFINITY } else { now };
         self.reported(now, w, report);
         if outcome == Outcome::Unreached {
             self.judge(now, w, 1.0, 0.7);
