--- a/src/policy.rs
+++ b/src/policy.rs
@@ -63,8 +63,6 @@
     /// When that came, and when a probe went out that is not answered yet.
     told: Vec<f64>,
     asked: Vec<f64>,
-    /// When a probe last stayed unanswered.
-    mute: Vec<f64>,
     /// Distrust, 0 to 1.
     doubt: Vec<Fading>,
     /// Answers handled, fading.
@@ -102,7 +100,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
-            asked: never, mute: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
+            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -229,8 +227,6 @@
     pace: (f64, f64, Fading),
     /// How long this router begins no load after the last that failed, and until when.
     rest: (f64, f64),
-    /// Second copies that may be sent on suspicion alone.
-    spare: f64,
     /// The next look at the time that was asked for.
     wake: f64,
     ask_again: f64,
@@ -312,7 +308,6 @@
             born: now,
             pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
             rest: (0.0, 0.0),
-            spare: 1.0,
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
         }
@@ -470,11 +465,6 @@
     fn swamped(&mut self, now: f64, w: usize, due: f64) -> bool {
         /// With so much of its cores in use a worker may have a queue; with less it has none to speak of.
         const BUSY: f64 = 0.9;
-        // A probe that stays out waits in the same queue, or the worker is gone: no shot does better.
-        let out = self.fleet.asked[w];
-        if out > f64::NEG_INFINITY && now - out > ASK * due || now - self.fleet.mute[w] < FRESH {
-            return true;
-        }
         let Some(foreign) = self.told(now, w).filter(|_| self.fleet.cores[w] > BUSY) else { return false };
         let time = TIME * due;
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
@@ -892,7 +882,6 @@
         shot.never_ran = answer.outcome.never_ran();
         shot.turned = answer.outcome == Outcome::Full;
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
-        let rescues = a.shots[..answer.shot].iter().any(|s| s.out);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
         // Back through `shoot`: the worker's figures.
@@ -901,10 +890,6 @@
         self.reported(now, w, answer.report);
         match answer.outcome {
             Outcome::Handled => {
-                // A second copy that was needed pays for another; else a tenth of what is handled may have one,
-                // so that a jam is not made worse.
-                let rescued = answer.settled && rescues;
-                self.spare = (self.spare + if rescued { 1.1 } else { 0.1 }).min(3.0);
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
@@ -1084,7 +1069,6 @@
         host: &mut dyn Host,
     ) {
         self.fleet.asked[w] = f64::NEG_INFINITY;
-        self.fleet.mute[w] = if outcome == Outcome::Handled { f64::NEG_INFINITY } else { now };
         self.reported(now, w, report);
         if outcome == Outcome::Unreached {
             self.judge(now, w, 1.0, 0.7);
@@ -1165,33 +1149,16 @@
             return;
         }
         (0..oldest.len()).filter(|&w| silent[w]).for_each(|w| self.judge(now, w, 1.0, 0.9));
-        /// So many times as long as such a shot takes on average, or the part of the due time that is more, one
-        /// is waited for alone: beyond that it is lost more likely than slow, and there is time for another.
-        const LOST: f64 = 3.0;
-        const PART: f64 = 0.4;
-        const IDLE: f64 = 0.9;
         for id in self.live.clone() {
             let Some(a) = &self.activations[id] else { continue };
             let mut out = a.shots.iter().filter(|s| s.out);
-            let (Some(shot), None) = (out.next(), out.next()) else { continue };
-            let due = self.profiles.get(a.profile).map_or(1.0, |p| p.due);
-            let usual = if shot.warm { self.latency } else { self.latency.max(self.load) };
-            let late = now - shot.sent > (LOST * usual).max(PART * due) && self.spare >= 1.0;
-            // Lost and slow are told apart by what the worker says of itself: with cores to spare, that long
-            // after the shot came, it has not got it any more.
-            let w = shot.worker;
-            let told = self.fleet.told[w] > shot.sent + usual;
-            let lost = late && told && self.fleet.cores[w] < IDLE;
-            if late && !told && self.probes && a.open && self.fleet.asked[w] == f64::NEG_INFINITY {
-                self.fleet.asked[w] = now;
-                host.probe(w);
-            }
-            let worth = a.open && self.second_copies && now + self.latency < a.until;
-            if worth
-                && (lost || silent[shot.worker] && now - shot.sent > 1.5 * self.latency)
+            if a.open
+                && self.second_copies
+                && let (Some(shot), None) = (out.next(), out.next())
+                && silent[shot.worker]
+                && now - shot.sent > 1.5 * self.latency
                 && let Stage::Pass(w) = self.place(now, id, host)
             {
-                self.spare -= f64::from(u8::from(lost));
                 self.shoot(now, id, w, host);
             }
         }
