--- a/src/policy.rs
+++ b/src/policy.rs
@@ -77,6 +77,7 @@
 }
 
 /// What a router believes of one function on one worker.
+#[derive(Default)]
 struct Stand {
     worker: usize,
     /// Instances that stand there, until when unless used again.
@@ -104,6 +105,7 @@
     }
 }
 
+#[derive(Default)]
 struct Function {
     name: u64,
     lanes: f64,
@@ -112,8 +114,6 @@
     arrivals: [Fading; 2],
     since: f64,
     latency: f64,
-    /// Activations of it in work at all workers of the set, by what answers tell of their company.
-    company: Fading,
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
@@ -130,8 +130,6 @@
     out: bool,
     /// Known never to have run.
     never_ran: bool,
-    /// Turned away: asked again the worker would say the same.
-    turned: bool,
     /// Sent to an instance believed to stand there.
     warm: bool,
 }
@@ -139,14 +137,7 @@
 impl Function {
     fn stand(&mut self, worker: usize) -> &mut Stand {
         let at = self.stands.iter().position(|s| s.worker == worker).unwrap_or_else(|| {
-            self.stands.push(Stand {
-                worker,
-                copies: 0.0,
-                until: 0.0,
-                coming: 0.0,
-                out: 0.0,
-                missed: f64::NEG_INFINITY,
-            });
+            self.stands.push(Stand { worker, missed: f64::NEG_INFINITY, ..Stand::default() });
             self.stands.len() - 1
         });
         &mut self.stands[at]
@@ -354,20 +345,12 @@
         /// functions to several successors instead of one.
         const POINTS: u64 = 32;
         let f = &self.fleet;
-        let ready = |w: usize| f.state[w] == State::Ready;
-        let before = self.ring.len();
-        self.ring.retain(|&(_, w)| ready(w));
-        let mut known = vec![false; f.name.len()];
-        self.ring.iter().for_each(|&(_, w)| known[w] = true);
-        let new = (0..known.len()).filter(|&w| ready(w) && !known[w]);
+        let ready = (0..f.name.len()).filter(|&w| f.state[w] == State::Ready);
         let point = |w: usize, p| (xxh3_64_with_seed(&f.name[w].to_le_bytes(), p), w);
-        let points: Vec<_> = new.flat_map(|w| (0..POINTS).map(move |p| point(w, p))).collect();
-        if before != self.ring.len() || !points.is_empty() {
-            self.ring.extend(points);
-            self.ring.sort_by_key(|&(at, w)| (at, f.name[w]));
-            self.ready = self.ring.len() as f64 / POINTS as f64;
-            self.edition += 1;
-        }
+        self.ring = ready.flat_map(|w| (0..POINTS).map(move |p| point(w, p))).collect();
+        self.ring.sort_unstable_by_key(|&(at, w)| (at, f.name[w]));
+        self.ready = self.ring.len() as f64 / POINTS as f64;
+        self.edition += 1;
         self.release(now, host);
     }
 
@@ -394,17 +377,11 @@
         }
         let function = self.functions[a.function].get_or_insert_with(|| Function {
             name: a.name,
-            lanes: 1.0,
             memory: a.memory.max(0.0),
-            arrivals: Default::default(),
             since: now,
-            latency: 0.0,
-            company: Fading::default(),
             set: 1,
             roomy_since: now,
-            walk: Vec::new(),
-            edition: 0,
-            stands: Vec::new(),
+            ..Function::default()
         });
         function.lanes = if a.lanes >= 1.0 { a.lanes } else { 1.0 };
         let mut over_share = false;
@@ -698,8 +675,7 @@
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
         };
         let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
-        // What an answer met at one worker of the set is a sight of the whole fleet's usage.
-        (rate * self.routers * latency).max(f.company.now(now, RATE_HALF))
+        rate * self.routers * latency
     }
 
     /// Brings a function's walk up to the present ring.
@@ -775,7 +751,7 @@
             _ => true,
         };
         // A worker that may have failed this activation is not asked again.
-        let fresh = |s: &Shot| s.worker != w || s.never_ran && !s.turned;
+        let fresh = |s: &Shot| s.worker != w || s.never_ran;
         let allowed = self.may_go_on(now, id) && f.state[w] == State::Ready;
         allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
     }
@@ -850,7 +826,7 @@
         if !warm {
             stand.coming = stand.coming.max(now + SLOW * self.load);
         }
-        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, turned: false, warm });
+        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
         self.fleet.turn[w].1 -= 1.0;
@@ -880,7 +856,6 @@
         }
         shot.out = false;
         shot.never_ran = answer.outcome.never_ran();
-        shot.turned = answer.outcome == Outcome::Full;
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
@@ -909,8 +884,6 @@
             }
             Outcome::Overdue | Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
         }
-        /// Weight of one answer's company: two or three in a row make a set grow.
-        const COMPANY: f64 = 0.4;
         if answer.outcome == Outcome::Missed && !self.misses || answer.found == Some(Found::LoadFailed) {
             self.load_ended(now, false);
         } else if answer.found == Some(Found::BeganLoad) && answer.outcome == Outcome::Handled {
@@ -918,9 +891,6 @@
         }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
-            let seen = answer.company * f.set as f64;
-            let company = f.company.now(now, RATE_HALF);
-            f.company = Fading { sum: company + COMPANY * (seen - company), at: now };
             let stand = f.stand(w);
             stand.out -= 1.0;
             let outlasted = !warm && answer.latency > self.load;
@@ -1036,14 +1006,14 @@
     pub fn held(
         &mut self,
         now: f64,
-        worker: usize,
-        function: usize,
+        w: usize,
+        key: usize,
         outcome: Outcome,
         copies: u8,
         host: &mut dyn Host,
     ) {
-        if let Some(f) = self.functions.get_mut(function).and_then(Option::as_mut) {
-            let stand = f.stand(worker);
+        if let Some(f) = self.functions.get_mut(key).and_then(Option::as_mut) {
+            let stand = f.stand(w);
             stand.coming = 0.0;
             self.loading -= 1.0;
             if copies > 0 {
@@ -1052,7 +1022,7 @@
             }
         }
         match outcome {
-            Outcome::Unreached => self.judge(now, worker, 1.0, 0.7),
+            Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
             Outcome::Failed | Outcome::Handled => self.load_ended(now, outcome == Outcome::Handled),
             _ => {}
         }
@@ -1060,17 +1030,10 @@
     }
 
     /// A probe was answered, or was not.
-    pub fn probed(
-        &mut self,
-        now: f64,
-        w: usize,
-        outcome: Outcome,
-        report: Option<Report>,
-        host: &mut dyn Host,
-    ) {
+    pub fn probed(&mut self, now: f64, w: usize, is: Outcome, report: Option<Report>, host: &mut dyn Host) {
         self.fleet.asked[w] = f64::NEG_INFINITY;
         self.reported(now, w, report);
-        if outcome == Outcome::Unreached {
+        if is == Outcome::Unreached {
             self.judge(now, w, 1.0, 0.7);
         }
         self.release(now, host);
