--- a/src/policy.rs
+++ b/src/policy.rs
@@ -216,8 +216,6 @@
     born: f64,
     /// What warm workers handle a second for their size, as of when, and the most that was.
     pace: (f64, f64, Fading),
-    /// Activations that ended after a shot, and those handled of them.
-    ended: [Fading; 2],
     /// How long this router begins no load after the last that failed, and until when.
     rest: (f64, f64),
     /// The next look at the time that was asked for.
@@ -251,9 +249,6 @@
 /// Part of the due time that probes before a shot may take.
 const ASK: f64 = 0.03;
 
-/// Half life of the counts of activations that ended.
-const ENDED_HALF: f64 = 5.0;
-
 /// A worker's highest rate gives way this slowly, so that no lull or slow spell shuts the door for good.
 const PEAK_HALF: f64 = 30.0;
 
@@ -303,7 +298,6 @@
             load: 1.0,
             born: now,
             pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
-            ended: Default::default(),
             rest: (0.0, 0.0),
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
@@ -419,17 +413,9 @@
         });
         self.live.push(id);
         if a.patience <= self.margin {
-            return self.give_up(now, id, host);
+            return self.give_up(id, host);
         }
         self.wake_by(now, now + (a.patience - self.margin).min(self.margin), host);
-        // Where much of what was sent came to nothing, workers are busy with what nobody waits for any more,
-        // seen in no count of what is out. No more is sent than a multiple of what was handled, chance choosing.
-        const MULTIPLE: f64 = 1.5;
-        let [ended, handled] = self.ended.map(|count| count.now(now, ENDED_HALF));
-        let most = handled * MULTIPLE;
-        if self.chance.rand_float() < (ended - most) / (ended + 1.0) {
-            return self.give_up(now, id, host);
-        }
         self.run(now, id, false, host);
     }
 
@@ -437,7 +423,7 @@
     fn run(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> bool {
         match self.admit(now, id, stuck, host) {
             Stage::Pass(worker) => self.shoot(now, id, worker, host),
-            Stage::End => self.give_up(now, id, host),
+            Stage::End => self.give_up(id, host),
             Stage::Keep => self.kept.push(id),
         }
         self.kept.last() != Some(&id)
@@ -871,7 +857,6 @@
         shot.out = false;
         shot.never_ran = answer.outcome.never_ran();
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
-        let due = self.profiles.get(a.profile).map_or(1.0, |p| p.due);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
         // Back through `shoot`: the worker's figures.
@@ -881,8 +866,6 @@
         match answer.outcome {
             Outcome::Handled => {
                 self.judge(now, w, 0.0, 0.2);
-                let in_time = answer.settled && answer.latency < due;
-                self.ended[1].add(now, ENDED_HALF, f64::from(u8::from(in_time)));
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
                 let rate = self.fleet.handled[w].rate(now, RATE_HALF, now - self.born);
@@ -942,9 +925,9 @@
         }
         // Back through `admit`: ended, or another shot.
         if answer.settled {
-            self.close(now, id, None, host);
+            self.close(id, None, host);
         }
-        self.finish(now, id, host);
+        self.finish(id, host);
         if self.activations[id].as_ref().is_some_and(|a| a.open && !a.shots.iter().any(|s| s.out)) {
             self.run(now, id, false, host);
         }
@@ -952,31 +935,30 @@
     }
 
     /// A streamed answer has begun: it belongs to the client now.
-    pub fn started(&mut self, now: f64, id: usize, shot: usize, host: &mut dyn Host) {
-        self.close(now, id, Some(shot), host);
+    pub fn started(&mut self, id: usize, shot: usize, host: &mut dyn Host) {
+        self.close(id, Some(shot), host);
     }
 
     /// The client has left; nothing more is owed.
-    pub fn left(&mut self, now: f64, id: usize, host: &mut dyn Host) {
-        self.close(now, id, None, host);
+    pub fn left(&mut self, id: usize, host: &mut dyn Host) {
+        self.close(id, None, host);
     }
 
     /// The final answer is no longer owed: calls off what is still out, but for a shot that streams.
-    fn close(&mut self, now: f64, id: usize, streams: Option<usize>, host: &mut dyn Host) {
+    fn close(&mut self, id: usize, streams: Option<usize>, host: &mut dyn Host) {
         let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
         if std::mem::replace(&mut a.open, false) && self.cancels {
             for shot in (0..a.shots.len()).filter(|&n| a.shots[n].out && Some(n) != streams) {
                 host.cancel(id, shot);
             }
         }
-        self.finish(now, id, host);
+        self.finish(id, host);
     }
 
     /// Lets go of an activation that has its answer once nothing of it is out.
-    fn finish(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+    fn finish(&mut self, id: usize, host: &mut dyn Host) {
         if self.activations[id].as_ref().is_some_and(|a| !a.open && !a.shots.iter().any(|s| s.out)) {
-            let sent = self.activations[id].take().is_some_and(|a| !a.shots.is_empty());
-            self.ended[0].add(now, ENDED_HALF, f64::from(u8::from(sent)));
+            self.activations[id] = None;
             self.live.retain(|&other| other != id);
             self.kept.retain(|&other| other != id);
             host.forget(id);
@@ -984,7 +966,7 @@
     }
 
     /// The final answer of an activation that cannot be handled: a bounce where that is harmless.
-    fn give_up(&mut self, now: f64, id: usize, host: &mut dyn Host) {
+    fn give_up(&mut self, id: usize, host: &mut dyn Host) {
         let Some(a) = self.activations[id].as_mut() else { return };
         if !a.open {
             return;
@@ -1004,7 +986,7 @@
         } else {
             host.terminate(id);
         }
-        self.close(now, id, None, host);
+        self.close(id, None, host);
     }
 
     /// Tries what is kept again.
@@ -1097,7 +1079,7 @@
         }
         for id in self.live.clone() {
             if self.activations[id].as_ref().is_some_and(|a| a.open && now >= a.until - self.margin) {
-                self.give_up(now, id, host);
+                self.give_up(id, host);
             }
         }
         self.look_for_silence(now, host);
