--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -231,7 +231,7 @@
             }
             40 => {
                 if let Some(id) = names.activations.get(e.u64(3)) {
-                    router.started(id, e.u16(19).into(), &mut Wire { names, reply });
+                    router.close(id, Some(e.u16(19).into()), &mut Wire { names, reply });
                 }
             }
             50 => {
@@ -257,7 +257,7 @@
             }
             60 => {
                 if let Some(id) = names.activations.get(e.u64(3)) {
-                    router.left(id, &mut Wire { names, reply });
+                    router.close(id, None, &mut Wire { names, reply });
                 }
             }
             70 => router.woken(now, &mut Wire { names, reply }),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,14 +1,12 @@
 //! Every decision of a router. A host (see `host.rs`, the interface) calls the router as things happen:
-//! `listed`, `list_complete` for the worker list, `arrived`, `answered`, `started`, `left` for activations,
-//! `held` for orders, `probed` for probes and `woken` for time. The router acts through the `Host` passed in.
+//! `listed`, `list_complete` for the worker list, `arrived`, `answered`, `close` for activations, `held`
+//! for orders, `probed` for probes and `woken` for time. The router acts through the `Host` passed in.
 //!
 //! An activation passes the stages `admit`, `place` and `shoot`; each passes it on, keeps it or ends
 //! it. What comes back runs the other way: `shoot` books it on the worker, `place` on the function, `admit`
 //! ends it or sends it round again. `may_shoot` and `order` are the only doors for shots and orders to load.
 
-use crate::host::{
-    Answer, Arrival, Charter, Effect, Found, Group, Host, Listing, Outcome, Profile, Report, State,
-};
+use crate::host::*;
 use oorandom::Rand64;
 use std::collections::VecDeque;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -30,6 +28,13 @@
         self.at = now;
     }
 
+    /// Takes a figure that is higher than what is left of those before.
+    fn rise(&mut self, now: f64, half: f64, x: f64) {
+        if x > self.now(now, half) {
+            (self.sum, self.at) = (x, now);
+        }
+    }
+
     /// Events a second when 1 is added at each; `age` corrects for a count that is still young.
     fn rate(&self, now: f64, half: f64, age: f64) -> f64 {
         let full = half / std::f64::consts::LN_2;
@@ -170,8 +175,10 @@
     End,
 }
 
+#[derive(Default)]
 pub struct Router {
-    chance: Rand64,
+    /// None only before the start.
+    chance: Option<Rand64>,
     routers: f64,
     profiles: Vec<Profile>,
     quotas: Vec<f64>,
@@ -258,7 +265,7 @@
             host.follow();
         }
         Self {
-            chance: Rand64::new(u128::from(charter.seed)),
+            chance: Some(Rand64::new(u128::from(charter.seed))),
             routers: charter.routers.max(1) as f64,
             clients: vec![(0.0, now - 1.0); charter.quotas.len()],
             // A router's part of what its client groups may use.
@@ -270,7 +277,8 @@
             orders: charter.orders,
             misses: charter.misses,
             asks: charter.asks,
-            probes: charter.probes,
+            // What is sent by this router alone needs no probes to be seen.
+            probes: charter.probes && charter.routers > 1,
             sheds: charter.over_share < 1.0,
             come_back: charter.come_back,
             keep: charter.keep,
@@ -283,27 +291,20 @@
             tip_window: charter.tip_window,
             // An activation ends so long before its client gives up: no turn of the clock is missed.
             margin: 2.0 * charter.tick.max(0.001),
-            fleet: Fleet::default(),
-            ring: Vec::new(),
-            edition: 0,
-            functions: Vec::new(),
-            activations: Vec::new(),
-            live: Vec::new(),
-            kept: Vec::new(),
-            taken: VecDeque::new(),
-            ordered: VecDeque::new(),
-            loading: 0.0,
-            ready: 0.0,
             latency: 0.3,
             load: 1.0,
             born: now,
-            pace: (f64::NEG_INFINITY, 0.0, Fading::default()),
-            rest: (0.0, 0.0),
             wake: f64::INFINITY,
             ask_again: f64::INFINITY,
+            ..Self::default()
         }
     }
 
+    /// A number from 0 to 1 by chance.
+    fn luck(&mut self) -> f64 {
+        self.chance.as_mut().map_or(0.5, Rand64::rand_float)
+    }
+
     /// One line of the list. A line that repeats a known worker changes it.
     pub fn listed(&mut self, line: Listing) {
         let f = &mut self.fleet;
@@ -357,7 +358,7 @@
     /// The registry did not answer, or dropped the subscription.
     pub fn list_failed(&mut self, now: f64, host: &mut dyn Host) {
         if self.asks {
-            self.ask_again = now + 0.5 + self.chance.rand_float();
+            self.ask_again = now + 0.5 + self.luck();
             self.wake_by(now, self.ask_again, host);
         }
     }
@@ -447,7 +448,7 @@
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
         let work = if self.fleet.held[w] { self.latency.min(time) } else { 0.0 };
         let bound = (rate * (time + work) + FLOOR) * (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
-        self.routers > 1.0 && self.fleet.out[w] as f64 + foreign > bound * (0.5 + self.chance.rand_float())
+        self.routers > 1.0 && self.fleet.out[w] as f64 + foreign > bound * (0.5 + self.luck())
     }
 
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
@@ -496,13 +497,14 @@
         let Some(function) = self.functions[key].take() else { return Stage::End };
         let due = self.profiles.get(profile).map_or(1.0, |p| p.due) * if over_share { 0.5 } else { 1.0 };
         let n = function.walk.len().max(1) as f64;
-        let (average, mean) = self.crowd(now, &function.walk);
+        let average = self.average(now, &function.walk);
         self.pace(now);
-        let mean_size = function.walk.iter().map(|&w| self.fleet.size[w]).sum::<f64>() / n;
-        let fair = mean * SPREAD + SLACK;
-        let stands = |s: &&Stand| s.copies > 0.0 && s.until > now || s.coming > now;
-        let ready = |s: &&Stand| self.fleet.state[s.worker] == State::Ready;
-        let live = function.stands.iter().filter(stands).filter(ready).count();
+        let mean = |figure: &dyn Fn(usize) -> f64| function.walk.iter().map(|&w| figure(w)).sum::<f64>() / n;
+        let mean_size = mean(&|w| self.fleet.size[w]);
+        let fair = (average + mean(&|w| self.fleet.out[w] as f64)) * SPREAD + SLACK;
+        let stands = |s: &Stand| s.copies > 0.0 && s.until > now || s.coming > now;
+        let live = |s: &&Stand| stands(s) && self.fleet.state[s.worker] == State::Ready;
+        let live = function.stands.iter().filter(live).count();
         // What a router does not see of the others comes on top by chance: so much of an instance's lanes is
         // left free that a worker seldom holds more than them, and begins no load for one moment's crowd.
         let unseen = LUCK * (1.0 - 1.0 / self.routers);
@@ -517,8 +519,8 @@
             // The walk ends where nothing further on could be picked.
             let [any, warm, past, _] = best;
             let fits = any.is_some_and(|(load, _)| load <= fair) || past.is_some();
-            if !member && fits && (warm.is_some() && any.is_some_and(|(l, _)| l <= fair) || somewhere == live)
-            {
+            let met = warm.is_some() && past.is_none() || somewhere == live;
+            if !member && fits && met {
                 break;
             }
             if !self.may_shoot(now, id, w) {
@@ -526,12 +528,13 @@
             }
             // Traffic follows trust: a doubted worker is passed over the more often the more it is doubted.
             let trust = 1.0 - self.doubt(now, w);
-            if trust < 1.0 && self.chance.rand_float() > trust.powi(3) {
+            if trust < 1.0 && self.luck() > trust.powi(3) {
                 continue;
             }
             let size = self.fleet.size[w] / mean_size;
             let (copies, coming, out) = function.standing(now, w);
-            let load = (self.holds(now, w, average) + 1.0) / size + 1e-6 * self.chance.rand_float();
+            let holds = self.fleet.out[w] as f64 + self.told(now, w).unwrap_or(average);
+            let load = (holds + 1.0) / size + 1e-6 * self.luck();
             needed += usize::from(room < usage);
             members += usize::from(member);
             room += lanes * size;
@@ -603,7 +606,7 @@
         // What others send is seen in reports alone: an old one is asked for anew, which takes no time to speak
         // of, before a queue that this router knows nothing of is joined. An answer that stays out is not
         // waited for.
-        if self.probes && self.routers > 1.0 && now - self.fleet.told[worker] > FRESH && waited < ASK * due {
+        if self.probes && now - self.fleet.told[worker] > FRESH && waited < ASK * due {
             if self.fleet.asked[worker] == f64::NEG_INFINITY {
                 self.fleet.asked[worker] = now;
                 host.probe(worker);
@@ -701,19 +704,11 @@
         self.fleet.foreign[w].filter(|_| now - self.fleet.told[w] < 4.0 * FRESH)
     }
 
-    /// Activations that a worker is taken to hold: our own and what reports say of others', of which one not
-    /// heard from lately has the average.
-    fn holds(&self, now: f64, w: usize, average: f64) -> f64 {
-        self.fleet.out[w] as f64 + self.told(now, w).unwrap_or(average)
-    }
-
-    /// The average of what reports say, and of what workers hold.
-    fn crowd(&self, now: f64, workers: &[usize]) -> (f64, f64) {
+    /// The average of what reports say: what a worker not heard from lately is taken to hold of others'.
+    fn average(&self, now: f64, workers: &[usize]) -> f64 {
         let heard = workers.iter().filter_map(|&w| self.told(now, w));
         let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
-        let out: usize = workers.iter().map(|&w| self.fleet.out[w]).sum();
-        let average = sum / f64::max(count, 1.0);
-        (average, average + out as f64 / workers.len().max(1) as f64)
+        sum / f64::max(count, 1.0)
     }
 
     /// Distrust of a worker now; a single failure in a healthy stream means nothing.
@@ -773,9 +768,7 @@
             }
         }
         let pace = if size > 0.0 { rate / size } else { 0.0 };
-        if pace > peak.now(now, PEAK_HALF) {
-            peak = Fading { sum: pace, at: now };
-        }
+        peak.rise(now, PEAK_HALF, pace);
         self.pace = (now, pace, peak);
         pace
     }
@@ -786,7 +779,8 @@
     /// of a part of one shot, chance decides. So many routers come to the same as one, none saves up for a
     /// crowd, and no window holds more than one turn beyond its own.
     fn cold_room(&mut self, now: f64, w: usize) -> bool {
-        if !self.cold(now, w) {
+        let age = now - self.fleet.started[w];
+        if age >= self.warm_up + self.tip_window {
             return true;
         }
         /// Part of the stated limit that is used: work differs from its mean and counts lag.
@@ -797,20 +791,14 @@
             return left >= 1.0;
         }
         let full = self.pace(now) * self.fleet.size[w];
-        let age = now - self.fleet.started[w];
         let grown = if self.warm_up > 0.0 { (age / self.warm_up).clamp(0.0, 1.0) } else { 1.0 };
         let capacity = full * (self.cold_share + (1.0 - self.cold_share) * grown);
         let part = CAUTION * self.tip_multiple * capacity * self.tip_window / TURNS;
-        let left = (part + self.chance.rand_float()).floor();
+        let left = (part + self.luck()).floor();
         self.fleet.turn[w] = (now, left);
         left >= 1.0
     }
 
-    /// Whether a worker started lately.
-    fn cold(&self, now: f64, w: usize) -> bool {
-        now - self.fleet.started[w] < self.warm_up + self.tip_window
-    }
-
     /// Last stage: the one place where shots are sent.
     fn shoot(&mut self, now: f64, id: usize, w: usize, host: &mut dyn Host) {
         /// So many times its usual time a load may take before another is begun elsewhere.
@@ -843,7 +831,7 @@
             self.rest.0 /= 2.0;
         } else if now >= self.rest.1 {
             let rest = (2.0 * self.rest.0).clamp(SHORTEST, LONGEST);
-            self.rest = (rest, now + rest * (0.5 + self.chance.rand_float()));
+            self.rest = (rest, now + rest * (0.5 + self.luck()));
         }
     }
 
@@ -869,9 +857,7 @@
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
                 let rate = self.fleet.handled[w].rate(now, RATE_HALF, now - self.born);
-                if rate > self.fleet.peak[w].now(now, PEAK_HALF) {
-                    self.fleet.peak[w] = Fading { sum: rate, at: now };
-                }
+                self.fleet.peak[w].rise(now, PEAK_HALF, rate);
             }
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store; among answers, of a long activation.
@@ -934,18 +920,9 @@
         self.release(now, host);
     }
 
-    /// A streamed answer has begun: it belongs to the client now.
-    pub fn started(&mut self, id: usize, shot: usize, host: &mut dyn Host) {
-        self.close(id, Some(shot), host);
-    }
-
-    /// The client has left; nothing more is owed.
-    pub fn left(&mut self, id: usize, host: &mut dyn Host) {
-        self.close(id, None, host);
-    }
-
-    /// The final answer is no longer owed: calls off what is still out, but for a shot that streams.
-    fn close(&mut self, id: usize, streams: Option<usize>, host: &mut dyn Host) {
+    /// The final answer is no longer owed, as the client has left or a shot's answer streams to it: calls off
+    /// what else is out.
+    pub fn close(&mut self, id: usize, streams: Option<usize>, host: &mut dyn Host) {
         let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
         if std::mem::replace(&mut a.open, false) && self.cancels {
             for shot in (0..a.shots.len()).filter(|&n| a.shots[n].out && Some(n) != streams) {
@@ -967,21 +944,13 @@
 
     /// The final answer of an activation that cannot be handled: a bounce where that is harmless.
     fn give_up(&mut self, id: usize, host: &mut dyn Host) {
-        let Some(a) = self.activations[id].as_mut() else { return };
-        if !a.open {
-            return;
-        }
-        let none_ran = a.shots.iter().all(|s| s.never_ran);
-        let harmless = none_ran
-            || self.profiles.get(a.profile).is_some_and(|p| match p.effect {
-                Effect::Pure => true,
-                Effect::Receipted { group, .. } => group == Group::All,
-                Effect::Effectful => false,
-            });
-        if harmless {
-            /// Part of the due time after which to come back: not into the same crowd, and in time.
-            const AWAY: f64 = 0.08;
-            let due = self.profiles.get(a.profile).map_or(0.0, |p| p.due);
+        /// Part of the due time after which to come back: not into the same crowd, and in time.
+        const AWAY: f64 = 0.08;
+        let Some(a) = self.activations[id].as_ref().filter(|a| a.open) else { return };
+        let profile = self.profiles.get(a.profile);
+        let everywhere = |e| matches!(e, Effect::Pure | Effect::Receipted { group: Group::All, .. });
+        if a.shots.iter().all(|s| s.never_ran) || profile.is_some_and(|p| everywhere(p.effect)) {
+            let due = profile.map_or(0.0, |p| p.due);
             host.bounce(id, self.come_back.map(|most| most.min(AWAY * due)));
         } else {
             host.terminate(id);
@@ -1003,15 +972,7 @@
     }
 
     /// An order to hold was answered.
-    pub fn held(
-        &mut self,
-        now: f64,
-        w: usize,
-        key: usize,
-        outcome: Outcome,
-        copies: u8,
-        host: &mut dyn Host,
-    ) {
+    pub fn held(&mut self, now: f64, w: usize, key: usize, is: Outcome, copies: u8, host: &mut dyn Host) {
         if let Some(f) = self.functions.get_mut(key).and_then(Option::as_mut) {
             let stand = f.stand(w);
             stand.coming = 0.0;
@@ -1021,9 +982,9 @@
                 stand.until = now + self.keep;
             }
         }
-        match outcome {
+        match is {
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
-            Outcome::Failed | Outcome::Handled => self.load_ended(now, outcome == Outcome::Handled),
+            Outcome::Failed | Outcome::Handled => self.load_ended(now, is == Outcome::Handled),
             _ => {}
         }
         self.release(now, host);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -160,7 +160,7 @@
     town.answer(id, 0, Outcome::Handled, 0.1);
     town.answer(id, 0, Outcome::Handled, 0.1);
     town.answer(id + 7, 3, Outcome::Cut, f64::NAN);
-    town.router.left(id + 9, &mut town.host);
+    town.router.close(id + 9, None, &mut town.host);
     town.router.held(town.host.now, 1, 99, Outcome::Overdue, 0, &mut town.host);
     assert_eq!(town.host.forgotten, [id]);
 }
