A load that its client may not wait for is ordered as well

Cause: clients of little time leave before a load is over; one that nobody waits for any more is left out, so that under give_up no load ended.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -482,6 +482,8 @@
         /// several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
         const SLACK: f64 = 3.0;
+        /// Loads in the time of a client that may leave before one is over.
+        const LONG: f64 = 2.0;
         /// Deviations of chance, squared, that an instance's lanes have room for beside the mean.
         const LUCK: f64 = 1.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
@@ -619,6 +621,9 @@
         let needed = ((out + 1.0) / function.lanes).ceil().min(16.0);
         if copies > 0.0 && needed > copies {
             self.order(now, worker, key, needed as u8, true, host);
+        } else if copies == 0.0 && left < LONG * self.load {
+            // A load that nobody waits for any more is left out: with clients of little time none would end.
+            self.order(now, worker, key, 1, false, host);
         }
         Stage::Pass(worker)
     }
