One bound by the pooled rate for own shots and reports alike

The rate and latency of each worker are gone: at full size a router sees a worker too seldom to measure them, and in the small the pooled rate does as well.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,11 +72,8 @@
     doubt: Vec<Fading>,
     /// Answers handled, fading.
     handled: Vec<Fading>,
-    /// Own shots out that met an instance, and the mean latency of such over recent answers.
+    /// Own shots out that met an instance.
     busy: Vec<f64>,
-    latency: Vec<f64>,
-    /// The highest rate of handled answers, which gives way slowly.
-    peak: Vec<Fading>,
     /// Where it is cold: when the present turn began, and the shots that it may still have in it.
     turn: Vec<(f64, f64)>,
 }
@@ -106,7 +103,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
-            asked: never, doubt: none, handled: none, busy: 0.0, peak: none, latency: 0.0, turn: (never, 0.0));
+            asked: never, doubt: none, handled: none, busy: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -316,8 +313,8 @@
         if started > f.started[w] {
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
-            (f.doubt[w], f.peak[w]) = (Fading::default(), Fading::default());
-            (f.latency[w], f.foreign[w], f.turn[w]) = (0.0, None, (f64::NEG_INFINITY, 0.0));
+            (f.doubt[w], f.foreign[w]) = (Fading::default(), None);
+            f.turn[w] = (f64::NEG_INFINITY, 0.0);
             self.emptied(w);
         }
         let f = &mut self.fleet;
@@ -430,25 +427,20 @@
         self.kept.last() != Some(&id)
     }
 
-    /// Own shots that may be at work on a worker: its measured rate times the time an answer may take.
-    fn limit(&self, now: f64, w: usize, due: f64) -> f64 {
-        let f = &self.fleet;
-        let time = TIME * due;
-        (f.peak[w].now(now, PEAK_HALF) * time + FLOOR) * (time / f.latency[w].max(1e-3)).clamp(1.0, GROWTH)
-    }
-
-    /// Whether what others and we sent to a worker takes too much of the due time, at the rate at which workers
-    /// of its size are known to handle: `limit` for all routers together, by what reports tell. Near the bound
-    /// chance decides, as other routers read the same report.
-    fn swamped(&mut self, now: f64, w: usize, due: f64) -> bool {
+    /// Whether what workers were sent takes too much of the due time at the rate at which workers of its size
+    /// are known to handle: our own shots at instances, and what its report tells of others, near the bound by
+    /// chance, as other routers read the same report.
+    fn swamped(&mut self, now: f64, w: usize, due: f64, warm: bool) -> bool {
         /// With so much of its cores in use a worker may have a queue; with less it has none to speak of.
         const BUSY: f64 = 0.9;
-        let Some(foreign) = self.told(now, w).filter(|_| self.fleet.cores[w] > BUSY) else { return false };
-        let time = TIME * due;
-        let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * self.fleet.size[w];
-        let work = if self.fleet.held[w] { self.latency.min(time) } else { 0.0 };
-        let bound = (rate * (time + work) + FLOOR) * (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
-        self.routers > 1.0 && self.fleet.out[w] as f64 + foreign > bound * (0.5 + self.luck())
+        let (time, f) = (TIME * due, &self.fleet);
+        let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * f.size[w];
+        let work = if f.held[w] { self.latency.min(time) } else { 0.0 };
+        let growth = (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
+        let own = warm && f.busy[w] + 1.0 > (rate * time / self.routers + FLOOR) * growth;
+        let told = self.told(now, w).filter(|_| f.cores[w] > BUSY);
+        let (out, bound) = (f.out[w] as f64, (rate * (time + work) + FLOOR) * growth);
+        own || self.routers > 1.0 && told.is_some_and(|foreign| out + foreign > bound * (0.5 + self.luck()))
     }
 
     /// First stage: an activation for which no worker has room waits while an answer can still be in time.
@@ -549,10 +541,9 @@
             }
             // What is over its limit takes nothing: the walk goes on past the set, or it waits here.
             // What must load first loads at home: elsewhere it would scatter instances over all workers.
-            let bound = if warm || over_share { self.limit(now, w, due) } else { f64::INFINITY };
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
             let rests = rests || !warm && !coming && now < self.rest.1;
-            if self.fleet.busy[w] + 1.0 > bound || rests || self.swamped(now, w, due.min(left)) {
+            if rests || self.swamped(now, w, due.min(left), warm || over_share) {
                 pressed |= member;
                 continue;
             }
@@ -861,8 +852,6 @@
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
                 self.fleet.handled[w].add(now, RATE_HALF, 1.0);
-                let rate = self.fleet.handled[w].rate(now, RATE_HALF, now - self.born);
-                self.fleet.peak[w].rise(now, PEAK_HALF, rate);
             }
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store; among answers, of a long activation.
@@ -906,8 +895,6 @@
                     self.load += WEIGHT * (answer.latency - self.load);
                 }
                 if !cold {
-                    let mean = &mut self.fleet.latency[w];
-                    *mean += WEIGHT * (answer.latency - *mean);
                     self.latency += 0.02 * (answer.latency - self.latency);
                     let mean = if f.latency > 0.0 { f.latency } else { self.latency };
                     f.latency = mean + WEIGHT * (answer.latency.min(3.0 * mean) - mean);
