--- a/src/policy.rs
+++ b/src/policy.rs
@@ -174,7 +174,6 @@
 
 #[derive(Default)]
 pub struct Router {
-    /// None only before the start.
     chance: Option<Rand64>,
     routers: f64,
     profiles: Vec<Profile>,
@@ -227,12 +226,10 @@
     ask_again: f64,
 }
 
-/// Half life of the counts behind rates: long enough for a few arrivals of a middling function, short enough
-/// for a function that turns hot to show within a second or two.
+/// Half life of the counts behind rates: what turns hot shows within a second or two.
 const RATE_HALF: f64 = 3.0;
 
-/// Half lives of the counts behind a function's usage: the short one shows what turns hot within a second or
-/// two, the long one what one of many routers sees too seldom for that.
+/// Half lives of the counts behind usage: the long one is for what one of many routers sees too seldom.
 const DEMAND_HALVES: [f64; 2] = [RATE_HALF, 15.0];
 
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
@@ -297,7 +294,6 @@
         }
     }
 
-    /// A number from 0 to 1 by chance.
     fn luck(&mut self) -> f64 {
         self.chance.as_mut().map_or(0.5, Rand64::rand_float)
     }
@@ -339,8 +335,7 @@
 
     /// The lines of one list have all been given.
     pub fn list_complete(&mut self, now: f64, host: &mut dyn Host) {
-        /// Points of a worker on the ring: evens out the shares of few workers and hands a lost worker's
-        /// functions to several successors instead of one.
+        /// Points of a worker on the ring: evens out shares, and a lost worker's functions go to several others.
         const POINTS: u64 = 32;
         let f = &self.fleet;
         let ready = (0..f.name.len()).filter(|&w| f.state[w] == State::Ready);
@@ -427,11 +422,10 @@
         self.kept.last() != Some(&id)
     }
 
-    /// Whether what workers were sent takes too much of the due time at the rate at which workers of its size
-    /// are known to handle: our own shots at instances, and what its report tells of others, near the bound by
-    /// chance, as other routers read the same report.
+    /// Whether what it was sent takes too much of the due time at the rate at which workers of its size handle:
+    /// our own shots, and what its report tells, by chance near the bound as others read it too.
     fn swamped(&mut self, now: f64, w: usize, due: f64, warm: bool) -> bool {
-        /// With so much of its cores in use a worker may have a queue; with less it has none to speak of.
+        /// With less of its cores in use a worker has no queue to speak of.
         const BUSY: f64 = 0.9;
         let (time, f) = (TIME * due, &self.fleet);
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * f.size[w];
@@ -465,13 +459,10 @@
         if now - a.taken > wait && !waits { Stage::End } else { Stage::Keep }
     }
 
-    /// Second stage: the least loaded of the function's set.
-    ///
-    /// A member without an instance is ordered one and joins the pick once it stands, as long as one with
-    /// an instance is not over the bound; and where all members are over it the walk goes on past the set.
+    /// Second stage: the least loaded of the function's set. A member without an instance is ordered one and
+    /// joins once it stands; where all members are above the common load the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage {
-        /// A member is above the common load when it holds so many times the mean, and so many more: homes of
-        /// several busy functions would drown beside idle workers.
+        /// Above the common load: homes of several busy functions would drown beside idle workers.
         const SPREAD: f64 = 1.25;
         const SLACK: f64 = 3.0;
         /// Loads in the time of a client that may leave before one is over.
@@ -480,8 +471,7 @@
         const LUCK: f64 = 1.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
-        /// Seconds for which a worker that turned a shot away gets no other of its sort: without memory
-        /// or place for one more load it still has lanes for what stands there.
+        /// Rest of a worker that turned a shot away, apart for loads and instances: without memory it has lanes.
         const REST: f64 = 0.3;
         let Some(a) = &self.activations[id] else { return Stage::End };
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
@@ -499,8 +489,7 @@
         let stands = |s: &Stand| s.copies > 0.0 && s.until > now || s.coming > now;
         let live = |s: &&Stand| stands(s) && self.fleet.state[s.worker] == State::Ready;
         let live = function.stands.iter().filter(live).count();
-        // What a router does not see of the others comes on top by chance: so much of an instance's lanes is
-        // left free that a worker seldom holds more than them, and begins no load for one moment's crowd.
+        // Lanes are left free for the chance in what others send: a moment's crowd would begin one more load.
         let unseen = LUCK * (1.0 - 1.0 / self.routers);
         let lanes = function.lanes + unseen / 2.0 - (unseen * (function.lanes + unseen / 4.0)).sqrt();
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, 0, None);
@@ -513,8 +502,7 @@
             // The walk ends where nothing further on could be picked.
             let [any, warm, past, _] = best;
             let fits = any.is_some_and(|(load, _)| load <= fair) || past.is_some();
-            let met = warm.is_some() && past.is_none() || somewhere == live;
-            if !member && fits && met {
+            if !member && fits && (warm.is_some() && past.is_none() || somewhere == live) {
                 break;
             }
             if !self.may_shoot(now, id, w) {
@@ -534,13 +522,11 @@
             room += lanes * size;
             let warm = copies > 0.0;
             somewhere += usize::from(warm || coming);
-            // Beyond the lanes that stand there a worker makes it wait, or loads one more instance at cost of
-            // others' memory: for a while it is better to wait here for a lane.
+            // Beyond the lanes that stand there a worker loads one more, at cost of others' memory.
             if out >= function.lanes * copies.max(1.0) && (!warm || waited < LANE_WAIT * due) {
                 continue;
             }
-            // What is over its limit takes nothing: the walk goes on past the set, or it waits here.
-            // What must load first loads at home: elsewhere it would scatter instances over all workers.
+            // What is over its bound takes nothing: the walk goes on past the set, or it waits here.
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
             let rests = rests || !warm && !coming && now < self.rest.1;
             if rests || self.swamped(now, w, due.min(left), warm || over_share) {
@@ -560,11 +546,11 @@
             if !member && load > fair {
                 continue;
             }
-            let slots = [if member { 0 } else { 2 }, if member { 1 } else { 3 }];
-            for slot in slots.into_iter().take(1 + usize::from(warm)) {
+            let from = if member { 0 } else { 2 };
+            for best in &mut best[from..=from + usize::from(warm)] {
                 // In the set the least loaded, past it the first on the walk.
-                if best[slot].is_none_or(|(least, _)| member && load < least) {
-                    best[slot] = Some((load, w));
+                if best.is_none_or(|(least, _)| member && load < least) {
+                    *best = Some((load, w));
                 }
             }
         }
@@ -578,8 +564,8 @@
         let cold = if above { past.or(any) } else { any };
         let warm_past = warm_past.filter(|_| above);
         let warm = if above { warm_past.or(warm) } else { warm };
-        // A load on the request's path only where no instance stands or comes, in the set: what a full
-        // home turns away would else load at one worker after the other, and crowd the store for good.
+        // On its path it loads only in the set and where no instance stands or comes: what a full home turns
+        // away would load at one worker after the other.
         let pick = match warm.or(warm_past) {
             None if somewhere > 0 => on_way,
             None => any,
@@ -596,9 +582,8 @@
             function.roomy_since = now;
         }
         let Some((_, worker)) = pick else { return Stage::Keep };
-        // What others send is seen in reports alone: an old one is asked for anew, which takes no time to speak
-        // of, before a queue that this router knows nothing of is joined. An answer that stays out is not
-        // waited for.
+        // What others send is seen in reports alone: an old one is asked for anew before an unseen queue is
+        // joined, but an answer that stays out is not waited for.
         if self.probes && now - self.fleet.told[worker] > FRESH && waited < ASK * due {
             if self.fleet.asked[worker] == f64::NEG_INFINITY {
                 self.fleet.asked[worker] = now;
@@ -619,13 +604,11 @@
         Stage::Pass(worker)
     }
 
-    /// The one place where orders to load are given: to ready workers, one at a time, within the ration; and
-    /// `ahead` of need only as far as loads under way and the worker's memory allow.
+    /// The one place where orders to load are given; `ahead` of need as loads under way and memory allow.
     fn order(&mut self, now: f64, w: usize, key: usize, copies: u8, ahead: bool, host: &mut dyn Host) {
         /// Loads asked for ahead that may be under way for each worker of this router's part.
         const AHEAD: f64 = 0.25;
-        /// Part of a worker's memory that instances may fill: past it one ordered ahead pushes out one
-        /// that is loaded again.
+        /// Part of a worker's memory that they may fill: past it one pushes out another that is loaded again.
         const FILLED: f64 = 0.6;
         let Some(f) = &self.functions[key] else { return };
         let (standing, coming, _) = f.standing(now, w);
@@ -667,8 +650,8 @@
     fn usage(&self, now: f64, key: usize) -> f64 {
         let Some(f) = &self.functions[key] else { return 0.0 };
         let latency = if f.latency > 0.0 { f.latency } else { self.latency };
-        // Few arrivals are weak evidence: of a count only what is beyond its own chance, or one arrival at one
-        // of many routers would read as hundreds a second and stretch the set over all workers.
+        // Of a count only what is beyond its own chance: one arrival at one of many routers would read as
+        // hundreds a second and stretch the set over all workers.
         let rate = |(count, half): (&Fading, f64)| {
             let n = count.now(now, half);
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
@@ -749,10 +732,9 @@
 
     /// What warm workers handle a second for their size: at least that is known to be within their capacity.
     fn pace(&mut self, now: f64) -> f64 {
-        /// Seconds for which it is taken not to change.
-        const STEADY: f64 = 0.1;
         let (at, pace, mut peak) = self.pace;
-        if now - at < STEADY {
+        // Short against what changes it: it is asked for at every turn.
+        if now - at < 0.1 {
             return pace;
         }
         let (mut rate, mut size) = (0.0, 0.0);
@@ -769,11 +751,9 @@
         pace
     }
 
-    /// Whether a worker that started lately can take one more shot of ours without being pushed over.
-    ///
-    /// The stated window is cut into turns. In each this router may send its part of what the worker can take;
-    /// of a part of one shot, chance decides. So many routers come to the same as one, none saves up for a
-    /// crowd, and no window holds more than one turn beyond its own.
+    /// Whether a worker that started lately can take one more shot of ours without being pushed over. In each
+    /// turn of the stated window this router sends its part of what the worker can take; of a part of one shot,
+    /// chance decides. So many routers come to the same as one, and none saves up for a crowd.
     fn cold_room(&mut self, now: f64, w: usize) -> bool {
         let age = now - self.fleet.started[w];
         if age >= self.warm_up + self.tip_window {
@@ -817,9 +797,8 @@
         host.send(id, w, a.until);
     }
 
-    /// A load ended. What turns loads away or fails them is shared by all: begun again at once, elsewhere or
-    /// here, by every router that wants it, they would push the store over. Each router rests, longer from
-    /// failure to failure and never in step with the others.
+    /// A load ended. Failed ones, begun again at once by every router, push the store over: each rests, longer
+    /// from failure to failure and out of step with the others.
     fn load_ended(&mut self, now: f64, well: bool) {
         const SHORTEST: f64 = 0.1;
         const LONGEST: f64 = 2.0;
@@ -912,8 +891,7 @@
         self.release(now, host);
     }
 
-    /// The final answer is no longer owed, as the client has left or a shot's answer streams to it: calls off
-    /// what else is out.
+    /// The client has left, has its answer or gets it streamed: calls off what else is out.
     pub fn close(&mut self, id: usize, streams: Option<usize>, host: &mut dyn Host) {
         let Some(a) = self.activations.get_mut(id).and_then(Option::as_mut) else { return };
         if std::mem::replace(&mut a.open, false) && self.cancels {
@@ -1059,8 +1037,7 @@
         let patience = (PATIENCE * self.latency).max(0.8);
         let quiet = |w: usize| self.fleet.out[w] >= 2 && now - oldest[w].max(self.fleet.heard[w]) > patience;
         let silent: Vec<bool> = (0..oldest.len()).map(quiet).collect();
-        // Where many fall silent at once they wait for what they share, such as the store: moved elsewhere,
-        // their loads would begin again and crowd it more.
+        // Many silent at once wait for what they share, such as the store: moved, their loads begin again.
         if silent.iter().filter(|&&s| s).count() as f64 > MANY * self.ready {
             return;
         }
