--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,8 +70,6 @@
     asked: Vec<f64>,
     /// Distrust, 0 to 1.
     doubt: Vec<Fading>,
-    /// Answers handled, fading.
-    handled: Vec<Fading>,
     /// Own shots out that met an instance.
     busy: Vec<f64>,
     /// Where it is cold: when the present turn began, and the shots that it may still have in it.
@@ -103,7 +101,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
-            asked: never, doubt: none, handled: none, busy: 0.0, turn: (never, 0.0));
+            asked: never, doubt: none, busy: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -217,7 +215,8 @@
     /// Mean latency of answers that waited for a load.
     load: f64,
     born: f64,
-    /// What warm workers handle a second for their size, as of when, and the most that was.
+    /// Answers that warm workers handled; what that is a second for their size, as of when, and the most of it.
+    flow: Fading,
     pace: (f64, f64, Fading),
     /// How long this router begins no load after the last that failed, and until when.
     rest: (f64, f64),
@@ -255,6 +254,8 @@
 
 impl Router {
     pub fn new(charter: Charter, now: f64, host: &mut dyn Host) -> Self {
+        /// For an activation of no stated profile: the wariest.
+        const NONE: Profile = Profile { due: 1.0, effect: Effect::Effectful };
         if charter.asks {
             host.follow();
         }
@@ -264,7 +265,7 @@
             clients: vec![(0.0, now - 1.0); charter.quotas.len()],
             // A router's part of what its client groups may use.
             quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
-            profiles: charter.profiles,
+            profiles: if charter.profiles.is_empty() { vec![NONE] } else { charter.profiles },
             shots: charter.shots.max(1),
             second_copies: charter.second_copies,
             cancels: charter.cancels,
@@ -311,7 +312,8 @@
             f.started[w] = started;
             (f.doubt[w], f.foreign[w]) = (Fading::default(), None);
             f.turn[w] = (f64::NEG_INFINITY, 0.0);
-            self.emptied(w);
+            let stands = self.functions.iter_mut().flatten().flat_map(|f| &mut f.stands);
+            stands.filter(|s| s.worker == w).for_each(|s| (s.copies, s.coming) = (0.0, 0.0));
         }
         let f = &mut self.fleet;
         f.name[w] = line.name;
@@ -322,12 +324,6 @@
         f.cell[w] = line.cell;
     }
 
-    /// Nothing stands on a worker any more.
-    fn emptied(&mut self, w: usize) {
-        let stands = self.functions.iter_mut().flatten().flat_map(|f| &mut f.stands);
-        stands.filter(|s| s.worker == w).for_each(|s| (s.copies, s.coming) = (0.0, 0.0));
-    }
-
     /// A complete list begins: who is not on it is gone.
     pub fn list_renewed(&mut self) {
         self.fleet.state.fill(State::Gone);
@@ -356,12 +352,8 @@
     }
 
     pub fn arrived(&mut self, now: f64, id: usize, a: Arrival, host: &mut dyn Host) {
-        if id >= self.activations.len() {
-            self.activations.resize_with(id + 1, || None);
-        }
-        if a.function >= self.functions.len() {
-            self.functions.resize_with(a.function + 1, || None);
-        }
+        self.activations.resize_with(self.activations.len().max(id + 1), || None);
+        self.functions.resize_with(self.functions.len().max(a.function + 1), || None);
         if let Some((window, ..)) = self.ration {
             self.taken.push_back(now);
             while self.taken.front().is_some_and(|&t| now - t >= window) {
@@ -450,7 +442,7 @@
             other => return other,
         }
         let Some(a) = &self.activations[id] else { return Stage::End };
-        let due = self.profiles.get(a.profile).map_or(f64::INFINITY, |p| p.due);
+        let due = self.profiles[a.profile].due;
         let loaded = self.functions[a.function]
             .as_ref()
             .is_some_and(|f| f.stands.iter().any(|s| s.copies > 0.0 && s.until > now));
@@ -479,7 +471,7 @@
         self.walk(key);
         let usage = self.usage(now, key);
         let Some(function) = self.functions[key].take() else { return Stage::End };
-        let due = self.profiles.get(profile).map_or(1.0, |p| p.due) * if over_share { 0.5 } else { 1.0 };
+        let due = self.profiles[profile].due * if over_share { 0.5 } else { 1.0 };
         let n = function.walk.len().max(1) as f64;
         let average = self.average(now, &function.walk);
         self.pace(now);
@@ -617,7 +609,8 @@
         if !able || coming || standing >= wanted {
             return;
         }
-        let full = self.filled(now, w) + f.memory * wanted > FILLED * self.fleet.memory[w];
+        let filled: f64 = self.functions.iter().flatten().map(|f| f.memory * f.standing(now, w).0).sum();
+        let full = filled + f.memory * wanted > FILLED * self.fleet.memory[w];
         if ahead && (full || self.loading > self.ready * AHEAD / self.routers) {
             return;
         }
@@ -640,12 +633,6 @@
         host.hold(w, key, copies);
     }
 
-    /// Memory of a worker that believed instances take, in MB.
-    fn filled(&self, now: f64, w: usize) -> f64 {
-        let functions = self.functions.iter().flatten();
-        functions.map(|f| f.memory * f.standing(now, w).0).sum()
-    }
-
     /// Rate over all routers times mean latency: the instances' lanes that the function keeps busy.
     fn usage(&self, now: f64, key: usize) -> f64 {
         let Some(f) = &self.functions[key] else { return 0.0 };
@@ -705,9 +692,8 @@
     /// Whether rules and sense allow yet another shot, on some worker.
     fn may_go_on(&self, now: f64, id: usize) -> bool {
         let Some(a) = &self.activations[id] else { return false };
-        let Some(profile) = self.profiles.get(a.profile) else { return false };
         let mut ran = a.shots.iter().filter(|s| !s.never_ran);
-        let repeatable = match profile.effect {
+        let repeatable = match self.profiles[a.profile].effect {
             Effect::Pure => true,
             Effect::Effectful => ran.next().is_none(),
             Effect::Receipted { memory, .. } => ran.all(|s| now - s.sent < memory),
@@ -737,14 +723,10 @@
         if now - at < 0.1 {
             return pace;
         }
-        let (mut rate, mut size) = (0.0, 0.0);
         let f = &self.fleet;
-        for v in 0..f.name.len() {
-            if f.state[v] == State::Ready && now - f.started[v] >= self.warm_up && self.doubt(now, v) == 0.0 {
-                rate += f.handled[v].rate(now, RATE_HALF, now - self.born);
-                size += f.size[v];
-            }
-        }
+        let warm = |&w: &usize| f.state[w] == State::Ready && now - f.started[w] >= self.warm_up;
+        let size: f64 = (0..f.name.len()).filter(warm).map(|w| f.size[w]).sum();
+        let rate = self.flow.rate(now, RATE_HALF, now - self.born);
         let pace = if size > 0.0 { rate / size } else { 0.0 };
         peak.rise(now, PEAK_HALF, pace);
         self.pace = (now, pace, peak);
@@ -830,7 +812,8 @@
             Outcome::Handled => {
                 self.judge(now, w, 0.0, 0.2);
                 self.fleet.heard[w] = now;
-                self.fleet.handled[w].add(now, RATE_HALF, 1.0);
+                let warm = now - self.fleet.started[w] >= self.warm_up;
+                self.flow.add(now, RATE_HALF, f64::from(u8::from(warm)));
             }
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store; among answers, of a long activation.
@@ -917,10 +900,9 @@
         /// Part of the due time after which to come back: not into the same crowd, and in time.
         const AWAY: f64 = 0.08;
         let Some(a) = self.activations[id].as_ref().filter(|a| a.open) else { return };
-        let profile = self.profiles.get(a.profile);
-        let everywhere = |e| matches!(e, Effect::Pure | Effect::Receipted { group: Group::All, .. });
-        if a.shots.iter().all(|s| s.never_ran) || profile.is_some_and(|p| everywhere(p.effect)) {
-            let due = profile.map_or(0.0, |p| p.due);
+        let Profile { due, effect } = self.profiles[a.profile];
+        let harmless = matches!(effect, Effect::Pure | Effect::Receipted { group: Group::All, .. });
+        if harmless || a.shots.iter().all(|s| s.never_ran) {
             host.bounce(id, self.come_back.map(|most| most.min(AWAY * due)));
         } else {
             host.terminate(id);
