--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,7 +59,7 @@
     heard: Vec<f64>,
     /// When it last turned away a shot that had to load, and one that met an instance.
     full: Vec<[f64; 2]>,
-    /// Reported load that is not our own, smoothed; none until it reports.
+    /// Reported load that is not our own; none until it reports.
     foreign: Vec<Option<f64>>,
     /// How busy its cores were by that; wholly where it does not say.
     cores: Vec<f64>,
@@ -961,10 +961,7 @@
             (None, Some(waiting)) => waiting * (self.routers - 1.0) / self.routers,
             _ => return,
         };
-        // Of what was told before, the more counts the shorter ago that was.
-        let kept = 0.5 * (-(now - self.fleet.told[w]) / FRESH).exp2();
-        let old = self.fleet.foreign[w].unwrap_or(foreign);
-        self.fleet.foreign[w] = Some(foreign + kept * (old - foreign));
+        self.fleet.foreign[w] = Some(foreign);
         self.fleet.told[w] = now;
         self.fleet.cores[w] = report.busy.unwrap_or(1.0);
         self.fleet.held[w] = report.held.is_some();
