--- a/src/policy.rs
+++ b/src/policy.rs
@@ -992,7 +992,7 @@
                 self.give_up(id, host);
             }
         }
-        self.look_for_silence(now, host);
+        self.look_for_silence(now);
         self.release(now, host);
         if !self.live.is_empty() {
             self.wake_by(now, now + PULSE, host);
@@ -1001,8 +1001,8 @@
         }
     }
 
-    /// Workers that answer nothing while others do lose trust, and what they hold gets a second copy.
-    fn look_for_silence(&mut self, now: f64, host: &mut dyn Host) {
+    /// Workers that answer nothing while others do lose trust.
+    fn look_for_silence(&mut self, now: f64) {
         let mut oldest = vec![f64::INFINITY; self.fleet.name.len()];
         for a in self.live.iter().filter_map(|&id| self.activations[id].as_ref()) {
             for s in a.shots.iter().filter(|s| s.out) {
@@ -1021,18 +1021,5 @@
             return;
         }
         (0..oldest.len()).filter(|&w| silent[w]).for_each(|w| self.judge(now, w, 1.0, 0.9));
-        for id in self.live.clone() {
-            let Some(a) = &self.activations[id] else { continue };
-            let mut out = a.shots.iter().filter(|s| s.out);
-            if a.open
-                && self.second_copies
-                && let (Some(shot), None) = (out.next(), out.next())
-                && silent[shot.worker]
-                && now - shot.sent > 1.5 * self.latency
-                && let Stage::Pass(w) = self.place(now, id, host)
-            {
-                self.shoot(now, id, w, host);
-            }
-        }
     }
 }
