Silence is judged when a shot ends unanswered, not looked for between

At full size no router has two shots at one worker, so the look never acted there. Should also catch hung and cut off workers; harms little where answers are lost, as the distrust halves in 4 s.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -331,7 +331,7 @@
 
     /// The lines of one list have all been given.
     pub fn list_complete(&mut self, now: f64, host: &mut dyn Host) {
-        /// Points of a worker on the ring: evens out shares, and a lost worker's functions go to several others.
+        /// Points of a worker on the ring: shares are even, and a lost worker's functions go to several.
         const POINTS: u64 = 32;
         let f = &self.fleet;
         let ready = (0..f.name.len()).filter(|&w| f.state[w] == State::Ready);
@@ -414,8 +414,8 @@
         self.kept.last() != Some(&id)
     }
 
-    /// Whether what it was sent takes too much of the due time at the rate at which workers of its size handle:
-    /// our own shots, and what its report tells, by chance near the bound as others read it too.
+    /// Whether what a worker was sent takes too much of the due time at the rate for its size: our own shots,
+    /// and what its report tells; by chance near the bound, as others read it too.
     fn swamped(&mut self, now: f64, w: usize, due: f64, warm: bool) -> bool {
         /// With less of its cores in use a worker has no queue to speak of.
         const BUSY: f64 = 0.9;
@@ -463,7 +463,7 @@
         const LUCK: f64 = 1.0;
         /// Part of the due time that may pass waiting for a lane before one more instance is called for.
         const LANE_WAIT: f64 = 0.05;
-        /// Rest of a worker that turned a shot away, apart for loads and instances: without memory it has lanes.
+        /// Rest of a worker that turned a shot away, apart for loads and for instances that stand.
         const REST: f64 = 0.3;
         let Some(a) = &self.activations[id] else { return Stage::End };
         let (key, profile, over_share, waited) = (a.function, a.profile, a.over_share, now - a.taken);
@@ -734,8 +734,8 @@
     }
 
     /// Whether a worker that started lately can take one more shot of ours without being pushed over. In each
-    /// turn of the stated window this router sends its part of what the worker can take; of a part of one shot,
-    /// chance decides. So many routers come to the same as one, and none saves up for a crowd.
+    /// turn of the stated window it sends its part of what the worker can take; of a part of one shot, chance
+    /// decides. So many routers come to the same as one, and none saves up for a crowd.
     fn cold_room(&mut self, now: f64, w: usize) -> bool {
         let age = now - self.fleet.started[w];
         if age >= self.warm_up + self.tip_window {
@@ -780,7 +780,7 @@
     }
 
     /// A load ended. Failed ones, begun again at once by every router, push the store over: each rests, longer
-    /// from failure to failure and out of step with the others.
+    /// from failure to failure, out of step.
     fn load_ended(&mut self, now: f64, well: bool) {
         const SHORTEST: f64 = 0.1;
         const LONGEST: f64 = 2.0;
@@ -804,6 +804,8 @@
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
+        /// Silence of this many mean latencies is more than chance explains.
+        const PATIENCE: f64 = 4.0;
         // Back through `shoot`: the worker's figures.
         self.fleet.busy[w] -= f64::from(u8::from(warm));
         self.fleet.out[w] = self.fleet.out[w].saturating_sub(1);
@@ -816,8 +818,13 @@
                 self.flow.add(now, RATE_HALF, f64::from(u8::from(warm)));
             }
             Outcome::Failed => self.judge(now, w, 1.0, 0.3),
-            // Overdue while it waited for a load tells of the store; among answers, of a long activation.
-            Outcome::Overdue if warm && self.fleet.heard[w] < sent => self.judge(now, w, 1.0, 0.5),
+            // Overdue while it waited for a load tells of the store; among answers, of a long activation; and
+            // after a short time, of a client that left early.
+            Outcome::Overdue | Outcome::Withdrawn
+                if warm && self.fleet.heard[w] < sent && answer.latency > PATIENCE * self.latency =>
+            {
+                self.judge(now, w, 1.0, 0.5);
+            }
             Outcome::Cut => self.judge(now, w, 1.0, 0.1),
             Outcome::Unreached => self.judge(now, w, 1.0, 0.7),
             Outcome::Full => {
@@ -992,7 +999,6 @@
                 self.give_up(id, host);
             }
         }
-        self.look_for_silence(now);
         self.release(now, host);
         if !self.live.is_empty() {
             self.wake_by(now, now + PULSE, host);
@@ -1000,26 +1006,4 @@
             self.wake_by(now, self.ask_again, host);
         }
     }
-
-    /// Workers that answer nothing while others do lose trust.
-    fn look_for_silence(&mut self, now: f64) {
-        let mut oldest = vec![f64::INFINITY; self.fleet.name.len()];
-        for a in self.live.iter().filter_map(|&id| self.activations[id].as_ref()) {
-            for s in a.shots.iter().filter(|s| s.out) {
-                oldest[s.worker] = oldest[s.worker].min(s.sent);
-            }
-        }
-        /// Silence of this many mean latencies is more than chance or one load explains.
-        const PATIENCE: f64 = 4.0;
-        /// Part of the workers that may fail by themselves at one time, by what is known of such troubles.
-        const MANY: f64 = 0.34;
-        let patience = (PATIENCE * self.latency).max(0.8);
-        let quiet = |w: usize| self.fleet.out[w] >= 2 && now - oldest[w].max(self.fleet.heard[w]) > patience;
-        let silent: Vec<bool> = (0..oldest.len()).map(quiet).collect();
-        // Many silent at once wait for what they share, such as the store: moved, their loads begin again.
-        if silent.iter().filter(|&&s| s).count() as f64 > MANY * self.ready {
-            return;
-        }
-        (0..oldest.len()).filter(|&w| silent[w]).for_each(|w| self.judge(now, w, 1.0, 0.9));
-    }
 }
