--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,7 +100,8 @@
     fn grow(&mut self, n: usize) {
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
-            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0, held: false, told: never,
+            zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0,
+            held: false, told: never,
             asked: never, doubt: none, busy: 0.0, turn: (never, 0.0));
     }
 }
@@ -215,7 +216,7 @@
     /// Mean latency of answers that waited for a load.
     load: f64,
     born: f64,
-    /// Answers that warm workers handled; what that is a second for their size, as of when, and the most of it.
+    /// Answers that warm workers handled; when counted, what that is a second for their size, and the most.
     flow: Fading,
     pace: (f64, f64, Fading),
     /// How long this router begins no load after the last that failed, and until when.
@@ -779,8 +780,8 @@
         host.send(id, w, a.until);
     }
 
-    /// A load ended. Failed ones, begun again at once by every router, push the store over: each rests, longer
-    /// from failure to failure, out of step.
+    /// A load ended. Failed ones, begun again at once by every router, push the store over: each rests, for
+    /// longer from failure to failure, out of step.
     fn load_ended(&mut self, now: f64, well: bool) {
         const SHORTEST: f64 = 0.1;
         const LONGEST: f64 = 2.0;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -87,6 +87,7 @@
     let home = town.serve(0, 0.1);
     (0..30).for_each(|_| _ = town.serve(0, 0.1));
     // What it took ends unanswered, after a time that no chance explains.
+    town.pass(0.1);
     let held: Vec<_> = (0..2).map(|_| town.arrive(0, 1.5)).collect();
     town.pass(1.5);
     held.iter().for_each(|&id| town.answer(id, 0, Outcome::Withdrawn, 1.5));
