--- a/src/host.rs
+++ b/src/host.rs
@@ -66,7 +66,6 @@
     pub over_share: f64,
     /// Shots an activation may have.
     pub shots: usize,
-    pub second_copies: bool,
     pub cancels: bool,
     /// Orders to hold and unload are possible.
     pub orders: bool,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -101,8 +101,7 @@
         let (never, none) = (f64::NEG_INFINITY, Fading::default());
         resize!(self to n, name: 0, state: State::Gone, started: never, size: 1.0, memory: f64::INFINITY,
             zone: 0, cell: 0, out: 0, heard: never, full: [never; 2], foreign: None, cores: 1.0,
-            held: false, told: never,
-            asked: never, doubt: none, busy: 0.0, turn: (never, 0.0));
+            held: false, told: never, asked: never, doubt: none, busy: 0.0, turn: (never, 0.0));
     }
 }
 
@@ -178,7 +177,6 @@
     profiles: Vec<Profile>,
     quotas: Vec<f64>,
     shots: usize,
-    second_copies: bool,
     cancels: bool,
     orders: bool,
     misses: bool,
@@ -268,7 +266,6 @@
             quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
             profiles: if charter.profiles.is_empty() { vec![NONE] } else { charter.profiles },
             shots: charter.shots.max(1),
-            second_copies: charter.second_copies,
             cancels: charter.cancels,
             orders: charter.orders,
             misses: charter.misses,
@@ -434,8 +431,7 @@
     fn admit(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> Stage {
         /// Part of the due time that may pass before the first shot.
         const WAIT: f64 = 0.15;
-        let waits = self.activations[id].as_ref().is_some_and(|a| a.shots.iter().any(|s| s.out));
-        if !waits && !self.may_go_on(now, id) {
+        if !self.may_go_on(now, id) {
             return Stage::End;
         }
         match if stuck { Stage::Keep } else { self.place(now, id, host) } {
@@ -444,12 +440,11 @@
         }
         let Some(a) = &self.activations[id] else { return Stage::End };
         let due = self.profiles[a.profile].due;
-        let loaded = self.functions[a.function]
-            .as_ref()
-            .is_some_and(|f| f.stands.iter().any(|s| s.copies > 0.0 && s.until > now));
+        let mut stands = self.functions[a.function].iter().flat_map(|f| &f.stands);
+        let loaded = stands.any(|s| s.copies > 0.0 && s.until > now);
         // Bounced while a retry can still be in time; what waits for a load would wait elsewhere as well.
         let wait = if loaded { WAIT * due } else { due - self.latency };
-        if now - a.taken > wait && !waits { Stage::End } else { Stage::Keep }
+        if now - a.taken > wait { Stage::End } else { Stage::Keep }
     }
 
     /// Second stage: the least loaded of the function's set. A member without an instance is ordered one and
@@ -699,7 +694,8 @@
             Effect::Effectful => ran.next().is_none(),
             Effect::Receipted { memory, .. } => ran.all(|s| now - s.sent < memory),
         };
-        let alone = self.second_copies || !a.shots.iter().any(|s| s.out);
+        // No second copies: they crowd the rest more than they save.
+        let alone = !a.shots.iter().any(|s| s.out);
         a.open && a.shots.len() < self.shots && now < a.until && repeatable && alone
     }
 
