--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,6 @@
     memory: Vec<f64>,
     zone: Vec<usize>,
     cell: Vec<usize>,
-    /// Own shots out.
     out: Vec<usize>,
     /// When it last answered anything.
     heard: Vec<f64>,
@@ -113,7 +112,6 @@
     /// Arrivals over a short and a long while.
     arrivals: [Fading; 2],
     since: f64,
-    latency: f64,
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
@@ -208,7 +206,6 @@
     ordered: VecDeque<f64>,
     /// Orders not answered yet.
     loading: f64,
-    /// Ready workers.
     ready: f64,
     latency: f64,
     /// Mean latency of answers that waited for a load.
@@ -632,7 +629,6 @@
     /// Rate over all routers times mean latency: the instances' lanes that the function keeps busy.
     fn usage(&self, now: f64, key: usize) -> f64 {
         let Some(f) = &self.functions[key] else { return 0.0 };
-        let latency = if f.latency > 0.0 { f.latency } else { self.latency };
         // Of a count only what is beyond its own chance: one arrival at one of many routers would read as
         // hundreds a second and stretch the set over all workers.
         let rate = |(count, half): (&Fading, f64)| {
@@ -640,7 +636,7 @@
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
         };
         let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
-        rate * self.routers * latency
+        rate * self.routers * self.latency
     }
 
     /// Brings a function's walk up to the present ring.
@@ -862,8 +858,6 @@
                 }
                 if !cold {
                     self.latency += 0.02 * (answer.latency - self.latency);
-                    let mean = if f.latency > 0.0 { f.latency } else { self.latency };
-                    f.latency = mean + WEIGHT * (answer.latency.min(3.0 * mean) - mean);
                 }
             }
         }
@@ -979,7 +973,6 @@
         }
     }
 
-    /// Time has passed.
     pub fn woken(&mut self, now: f64, host: &mut dyn Host) {
         /// Seconds between two looks at what is open: short against due times, long against its work.
         const PULSE: f64 = 0.005;
