An instance past a set that shrank is used until the home has one

Cause: with an instance believed past the set only, and members not above the common load, nothing was picked: all that came was bounced.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -552,7 +552,8 @@
         // On its path it loads only in the set and where no instance stands or comes: what a full home turns
         // away would load at one worker after the other.
         let pick = match warm.or(warm_past) {
-            None if somewhere > 0 => on_way,
+            // An instance past the set, as after it shrank, is gone to while the home is given one.
+            None if somewhere > 0 && self.orders => on_way.or(best[3]),
             None => any,
             found if self.orders => found,
             found => any.or(found),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -97,7 +97,7 @@
 
 #[test]
 fn a_worker_that_fails_fast_loses_its_traffic_and_gets_it_back() {
-    let mut town = Town::new(charter(pure()), 6);
+    let mut town = Town::new(Charter { orders: false, ..charter(pure()) }, 6);
     let home = town.serve(0, 0.1);
     let mut kept = 0;
     for _ in 0..40 {
@@ -115,6 +115,20 @@
     assert!((0..40).any(|_| town.serve(0, 0.01) == home));
 }
 
+#[test]
+fn an_instance_past_a_set_that_shrank_is_used_until_the_home_has_one() {
+    // The set shrank under its only instance, and all that came was bounced as no member had one.
+    let mut town = Town::new(charter(pure()), 6);
+    (0..30).for_each(|_| _ = town.serve(0, 0.01));
+    let home = town.shots(0)[0];
+    town.list(vec![line(home, State::Draining, None)]);
+    town.pass(31.0);
+    let other = town.serve(0, 0.01);
+    town.list(vec![line(home, State::Ready, None)]);
+    assert_eq!(town.serve(0, 0.01), other);
+    assert!(town.did(&Did::Hold { worker: home, function: 0, copies: 1 }));
+}
+
 #[test]
 fn a_miss_is_answered_by_an_order_and_another_shot_once_it_stands() {
     let mut town = Town::new(Charter { misses: true, ..charter(pure()) }, 4);
