--- a/src/policy.rs
+++ b/src/policy.rs
@@ -112,6 +112,8 @@
     /// Arrivals over a short and a long while.
     arrivals: [Fading; 2],
     since: f64,
+    /// Mean time that its shots are out, by so much over the mean of all.
+    slow: f64,
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
@@ -359,6 +361,7 @@
             name: a.name,
             memory: a.memory.max(0.0),
             since: now,
+            slow: 1.0,
             set: 1,
             roomy_since: now,
             ..Function::default()
@@ -637,7 +640,7 @@
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
         };
         let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
-        rate * self.routers * self.latency
+        rate * self.routers * self.latency * f.slow
     }
 
     /// Brings a function's walk up to the present ring.
@@ -798,6 +801,8 @@
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
+        /// The same of one function, of which a router of many sees few.
+        const SLOWER: f64 = 0.2;
         /// Silence of this many mean latencies is more than chance explains.
         const PATIENCE: f64 = 4.0;
         // Back through `shoot`: the worker's figures.
@@ -834,6 +839,11 @@
         }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
+            // Also what is never answered: a jam at one function's lanes shows in nothing else. Up to thrice
+            // the mean, so that a slow store does not stretch sets onto more loads.
+            if matches!(answer.outcome, Outcome::Handled | Outcome::Withdrawn | Outcome::Overdue) {
+                f.slow += SLOWER * ((answer.latency / self.latency.max(1e-3)).min(3.0) - f.slow);
+            }
             let stand = f.stand(w);
             stand.out -= 1.0;
             let outlasted = !warm && answer.latency > self.load;
