--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,13 +28,6 @@
         self.at = now;
     }
 
-    /// Takes a figure that is higher than what is left of those before.
-    fn rise(&mut self, now: f64, half: f64, x: f64) {
-        if x > self.now(now, half) {
-            (self.sum, self.at) = (x, now);
-        }
-    }
-
     /// Events a second when 1 is added at each; `age` corrects for a count that is still young.
     fn rate(&self, now: f64, half: f64, age: f64) -> f64 {
         let full = half / std::f64::consts::LN_2;
@@ -373,11 +366,10 @@
             for (count, half) in function.arrivals.iter_mut().zip(DEMAND_HALVES) {
                 count.add(now, half, 1.0);
             }
-            /// Seconds of its share that a client group may use at once.
-            const BURST: f64 = 1.0;
+            // A client group may use a second of its share at once.
             if let Some((left, at)) = self.clients.get_mut(a.client) {
                 let quota = self.quotas[a.client];
-                *left = (*left + (now - *at) * quota).min((quota * BURST).max(1.0));
+                *left = (*left + (now - *at) * quota).min(quota.max(1.0));
                 *at = now;
                 over_share = self.sheds && *left < 1.0;
                 if *left >= 1.0 {
@@ -469,7 +461,9 @@
         let Some(function) = self.functions[key].take() else { return Stage::End };
         let due = self.profiles[profile].due * if over_share { 0.5 } else { 1.0 };
         let n = function.walk.len().max(1) as f64;
-        let average = self.average(now, &function.walk);
+        // What a worker not heard from lately is taken to hold of others'.
+        let heard: Vec<f64> = function.walk.iter().filter_map(|&w| self.told(now, w)).collect();
+        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
         self.pace(now);
         let mean = |figure: &dyn Fn(usize) -> f64| function.walk.iter().map(|&w| figure(w)).sum::<f64>() / n;
         let mean_size = mean(&|w| self.fleet.size[w]);
@@ -666,13 +660,6 @@
         self.fleet.foreign[w].filter(|_| now - self.fleet.told[w] < 4.0 * FRESH)
     }
 
-    /// The average of what reports say: what a worker not heard from lately is taken to hold of others'.
-    fn average(&self, now: f64, workers: &[usize]) -> f64 {
-        let heard = workers.iter().filter_map(|&w| self.told(now, w));
-        let (sum, count) = heard.fold((0.0, 0.0), |(sum, count), x| (sum + x, count + 1.0));
-        sum / f64::max(count, 1.0)
-    }
-
     /// Distrust of a worker now; a single failure in a healthy stream means nothing.
     fn doubt(&self, now: f64, w: usize) -> f64 {
         let doubt = self.fleet.doubt[w].now(now, DOUBT_HALF);
@@ -725,7 +712,9 @@
         let size: f64 = (0..f.name.len()).filter(warm).map(|w| f.size[w]).sum();
         let rate = self.flow.rate(now, RATE_HALF, now - self.born);
         let pace = if size > 0.0 { rate / size } else { 0.0 };
-        peak.rise(now, PEAK_HALF, pace);
+        if pace > peak.now(now, PEAK_HALF) {
+            peak = Fading { sum: pace, at: now };
+        }
         self.pace = (now, pace, peak);
         pace
     }
@@ -801,7 +790,7 @@
         let (w, warm, key, sent) = (shot.worker, shot.warm, a.function, shot.sent);
         /// Weight of one answer in a mean: a dozen answers, about a second of a busy worker.
         const WEIGHT: f64 = 0.1;
-        /// The same of one function, of which a router of many sees few.
+        /// The same of one function, of which it sees few.
         const SLOWER: f64 = 0.2;
         /// Silence of this many mean latencies is more than chance explains.
         const PATIENCE: f64 = 4.0;
@@ -839,8 +828,7 @@
         }
         // Back through `place`: the function's figures.
         if let Some(f) = self.functions[key].as_mut() {
-            // Also what is never answered: a jam at one function's lanes shows in nothing else. Up to thrice
-            // the mean, so that a slow store does not stretch sets onto more loads.
+            // Also what is never answered, as in a jam at its lanes; up to thrice the mean, for slow stores.
             if matches!(answer.outcome, Outcome::Handled | Outcome::Withdrawn | Outcome::Overdue) {
                 f.slow += SLOWER * ((answer.latency / self.latency.max(1e-3)).min(3.0) - f.slow);
             }
