--- a/src/policy.rs
+++ b/src/policy.rs
@@ -510,13 +510,13 @@
             }
             // What is over its bound takes nothing: the walk goes on past the set, or it waits here.
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
-            let rests = rests || !warm && !coming && now < self.rest.1;
+            let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
+            let rests = rests || missed && !coming && now < self.rest.1;
             if rests || self.swamped(now, w, due.min(left), warm || over_share) {
                 pressed |= member;
                 continue;
             }
             // Where workers load nothing unasked, one that missed is sent nothing until an order stands.
-            let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
             if self.misses && !warm && (coming || missed) {
                 lacking = lacking.or(Some(w));
                 continue;
