--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,6 +11,7 @@
     Terminate { id: usize },
     Hold { worker: usize, function: usize, copies: u8 },
     Follow,
+    Probe { worker: usize },
 }
 
 #[derive(Default)]
@@ -38,7 +39,9 @@
         self.did.push((self.now, Did::Hold { worker, function, copies }));
     }
     fn unload(&mut self, _worker: usize, _function: usize) {}
-    fn probe(&mut self, _worker: usize) {}
+    fn probe(&mut self, worker: usize) {
+        self.did.push((self.now, Did::Probe { worker }));
+    }
     fn wake(&mut self, after: f64) {
         self.wakes.push(self.now + after);
     }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,13 +3,14 @@
 mod common;
 
 use common::{Did, Town, charter, line, pure};
-use milletpath::host::{Charter, Outcome, State};
+use milletpath::host::{Charter, Outcome, Report, State};
 use test_case::test_case;
 
-#[test]
-fn routers_agree_on_a_function_s_home() {
+#[test_case(2; "few routers")]
+#[test_case(300; "many, of which each sees one arrival")]
+fn routers_agree_on_a_function_s_home(routers: usize) {
     let mut one = Town::new(charter(pure()), 8);
-    let mut other = Town::new(Charter { seed: 99, routers: 2, ..charter(pure()) }, 8);
+    let mut other = Town::new(Charter { seed: 99, routers, ..charter(pure()) }, 8);
     for function in 0..20 {
         assert_eq!(one.serve(function, 0.1), other.serve(function, 0.1));
     }
@@ -179,3 +180,55 @@
     town.router.held(town.host.now, 1, 99, Outcome::Overdue, 0, &mut town.host);
     assert_eq!(town.host.forgotten, [id]);
 }
+
+#[test_case(true; "answered")]
+#[test_case(false; "not answered")]
+fn one_of_many_routers_asks_before_it_joins_a_queue_unseen(answers: bool) {
+    let mut town = Town::new(Charter { routers: 100, probes: true, ..charter(pure()) }, 4);
+    let id = town.arrive(0, 4.0);
+    assert!(town.shots(id).is_empty());
+    let Some((_, Did::Probe { worker })) = town.host.did.last().cloned() else { panic!("no probe") };
+    if answers {
+        let report = Some(Report { held: Some(0.0), ..Report::default() });
+        town.router.probed(0.004, worker, Outcome::Handled, report, &mut town.host);
+    } else {
+        town.pass(0.05);
+    }
+    assert_eq!(town.shots(id), [worker]);
+}
+
+#[test_case(0.99, false; "busy cores")]
+#[test_case(0.3, true; "cores to spare")]
+fn a_worker_that_reports_a_crowd_gets_nothing_from_one_of_many_routers(busy: f64, gets: bool) {
+    let mut town = Town::new(Charter { routers: 100, ..charter(pure()) }, 4);
+    let home = town.serve(0, 0.1);
+    let report = Some(Report { held: Some(50.0), busy: Some(busy), ..Report::default() });
+    town.router.probed(0.1, home, Outcome::Handled, report, &mut town.host);
+    let id = town.arrive(0, 4.0);
+    assert_eq!(town.shots(id).contains(&home), gets);
+}
+
+#[test]
+fn after_a_failed_load_orders_rest_for_a_while() {
+    // The store was pushed over by loads that every router began again at once.
+    let mut town = Town::new(Charter { misses: true, ..charter(pure()) }, 4);
+    let miss = |town: &mut Town, function| {
+        let id = town.arrive(function, 4.0);
+        town.answer(id, 0, Outcome::Missed, 0.0);
+        (town.shots(id)[0], town.holds().len())
+    };
+    let (home, orders) = miss(&mut town, 0);
+    town.router.held(town.host.now, home, 0, Outcome::Failed, 0, &mut town.host);
+    assert_eq!(miss(&mut town, 1).1, orders, "at once");
+    town.pass(1.0);
+    assert!(town.holds().len() > orders, "later");
+}
+
+#[test_case(0.5, true; "little time")]
+#[test_case(4.0, false; "time enough")]
+fn a_load_that_its_client_may_not_wait_for_is_ordered_as_well(patience: f64, ordered: bool) {
+    let mut town = Town::new(charter(pure()), 4);
+    let id = town.arrive(0, patience);
+    let worker = town.shots(id)[0];
+    assert_eq!(town.did(&Did::Hold { worker, function: 0, copies: 1 }), ordered);
+}
