--- a/drill/src/instance.rs
+++ b/crates/drill/src/instance.rs
@@ -2,8 +2,8 @@
 
 use crate::frame::{Batch, Cells, Malformed, Reply};
 use crate::terms;
-use milletpath::host::{Answer, Arrival, Found, Host, Listing, Outcome, Report, State};
-use milletpath::policy::Router;
+use milletpath_policy::host::{Answer, Arrival, Found, Host, Listing, Outcome, Report, State};
+use milletpath_policy::policy::Router;
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -118,6 +118,10 @@
     fn forget(&mut self, activation: usize) {
         self.names.activations.give_back(activation);
     }
+
+    fn forget_function(&mut self, function: usize) {
+        self.names.functions.give_back(function);
+    }
 }
 
 /// Whole microseconds; nothing below zero.
--- a/drill/src/terms.rs
+++ b/crates/drill/src/terms.rs
@@ -1,6 +1,6 @@
 //! Reads the settings that an instance is started with.
 
-use milletpath::host::{Charter, Effect, Group, Profile};
+use milletpath_policy::host::{Charter, Effect, Group, Profile};
 use serde::Deserialize;
 use serde_json::Value;
 
--- /dev/null
+++ b/crates/milletpath/src/main.rs
@@ -0,0 +1,3 @@
+//! The milletpath program.
+
+fn main() {}
--- a/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -24,6 +24,8 @@
     fn follow(&mut self);
     /// The router will not name this activation again; its index may be given to another.
     fn forget(&mut self, activation: usize);
+    /// The router knows nothing of this function any more; its index may be given to another.
+    fn forget_function(&mut self, function: usize);
 }
 
 /// How harmful it is to run an activation twice.
--- a/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -110,6 +110,8 @@
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
+    /// Activations that are not let go of yet.
+    open: usize,
     /// Workers in the order in which the walk from the home meets them, for the ring of that edition.
     walk: Vec<usize>,
     edition: u64,
@@ -192,6 +194,8 @@
     ring: Vec<(u64, usize)>,
     edition: u64,
     functions: Vec<Option<Function>>,
+    /// Where the round that looks for functions to forget has come to.
+    swept: usize,
     activations: Vec<Option<Activation>>,
     live: Vec<usize>,
     kept: Vec<usize>,
@@ -359,6 +363,7 @@
             roomy_since: now,
             ..Function::default()
         });
+        function.open += 1;
         function.lanes = if a.lanes >= 1.0 { a.lanes } else { 1.0 };
         let mut over_share = false;
         // A client's repeat is no new demand: counted, it would stretch sets onto cold workers.
@@ -387,6 +392,7 @@
             shots: Vec::new(),
         });
         self.live.push(id);
+        self.sweep(now, host);
         if a.patience <= self.margin {
             return self.give_up(id, host);
         }
@@ -394,6 +400,25 @@
         self.run(now, id, false, host);
     }
 
+    /// Forgets functions that are not asked for any more: all that was believed of them has run out, and their
+    /// demand has faded to that of nothing. Each arrival looks at a few, so that one-off functions can't pile up.
+    fn sweep(&mut self, now: f64, host: &mut dyn Host) {
+        /// Above 1, so that the round comes about faster than arrivals can add to it.
+        const LOOKS: usize = 2;
+        /// Half an arrival in the long count: one-offs go within 15 s, a busy function after minutes.
+        const FADED: f64 = 0.5;
+        for _ in 0..LOOKS.min(self.functions.len()) {
+            self.swept = (self.swept + 1) % self.functions.len();
+            let Some(f) = &self.functions[self.swept] else { continue };
+            let over = |s: &Stand| s.out == 0.0 && now > s.until && now > s.coming;
+            let faded = f.arrivals[1].now(now, DEMAND_HALVES[1]) < FADED;
+            if f.open == 0 && faded && f.stands.iter().all(over) {
+                self.functions[self.swept] = None;
+                host.forget_function(self.swept);
+            }
+        }
+    }
+
     /// Takes an activation through the chain from its first stage; tells whether it was not kept.
     fn run(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> bool {
         match self.admit(now, id, stuck, host) {
@@ -885,7 +910,9 @@
     /// Lets go of an activation that has its answer once nothing of it is out.
     fn finish(&mut self, id: usize, host: &mut dyn Host) {
         if self.activations[id].as_ref().is_some_and(|a| !a.open && !a.shots.iter().any(|s| s.out)) {
-            self.activations[id] = None;
+            let gone = self.activations[id].take();
+            let function = gone.and_then(|a| self.functions[a.function].as_mut());
+            function.into_iter().for_each(|f| f.open -= 1);
             self.live.retain(|&other| other != id);
             self.kept.retain(|&other| other != id);
             host.forget(id);
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! One tiny fake host: it notes what a router does, and keeps the rules' books on it.
 
-use milletpath::host::*;
-use milletpath::policy::Router;
+use milletpath_policy::host::*;
+use milletpath_policy::policy::Router;
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Did {
@@ -20,6 +20,7 @@
     pub did: Vec<(f64, Did)>,
     pub wakes: Vec<f64>,
     pub forgotten: Vec<usize>,
+    pub forgotten_functions: Vec<usize>,
 }
 
 impl Host for Fake {
@@ -51,6 +52,9 @@
     fn forget(&mut self, id: usize) {
         self.forgotten.push(id);
     }
+    fn forget_function(&mut self, function: usize) {
+        self.forgotten_functions.push(function);
+    }
 }
 
 /// A router on its fake host, with the workers it was told of.
--- a/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Did, Town, charter, line, pure};
-use milletpath::host::{Charter, Outcome, Report, State};
+use milletpath_policy::host::{Charter, Outcome, Report, State};
 use test_case::test_case;
 
 #[test_case(2; "few routers")]
@@ -232,3 +232,37 @@
     let worker = town.shots(id)[0];
     assert_eq!(town.did(&Did::Hold { worker, function: 0, copies: 1 }), ordered);
 }
+
+/// One-off functions, each wanted once, would pile up for as long as a router lives.
+#[test]
+fn functions_asked_for_once_are_forgotten_and_busy_ones_are_not() {
+    let mut town = Town::new(charter(pure()), 4);
+    for one_off in 0..400 {
+        town.serve(0, 0.05);
+        town.serve(1 + one_off, 0.05);
+    }
+    let forgotten = &town.host.forgotten_functions;
+    // Those of the last 15 s or so, and the time a round takes, are still known.
+    assert!((150..400).contains(&forgotten.len()), "{} forgotten", forgotten.len());
+    assert!(!forgotten.contains(&0));
+    // What is forgotten is served as if new.
+    town.serve(1, 0.05);
+}
+
+/// The answer to an order that comes after its function was forgotten would be booked on another one.
+#[test]
+fn a_function_with_an_order_out_is_not_forgotten() {
+    let mut town = Town::new(Charter { misses: true, order_wait: 60.0, ..charter(pure()) }, 2);
+    let forgotten_after = |town: &mut Town, seconds: usize| {
+        for _ in 0..seconds {
+            town.arrive(3, 0.4);
+            town.pass(1.0);
+        }
+        town.host.forgotten_functions.contains(&2)
+    };
+    let id = town.arrive(2, 0.5);
+    (0..4).for_each(|shot| town.answer(id, shot, Outcome::Missed, 0.01));
+    assert!(!town.holds().is_empty());
+    assert!(!forgotten_after(&mut town, 50));
+    assert!(forgotten_after(&mut town, 50));
+}
--- a/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Did, Town, charter, line, pure};
-use milletpath::host::{Effect, Group, Outcome, Profile, State};
+use milletpath_policy::host::{Effect, Group, Outcome, Profile, State};
 use oorandom::Rand32;
 use test_case::test_case;
 
@@ -115,7 +115,7 @@
 #[test_case(4, 1.0; "four routers")]
 #[test_case(1, 0.25; "a slow day")]
 fn a_cold_worker_is_not_sent_more_than_its_budget(routers: usize, pace: f64) {
-    let terms = milletpath::host::Charter { routers, orders: false, ..charter(pure()) };
+    let terms = milletpath_policy::host::Charter { routers, orders: false, ..charter(pure()) };
     let budget = terms.tip_multiple * terms.cold_share * terms.tip_window / routers as f64;
     let mut town = Town::new(terms, 2);
     for n in 0..200 {
@@ -135,7 +135,8 @@
 
 #[test]
 fn orders_to_load_stay_within_the_ration() {
-    let terms = milletpath::host::Charter { ration: Some((5.0, 2.0, 0.05)), misses: true, ..charter(pure()) };
+    let terms =
+        milletpath_policy::host::Charter { ration: Some((5.0, 2.0, 0.05)), misses: true, ..charter(pure()) };
     let mut town = Town::new(terms, 6);
     let mut taken = Vec::new();
     for n in 0..300 {
@@ -164,7 +165,10 @@
 #[test_case(4, Effect::Receipted { group: Group::All, memory: 1.0 }; "receipted everywhere")]
 fn whatever_happens_the_rules_hold(seed: u64, effect: Effect) {
     let mut chance = Rand32::new(seed);
-    let mut town = Town::new(milletpath::host::Charter { misses: seed % 2 == 0, ..charter(with(effect)) }, 6);
+    let mut town = Town::new(
+        milletpath_policy::host::Charter { misses: seed.is_multiple_of(2), ..charter(with(effect)) },
+        6,
+    );
     let (mut ready, mut open, mut out) = (vec![true; 6], Vec::new(), Vec::new());
     let (mut ends, mut seen) = (Vec::new(), 0);
     for _ in 0..4000 {
