What goes over sockets, parsed and written without them

Need: the router speaks an invoke API, the Open Inference Protocol, ORCA load reports and a registry's lists. Change: package protocol; fields are handed to the caller, bounds on names, figures and lines.

--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,50 @@
+//! What goes over sockets, parsed and written; no sockets, no state, no decisions. Clients speak the invoke API
+//! ([`invoke`], [`problem`]), workers the Open Inference Protocol with ORCA load reports ([`worker`], [`orca`]),
+//! the registry lines of JSON ([`registry`]). Messages get no types: a decoded field is handed to the caller.
+
+pub mod invoke;
+pub mod orca;
+pub mod problem;
+pub mod registry;
+pub mod worker;
+
+/// Why bytes from outside are no use: what is wrong, and what would be right.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The field or part that is wrong.
+    pub place: String,
+    pub wrong: String,
+}
+
+impl Fault {
+    pub fn new(place: impl Into<String>, wrong: impl Into<String>) -> Self {
+        Self { place: place.into(), wrong: wrong.into() }
+    }
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.place, self.wrong)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Names of functions, profiles, client groups and workers: unreserved characters of RFC 3986 and `:`, at most
+/// 128 of them, so that they stand in a path, a header and a log line as they are.
+pub fn is_name(text: &str) -> bool {
+    const LONGEST: usize = 128;
+    let fits = |c: u8| c.is_ascii_alphanumeric() || matches!(c, b'-' | b'.' | b'_' | b'~' | b':');
+    (1..=LONGEST).contains(&text.len()) && text.bytes().all(fits) && text != "." && text != ".."
+}
+
+/// A header field's one value as text; none where it is absent, a fault where it comes twice or is no text.
+pub fn field<'h>(headers: &'h http::HeaderMap, name: &str) -> Result<Option<&'h str>, Fault> {
+    let mut all = headers.get_all(name).iter();
+    let Some(value) = all.next() else { return Ok(None) };
+    if all.next().is_some() {
+        return Err(Fault::new(name, "comes more than once; send it once"));
+    }
+    let text = value.to_str().map_err(|_| Fault::new(name, "is no visible ASCII text"))?;
+    Ok(Some(text.trim()))
+}
--- /dev/null
+++ b/crates/protocol/src/orca.rs
@@ -0,0 +1,79 @@
+//! Load reports as ORCA header fields: `endpoint-load-metrics: TEXT cpu_utilization=0.3, named_metrics.held=2`
+//! or `JSON {...}` (Envoy's ORCA load report, its header form). The binary form is not read.
+
+use crate::Fault;
+
+/// The header field of a load report.
+pub const FIELD: &str = "endpoint-load-metrics";
+/// How busy the cores are, 0 to 1.
+pub const BUSY: &str = "cpu_utilization";
+/// The share of memory that cannot be freed.
+pub const MEMORY: &str = "mem_utilization";
+/// Activations held.
+pub const HELD: &str = "named_metrics.held";
+/// Activations that wait.
+pub const WAITING: &str = "named_metrics.waiting";
+/// Loads under way or waiting.
+pub const LOADING: &str = "named_metrics.loading";
+
+/// Pairs that one report may have; a worker that sends more is not understood.
+const MOST: usize = 64;
+
+/// Hands each figure of a report to `take`, with nested names joined by a point. Figures are finite; negative
+/// ones are refused, as no report has a use for them.
+pub fn read(text: &str, mut take: impl FnMut(&str, f64)) -> Result<(), Fault> {
+    let text = text.trim();
+    let (form, rest) = text.split_once(' ').unwrap_or((text, ""));
+    match form {
+        "TEXT" => {
+            for (n, pair) in rest.split(',').map(str::trim).filter(|p| !p.is_empty()).enumerate() {
+                let (name, value) =
+                    pair.split_once('=').ok_or_else(|| Fault::new(FIELD, "a pair without ="))?;
+                figure(n, name.trim(), value.trim().parse().ok(), &mut take)?;
+            }
+            Ok(())
+        }
+        "JSON" => {
+            let value: serde_json::Value =
+                serde_json::from_str(rest).map_err(|e| Fault::new(FIELD, format!("no JSON: {e}")))?;
+            let object = value.as_object().ok_or_else(|| Fault::new(FIELD, "no object"))?;
+            let mut n = 0;
+            for (name, value) in object {
+                if let Some(inner) = value.as_object() {
+                    for (under, value) in inner {
+                        figure(n, &format!("{name}.{under}"), value.as_f64(), &mut take)?;
+                        n += 1;
+                    }
+                } else {
+                    figure(n, name, value.as_f64(), &mut take)?;
+                    n += 1;
+                }
+            }
+            Ok(())
+        }
+        _ => Err(Fault::new(FIELD, "neither TEXT nor JSON")),
+    }
+}
+
+fn figure(n: usize, name: &str, value: Option<f64>, take: &mut impl FnMut(&str, f64)) -> Result<(), Fault> {
+    if n >= MOST {
+        return Err(Fault::new(FIELD, format!("over {MOST} figures")));
+    }
+    match value.filter(|x| x.is_finite() && *x >= 0.0) {
+        Some(value) => take(name, value),
+        None => return Err(Fault::new(FIELD, "a figure that is none, or negative")),
+    }
+    Ok(())
+}
+
+/// Writes a report in its text form.
+pub fn write<'n>(figures: impl IntoIterator<Item = (&'n str, f64)>) -> String {
+    let mut text = String::from("TEXT ");
+    for (n, (name, value)) in figures.into_iter().enumerate() {
+        if n > 0 {
+            text.push_str(", ");
+        }
+        text.push_str(&format!("{name}={value}"));
+    }
+    text
+}
