The charter: HCL with all mistakes told at once, each with line, column and remedy

Need: what an installation states must be read, checked and turned into the figures used. Change: package charter; figures with unit, bounds and usual value beside where they are read; unknown keys refused with the nearest known one.

--- /dev/null
+++ b/crates/charter/src/lib.rs
@@ -0,0 +1,110 @@
+//! What an installation states, in HCL, and the figures that the gateway derives from it at start.
+//!
+//! [`read`] gives a [`House`], or every [`Mistake`] of the text with line, column and remedy. What a figure means,
+//! its unit and bounds stand in `docs/operators/charter.md`.
+
+mod page;
+mod read;
+
+pub use page::Mistake;
+pub use read::read;
+
+use milletpath_policy::host::Charter;
+use milletpath_protocol::registry::Entry;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// All that a gateway goes by.
+#[derive(Clone, Debug)]
+pub struct House {
+    /// Where clients come in.
+    pub listen: SocketAddr,
+    /// What the decisions go by.
+    pub policy: Charter,
+    pub profiles: Vec<Kind>,
+    /// Client groups, in the order of the policy's quotas.
+    pub clients: Vec<String>,
+    pub functions: Functions,
+    /// Kinds of workers, in the order of the policy's memory.
+    pub kinds: Vec<String>,
+    pub source: Source,
+    pub bounds: Bounds,
+}
+
+/// A profile as clients name it; its due time and effect are the policy's.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kind {
+    pub name: String,
+    /// Seconds that a client waits at most.
+    pub cut_off: f64,
+    pub importance: f64,
+}
+
+/// What is stated of functions: figures of those named, and of all others.
+#[derive(Clone, Debug, Default)]
+pub struct Functions {
+    pub usual: Instance,
+    pub named: BTreeMap<String, Instance>,
+}
+
+impl Functions {
+    pub fn of(&self, name: &str) -> &Instance {
+        self.named.get(name).unwrap_or(&self.usual)
+    }
+}
+
+/// One instance of a function.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Activations that it runs at a time.
+    pub lanes: f64,
+    /// In MB.
+    pub memory: f64,
+    /// The usual seconds of a load, where stated.
+    pub load: Option<f64>,
+    /// The only profile under which it may be called, where stated.
+    pub profile: Option<usize>,
+}
+
+impl Default for Instance {
+    fn default() -> Self {
+        // A small function, one call at a time: the least that a worker can be expected to do.
+        Self { lanes: 1.0, memory: 128.0, load: None, profile: None }
+    }
+}
+
+/// Where the worker list comes from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    List(Vec<Entry>),
+    Registry(SocketAddr),
+}
+
+/// Bounds of the gateway's own queues, tables and waits. Times in seconds, sizes in bytes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Activations in hand at once; what comes beyond is bounced at the door.
+    pub open: usize,
+    /// Bytes of all bodies and answers in hand together.
+    pub held: usize,
+    /// Bytes of one call's body.
+    pub body: usize,
+    /// Bytes of one answer.
+    pub answer: usize,
+    /// Client connections.
+    pub connections: usize,
+    /// Connections to one worker.
+    pub per_worker: usize,
+    /// For a client to send its header fields.
+    pub head: f64,
+    /// For a client that takes or sends nothing in the midst of a message.
+    pub stall: f64,
+    /// For a connection to be made.
+    pub connect: f64,
+    /// After which a connection to a worker that nobody used is closed.
+    pub idle: f64,
+    /// For a probe to be answered.
+    pub probe: f64,
+    /// After word that a worker drains, past which nothing is sent to it.
+    pub grace: f64,
+}
--- /dev/null
+++ b/crates/charter/src/page.rs
@@ -0,0 +1,233 @@
+//! HCL text with its mistakes. A [`Section`] is one block; its figures are asked for by name, each with the bounds
+//! that make sense, and what nobody asked for is a mistake too. Reading goes on after a mistake, so that all of
+//! them are told at once.
+
+use hcl_edit::Span;
+use hcl_edit::expr::Expression;
+use hcl_edit::structure::{Body, Structure};
+use milletpath_protocol::is_name;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// One thing that is wrong with a text, where, and what to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Mistake {
+    /// From 1.
+    pub line: usize,
+    /// From 1, in characters.
+    pub column: usize,
+    pub wrong: String,
+    pub remedy: String,
+}
+
+impl fmt::Display for Mistake {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}; {}", self.line, self.column, self.wrong, self.remedy)
+    }
+}
+
+/// A text and what is wrong with it so far.
+pub struct Page<'t> {
+    text: &'t str,
+    mistakes: RefCell<Vec<Mistake>>,
+}
+
+impl<'t> Page<'t> {
+    pub fn new(text: &'t str) -> Self {
+        Self { text, mistakes: RefCell::default() }
+    }
+
+    pub fn mistake(&self, at: usize, wrong: impl Into<String>, remedy: impl Into<String>) {
+        let at = (0..=at.min(self.text.len())).rev().find(|&n| self.text.is_char_boundary(n)).unwrap_or(0);
+        let before = &self.text[..at];
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
+        let mistake = Mistake { line, column, wrong: wrong.into(), remedy: remedy.into() };
+        self.mistakes.borrow_mut().push(mistake);
+    }
+
+    /// All mistakes, in the order of the text.
+    pub fn mistakes(self) -> Vec<Mistake> {
+        let mut mistakes = self.mistakes.into_inner();
+        mistakes.sort_by_key(|m| (m.line, m.column));
+        mistakes
+    }
+}
+
+/// One block of a page: its name, its label and what stands in it.
+pub struct Section<'p> {
+    page: &'p Page<'p>,
+    /// `workers` or `profile "refill-check"`, as messages name it.
+    pub title: String,
+    /// The label, empty where there is none.
+    pub label: String,
+    pub at: usize,
+    body: &'p Body,
+    asked: RefCell<Vec<&'static str>>,
+    sealed: Cell<bool>,
+}
+
+fn at(span: Option<std::ops::Range<usize>>) -> usize {
+    span.map_or(0, |s| s.start)
+}
+
+impl<'p> Section<'p> {
+    pub fn whole(page: &'p Page<'p>, body: &'p Body) -> Self {
+        Self::new(page, "the charter".into(), String::new(), 0, body)
+    }
+
+    fn new(page: &'p Page<'p>, title: String, label: String, at: usize, body: &'p Body) -> Self {
+        Self { page, title, label, at, body, asked: RefCell::default(), sealed: Cell::new(false) }
+    }
+
+    pub fn mistake(&self, at: usize, wrong: impl Into<String>, remedy: impl Into<String>) {
+        self.page.mistake(at, wrong, remedy);
+    }
+
+    fn value(&self, key: &'static str) -> Option<(usize, &'p Expression)> {
+        self.asked.borrow_mut().push(key);
+        let attribute = self.body.get_attribute(key)?;
+        Some((at(attribute.span()), &attribute.value))
+    }
+
+    /// Where an attribute stands, or the section itself.
+    pub fn place(&self, key: &str) -> usize {
+        self.body.get_attribute(key).map_or(self.at, |a| at(a.span()))
+    }
+
+    pub fn has(&self, key: &str) -> bool {
+        self.body.get_attribute(key).is_some()
+    }
+
+    /// A figure within bounds; `unit` says what it counts.
+    pub fn figure(&self, key: &'static str, unit: &str, within: RangeInclusive<f64>) -> Option<f64> {
+        let (at, value) = self.value(key)?;
+        let figure = match value {
+            Expression::Number(n) => n.value().as_f64(),
+            Expression::UnaryOp(op) => match &op.expr {
+                Expression::Number(n) => n.value().as_f64().map(|x| -x),
+                _ => None,
+            },
+            _ => None,
+        };
+        let bounds = match (within.start(), within.end()) {
+            (low, high) if high.is_infinite() => format!("{low} or more"),
+            (low, high) => format!("{low} to {high}"),
+        };
+        if figure.is_none_or(|x| !within.contains(&x)) {
+            let wrong = format!("{key} of {} is no number of {unit} from {bounds}", self.title);
+            self.mistake(at, wrong, format!("write {key} = NUMBER, {bounds}"));
+        }
+        figure.filter(|x| within.contains(x))
+    }
+
+    /// A whole figure within bounds.
+    pub fn count(&self, key: &'static str, unit: &str, within: RangeInclusive<u32>) -> Option<usize> {
+        let figure = self.figure(key, unit, f64::from(*within.start())..=f64::from(*within.end()))?;
+        if figure.fract() != 0.0 {
+            let wrong = format!("{key} of {} is no whole number", self.title);
+            self.mistake(self.place(key), wrong, format!("write {key} = {}", figure.round()));
+        }
+        Some(figure as usize)
+    }
+
+    pub fn flag(&self, key: &'static str) -> Option<bool> {
+        let (at, value) = self.value(key)?;
+        if let Expression::Bool(flag) = value {
+            return Some(*flag.value());
+        }
+        let wrong = format!("{key} of {} is neither true nor false", self.title);
+        self.mistake(at, wrong, format!("write {key} = true or {key} = false"));
+        None
+    }
+
+    pub fn text(&self, key: &'static str) -> Option<&'p str> {
+        let (at, value) = self.value(key)?;
+        if let Expression::String(text) = value {
+            return Some(text.value());
+        }
+        self.mistake(at, format!("{key} of {} is no text", self.title), format!("write {key} = \"...\""));
+        None
+    }
+
+    /// A text that `read` understands; `shape` shows one.
+    pub fn parsed<T>(&self, key: &'static str, shape: &str, read: impl Fn(&str) -> Option<T>) -> Option<T> {
+        let text = self.text(key)?;
+        let value = read(text);
+        if value.is_none() {
+            let wrong = format!("{key} of {} can't be \"{text}\"", self.title);
+            self.mistake(self.place(key), wrong, format!("write {key} = {shape}"));
+        }
+        value
+    }
+
+    /// One of a few words.
+    pub fn word<T: Copy>(&self, key: &'static str, words: &[(&str, T)]) -> Option<T> {
+        let shape: Vec<_> = words.iter().map(|(w, _)| format!("\"{w}\"")).collect();
+        self.parsed(key, &shape.join(" or "), |text| words.iter().find(|(w, _)| *w == text).map(|(_, v)| *v))
+    }
+
+    /// A required attribute that is not there.
+    pub fn missing(&self, key: &str, example: &str) {
+        let wrong = format!("{} has no {key}", self.title);
+        self.mistake(self.at, wrong, format!("add {key} = {example}"));
+    }
+
+    /// The blocks of that name; each with a label of its own where `labelled`, which must be a name.
+    pub fn blocks(&self, key: &'static str, labelled: bool) -> Vec<Section<'p>> {
+        self.asked.borrow_mut().push(key);
+        let mut sections: Vec<Section<'p>> = Vec::new();
+        for block in self.body.get_blocks(key) {
+            let start = at(block.span());
+            let label = block.labels.first().map(|l| l.as_str().to_owned()).unwrap_or_default();
+            let title = if labelled { format!("{key} \"{label}\"") } else { key.to_owned() };
+            if block.labels.len() != usize::from(labelled) || labelled && !is_name(&label) {
+                let wrong = format!("{title} has no proper label");
+                let shape =
+                    if labelled { format!("{key} \"name\" {{ ... }}") } else { format!("{key} {{ ... }}") };
+                self.mistake(start, wrong, format!("write {shape}"));
+            }
+            if sections.iter().any(|s| s.label == label) {
+                let remedy = if labelled { "give each its own name" } else { "keep one" };
+                self.mistake(start, format!("{title} stands here for the second time"), remedy);
+            }
+            sections.push(Section::new(self.page, title, label, start, &block.body));
+        }
+        sections
+    }
+
+    /// The one block of that name.
+    pub fn block(&self, key: &'static str) -> Option<Section<'p>> {
+        self.blocks(key, false).into_iter().next()
+    }
+}
+
+/// When a section is done with, what nobody asked for is unknown.
+impl Drop for Section<'_> {
+    fn drop(&mut self) {
+        /// Words at least so alike are taken for a slip.
+        const ALIKE: f64 = 0.75;
+        if self.sealed.replace(true) {
+            return;
+        }
+        let asked = self.asked.borrow();
+        for structure in self.body {
+            let (name, at) = match structure {
+                Structure::Attribute(a) => (a.key.as_str(), at(a.span())),
+                Structure::Block(b) => (b.ident.as_str(), at(b.span())),
+            };
+            if asked.contains(&name) {
+                continue;
+            }
+            let alike = |known: &&&str| strsim::jaro_winkler(known, name);
+            let near =
+                asked.iter().max_by(|a, b| alike(a).total_cmp(&alike(b))).filter(|k| alike(k) >= ALIKE);
+            let remedy = near.map_or_else(
+                || format!("remove it; known here: {}", asked.join(", ")),
+                |near| format!("did you mean {near}?"),
+            );
+            self.page.mistake(at, format!("{} knows no {name}", self.title), remedy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/charter/src/read.rs
@@ -0,0 +1,263 @@
+//! Reads a charter section by section. Each figure has its bounds and its usual value here, beside where it is
+//! read; the usual ones are chosen for one gateway beside a handful of workers.
+
+use crate::page::{Mistake, Page, Section};
+use crate::{Bounds, Functions, House, Instance, Kind, Source};
+use hcl_edit::parser::parse_body;
+use milletpath_policy::host::{Charter, Effect, Group, Profile};
+use milletpath_protocol::registry::{Entry, Standing};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use xxhash_rust::xxh3::xxh3_64;
+
+const LONG: f64 = 86_400.0;
+
+/// Reads a charter; the error holds every mistake of the text, in its order.
+pub fn read(text: &str) -> Result<House, Vec<Mistake>> {
+    let page = Page::new(text);
+    let body = match parse_body(text) {
+        Ok(body) => body,
+        Err(e) => {
+            // The parser stops at the first slip of the grammar.
+            let (line, column) = (e.location().line(), e.location().column());
+            let (wrong, remedy) = (format!("no HCL here: {}", e.message()), "mend the line and check again");
+            return Err(vec![Mistake { line, column, wrong, remedy: remedy.into() }]);
+        }
+    };
+    let house = whole(&Section::whole(&page, &body));
+    let mistakes = page.mistakes();
+    if mistakes.is_empty() { Ok(house) } else { Err(mistakes) }
+}
+
+fn whole(top: &Section<'_>) -> House {
+    let listen = top.parsed("listen", "\"127.0.0.1:8080\"", address);
+    let (profiles, kinds_of_call) = profiles(top);
+    let (clients, quotas) = clients(top);
+    let workers = top.block("workers");
+    if workers.is_none() {
+        top.mistake(0, "the charter has no workers", "add workers { worker \"w1\" { address = \"...\" } }");
+    }
+    let workers = workers.as_ref();
+    let (kinds, memory) = workers.map(kinds).unwrap_or_default();
+    let functions = functions(top, &kinds_of_call);
+    let source = workers.map(|w| source(w, &kinds)).unwrap_or(Source::List(Vec::new()));
+    let limits = top.block("limits");
+    let limits = limits.as_ref();
+    let limit = |key, unit, within, usual| limits.and_then(|l| l.figure(key, unit, within)).unwrap_or(usual);
+    let of = |key, unit, within, usual| workers.and_then(|w| w.figure(key, unit, within)).unwrap_or(usual);
+    let may = |key, usual| workers.and_then(|w| w.flag(key)).unwrap_or(usual);
+    let policy = Charter {
+        seed: top.figure("seed", "chance", 0.0..=9e15).map_or_else(chance, |s| s as u64),
+        routers: top.count("gateways", "gateways", 1..=100_000).unwrap_or(1),
+        profiles,
+        quotas,
+        over_share: limit("over_share", "importance", 0.0..=1.0, 1.0),
+        shots: limits.and_then(|l| l.count("shots", "shots", 1..=16)).unwrap_or(4),
+        cancels: may("cancels", true),
+        orders: may("orders", true),
+        misses: may("misses", false),
+        asks: false,
+        probes: may("probes", true),
+        come_back: Some(limit("come_back", "seconds", 0.0..=LONG, 1.0)).filter(|x| *x > 0.0),
+        keep: of("keep", "seconds", 0.0..=LONG, 10.0),
+        ration: limits.and_then(ration),
+        order_wait: of("order_wait", "seconds", 0.01..=LONG, 30.0),
+        cold_share: of("cold_share", "capacity", 0.0..=1.0, 0.2),
+        warm_up: of("warm_up", "seconds", 0.0..=LONG, 15.0),
+        tip_multiple: of("tip_multiple", "capacities", 0.0..=1000.0, 2.5),
+        tip_window: of("tip_window", "seconds", 0.0..=LONG, 1.0),
+        memory,
+        // The turn of the gateway's clock: what a loop on a busy core keeps.
+        tick: 0.004,
+    };
+    const GIB: u32 = 1 << 30;
+    let count = |key, unit, within, usual| limits.and_then(|l| l.count(key, unit, within)).unwrap_or(usual);
+    let bounds = Bounds {
+        open: count("open", "activations", 1..=10_000_000, 20_000),
+        held: count("held", "bytes", 1024..=u32::MAX, 256 << 20),
+        body: count("body", "bytes", 0..=GIB, 1 << 20),
+        answer: count("answer", "bytes", 0..=GIB, 8 << 20),
+        connections: count("connections", "connections", 1..=10_000_000, 20_000),
+        per_worker: count("per_worker", "connections", 1..=100_000, 512),
+        head: limit("head", "seconds", 0.01..=LONG, 10.0),
+        stall: limit("stall", "seconds", 0.01..=LONG, 10.0),
+        connect: of("connect", "seconds", 0.001..=LONG, 0.25),
+        idle: of("idle", "seconds", 0.01..=LONG, 30.0),
+        probe: of("probe_wait", "seconds", 0.001..=LONG, 0.25),
+        grace: of("drain_grace", "seconds", 0.0..=LONG, 1.0),
+    };
+    if bounds.body.max(bounds.answer) > bounds.held
+        && let Some(l) = limits
+    {
+        l.mistake(
+            l.place("held"),
+            "held is less than one body or answer",
+            "raise held, or lower body and answer",
+        );
+    }
+    let listen = listen.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)));
+    House { listen, policy, profiles: kinds_of_call, clients, functions, kinds, source, bounds }
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+/// A seed for an instance that is given none: alike gateways must not act in step.
+fn chance() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    xxh3_64(format!("{}-{}", now.as_nanos(), std::process::id()).as_bytes())
+}
+
+/// The profiles; one that says nothing of effects is taken for the wariest kind.
+fn profiles(top: &Section<'_>) -> (Vec<Profile>, Vec<Kind>) {
+    #[derive(Clone, Copy)]
+    enum Word {
+        Pure,
+        Receipted,
+        Effectful,
+    }
+    let words = [("pure", Word::Pure), ("receipted", Word::Receipted), ("effectful", Word::Effectful)];
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let (mut profiles, mut kinds) = (Vec::new(), Vec::new());
+    for section in top.blocks("profile", true) {
+        let due = section.figure("due", "seconds", 0.001..=LONG);
+        if !section.has("due") {
+            section.missing("due", "1.0");
+        }
+        let due = due.unwrap_or(1.0);
+        let cut_off = section.figure("cut_off", "seconds", 0.001..=LONG).unwrap_or(3.0 * due);
+        if cut_off < due {
+            let wrong = format!("cut_off of {} comes before its due time", section.title);
+            section.mistake(section.place("cut_off"), wrong, format!("make it {due} or more"));
+        }
+        let word = section.word("effect", &words);
+        if !section.has("effect") {
+            section.missing("effect", "\"pure\", \"receipted\" or \"effectful\"");
+        }
+        let group = section.word("group", &groups);
+        let memory = section.figure("memory", "seconds", 0.0..=LONG);
+        let effect = match word {
+            Some(Word::Pure) => Effect::Pure,
+            Some(Word::Receipted) => {
+                if memory.is_none() && !section.has("memory") {
+                    section.missing("memory", "60 (seconds for which workers know a repeat)");
+                }
+                Effect::Receipted { group: group.unwrap_or(Group::All), memory: memory.unwrap_or(0.0) }
+            }
+            Some(Word::Effectful) | None => Effect::Effectful,
+        };
+        if !matches!(effect, Effect::Receipted { .. }) {
+            for key in ["group", "memory"].into_iter().filter(|key| section.has(key)) {
+                let wrong = format!("{key} of {} means nothing, as it is not receipted", section.title);
+                section.mistake(
+                    section.place(key),
+                    wrong,
+                    format!("remove {key}, or write effect = \"receipted\""),
+                );
+            }
+        }
+        let importance = section.figure("importance", "importance", 0.0..=1e9).unwrap_or(1.0);
+        profiles.push(Profile { due, effect });
+        kinds.push(Kind { name: section.label.clone(), cut_off, importance });
+    }
+    if profiles.is_empty() {
+        top.mistake(
+            0,
+            "the charter has no profile",
+            "add profile \"usual\" { due = 1.0, effect = \"effectful\" }",
+        );
+    }
+    (profiles, kinds)
+}
+
+/// Client groups with their quotas. Who names no group, or another, is within its share always.
+fn clients(top: &Section<'_>) -> (Vec<String>, Vec<f64>) {
+    let read = |s: Section<'_>| {
+        let quota = s.figure("quota", "activations a second over all gateways", 0.0..=1e9);
+        (s.label.clone(), quota.unwrap_or(f64::INFINITY))
+    };
+    top.blocks("client", true).into_iter().map(read).unzip()
+}
+
+fn kinds(workers: &Section<'_>) -> (Vec<String>, Vec<f64>) {
+    let read = |s: Section<'_>| {
+        if !s.has("memory") {
+            s.missing("memory", "8192 (MB)");
+        }
+        (s.label.clone(), s.figure("memory", "MB", 1.0..=1e9).unwrap_or(f64::INFINITY))
+    };
+    workers.blocks("kind", true).into_iter().map(read).unzip()
+}
+
+fn functions(top: &Section<'_>, profiles: &[Kind]) -> Functions {
+    let read = |s: &Section<'_>, usual: &Instance| Instance {
+        lanes: s.figure("lanes", "activations", 1.0..=10_000.0).unwrap_or(usual.lanes),
+        memory: s.figure("memory", "MB", 0.0..=1e9).unwrap_or(usual.memory),
+        load: s.figure("load", "seconds", 0.0..=LONG).or(usual.load),
+        profile: s
+            .parsed("profile", "the name of a profile above", |n| profiles.iter().position(|p| p.name == n))
+            .or(usual.profile),
+    };
+    let usual = top.block("functions").map(|s| read(&s, &Instance::default())).unwrap_or_default();
+    let named = top.blocks("function", true).into_iter().map(|s| (s.label.clone(), read(&s, &usual)));
+    Functions { named: named.collect::<BTreeMap<_, _>>(), usual }
+}
+
+fn source(workers: &Section<'_>, kinds: &[String]) -> Source {
+    let mut list: Vec<Entry> = Vec::new();
+    for section in workers.blocks("worker", true) {
+        let address = section.parsed("address", "\"127.0.0.1:9001\"", address);
+        if !section.has("address") {
+            section.missing("address", "\"127.0.0.1:9001\"");
+        }
+        if list.iter().any(|other| Some(other.address) == address) {
+            let wrong = format!("{} has the address of another worker", section.title);
+            section.mistake(section.place("address"), wrong, "give each worker an address of its own");
+        }
+        let known = |text: &str| kinds.iter().any(|k| k == text).then(|| text.to_owned());
+        let part = |key| {
+            let name = |t: &str| milletpath_protocol::is_name(t).then(|| t.to_owned());
+            section.parsed(key, "a name of letters, digits and -._~:", name).unwrap_or_default()
+        };
+        list.push(Entry {
+            name: section.label.clone(),
+            address: address.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 0))),
+            started: None,
+            size: section.figure("size", "sizes", 0.001..=1e6).unwrap_or(1.0),
+            kind: section.parsed("kind", "the name of a kind above", known).unwrap_or_default(),
+            zone: part("zone"),
+            cell: part("cell"),
+            state: Standing::Ready,
+        });
+    }
+    match workers.parsed("registry", "\"127.0.0.1:9000\"", address) {
+        Some(_) if !list.is_empty() => {
+            let remedy = "keep either the list or the registry";
+            workers.mistake(workers.place("registry"), "workers has both a list and a registry", remedy);
+            Source::List(list)
+        }
+        Some(address) => Source::Registry(address),
+        None => {
+            if list.is_empty() && !workers.has("registry") {
+                workers.mistake(
+                    workers.at,
+                    "workers lists none",
+                    "add worker \"w1\" { ... } or registry = \"...\"",
+                );
+            }
+            Source::List(list)
+        }
+    }
+}
+
+/// The ration of orders to load: window, free ones, and orders for each activation taken.
+fn ration(limits: &Section<'_>) -> Option<(f64, f64, f64)> {
+    let ration = limits.block("ration")?;
+    let window = ration.figure("window", "seconds", 0.001..=LONG);
+    if !ration.has("window") {
+        ration.missing("window", "10");
+    }
+    let free = ration.figure("free", "orders", 0.0..=1e9).unwrap_or(0.0);
+    Some((window?, free, ration.figure("share", "orders an activation", 0.0..=1e3).unwrap_or(0.0)))
+}
