--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,4 @@
+//! The running router.
+
+pub mod indices;
+pub mod wheel;
