--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,605 @@
+//! The desk: all that the gateway knows of calls, shots, orders, probes and workers, around the decisions and free
+//! of sockets and clocks. It is told what happened, at which time, and says what to do next as [`Act`]s; a shell
+//! with connections carries them out, in service on sockets, in the laboratory in simulated time. Each method may
+//! leave acts behind: take them with [`Desk::act`] until there are none.
+
+use crate::indices::Indices;
+use crate::roll::Roll;
+use crate::wheel::{Ticket, Wheel};
+use milletpath_charter::{Bounds, Functions, House, Kind};
+use milletpath_policy::host::{Answer, Arrival, Found, Host, Outcome, Report};
+use milletpath_policy::policy::Router;
+use milletpath_protocol::registry::Entry;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Names an activation: its index is used again, its serial number never.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tag {
+    pub index: usize,
+    pub serial: u64,
+}
+
+/// What is to be done next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// Get a connection to the worker, ask [`Desk::begin`] whether it still goes, and send.
+    Shoot {
+        tag: Tag,
+        shot: usize,
+        worker: usize,
+    },
+    /// The shot's end is booked: close its connection, nobody waits for it.
+    Drop {
+        tag: Tag,
+        shot: usize,
+    },
+    /// Final answer: not taken, trying again does no harm.
+    Bounce {
+        tag: Tag,
+        come_back: Option<f64>,
+    },
+    /// Final answer: failed, no promise. `late` where time ran out rather than a worker failed.
+    Terminate {
+        tag: Tag,
+        late: bool,
+    },
+    /// Order instances; 0 only asks.
+    Hold {
+        order: Tag,
+        worker: usize,
+        function: Arc<str>,
+        copies: u8,
+    },
+    Unload {
+        worker: usize,
+        function: Arc<str>,
+    },
+    Probe {
+        worker: usize,
+        serial: u64,
+    },
+    /// Ask the registry for the list and its changes.
+    Follow,
+}
+
+/// How a shot ended, as the shell saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct End {
+    pub outcome: Outcome,
+    pub found: Option<Found>,
+    pub company: f64,
+    pub report: Option<Report>,
+    /// The client gets a final answer of the shell's own making, whatever the outcome.
+    pub settles: bool,
+}
+
+impl End {
+    pub fn plain(outcome: Outcome) -> Self {
+        Self { outcome, found: None, company: 0.0, report: None, settles: false }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Connecting,
+    Begun,
+    Over,
+}
+
+struct Shot {
+    worker: usize,
+    sent: f64,
+    until: f64,
+    stage: Stage,
+    /// The timer of its end, and that of its connection.
+    ends: Ticket,
+    connects: Ticket,
+}
+
+struct Call<T> {
+    serial: u64,
+    function: usize,
+    /// When the client gives up.
+    until: f64,
+    /// The final answer is owed.
+    open: bool,
+    shots: Vec<Shot>,
+    /// A shot ended for want of time.
+    late: bool,
+    what: T,
+}
+
+struct Order {
+    serial: u64,
+    worker: usize,
+    function: usize,
+    ends: Ticket,
+}
+
+enum Due {
+    Wake,
+    Shot(Tag, usize),
+    Connect(Tag, usize),
+    Order(Tag),
+    Probe(usize, u64),
+}
+
+/// Counts since the start; they only grow.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tally {
+    pub taken: u64,
+    pub handled: u64,
+    pub bounced: u64,
+    pub terminated: u64,
+    /// Clients that left before their answer.
+    pub left: u64,
+    pub shots: u64,
+    pub orders: u64,
+    pub probes: u64,
+    /// Shots and orders that were called off when they were about to be sent, because of what the list had said.
+    pub kept_back: u64,
+}
+
+pub struct Desk<T> {
+    router: Router,
+    books: Books<T>,
+    functions: Functions,
+    profiles: Vec<Kind>,
+}
+
+struct Books<T> {
+    now: f64,
+    acts: VecDeque<Act>,
+    /// Shots that the router called off; it hears of their ends once it is done with what it does.
+    called_off: VecDeque<(Tag, usize, Outcome)>,
+    calls: Vec<Option<Call<T>>>,
+    free_calls: Vec<usize>,
+    /// Calls that the router let go of, until no act can name them any more.
+    forgotten: Vec<usize>,
+    open: usize,
+    orders: Vec<Option<Order>>,
+    free_orders: Vec<usize>,
+    /// The probe that is out to each worker, by serial number; 0 for none.
+    probes: Vec<(u64, Option<Ticket>)>,
+    functions: Indices,
+    roll: Roll,
+    wheel: Wheel<Due>,
+    serial: u64,
+    bounds: Bounds,
+    order_wait: f64,
+    tally: Tally,
+}
+
+impl<T> Books<T> {
+    fn tag(&self, index: usize) -> Tag {
+        Tag { index, serial: self.calls[index].as_ref().map_or(0, |c| c.serial) }
+    }
+
+    /// Puts a call at a free index.
+    fn place(&mut self, call: Call<T>) -> usize {
+        let index = self.free_calls.pop().unwrap_or(self.calls.len());
+        match self.calls.get_mut(index) {
+            Some(slot) => *slot = Some(call),
+            None => self.calls.push(Some(call)),
+        }
+        index
+    }
+
+    fn call(&mut self, tag: Tag) -> Option<&mut Call<T>> {
+        self.calls.get_mut(tag.index)?.as_mut().filter(|c| c.serial == tag.serial)
+    }
+
+    fn shot(&mut self, tag: Tag, shot: usize) -> Option<&mut Shot> {
+        self.call(tag)?.shots.get_mut(shot).filter(|s| s.stage != Stage::Over)
+    }
+
+    /// Books a shot's end; gives its worker and latency, unless it had ended before.
+    fn end_shot(&mut self, tag: Tag, shot: usize, outcome: Outcome) -> Option<f64> {
+        let now = self.now;
+        let s = self.shot(tag, shot)?;
+        s.stage = Stage::Over;
+        let (sent, ends, connects) = (s.sent, s.ends, s.connects);
+        self.wheel.call_off(ends);
+        self.wheel.call_off(connects);
+        if let Some(call) = self.call(tag) {
+            call.late |= outcome == Outcome::Overdue;
+        }
+        Some(now - sent)
+    }
+}
+
+impl<T> Host for Books<T> {
+    fn send(&mut self, activation: usize, worker: usize, until: f64) {
+        let (tag, now) = (self.tag(activation), self.now);
+        self.tally.shots += 1;
+        let connect = now + self.bounds.connect;
+        let Some(call) = self.calls[activation].as_mut() else { return };
+        let shot = call.shots.len();
+        let ends = self.wheel.set(until, Due::Shot(tag, shot));
+        let connects = self.wheel.set(connect, Due::Connect(tag, shot));
+        call.shots.push(Shot { worker, sent: now, until, stage: Stage::Connecting, ends, connects });
+        self.acts.push_back(Act::Shoot { tag, shot, worker });
+    }
+
+    fn cancel(&mut self, activation: usize, shot: usize) {
+        let tag = self.tag(activation);
+        let Some(s) = self.shot(tag, shot) else { return };
+        // What has no connection yet never ran.
+        let outcome = if s.stage == Stage::Begun { Outcome::Withdrawn } else { Outcome::Unsent };
+        self.acts.push_back(Act::Drop { tag, shot });
+        self.called_off.push_back((tag, shot, outcome));
+    }
+
+    fn bounce(&mut self, activation: usize, come_back: Option<f64>) {
+        let tag = self.tag(activation);
+        if let Some(call) = self.call(tag).filter(|c| c.open) {
+            call.open = false;
+            self.open -= 1;
+            self.tally.bounced += 1;
+            self.acts.push_back(Act::Bounce { tag, come_back });
+        }
+    }
+
+    fn terminate(&mut self, activation: usize) {
+        let tag = self.tag(activation);
+        if let Some(call) = self.call(tag).filter(|c| c.open) {
+            call.open = false;
+            let late = call.late || call.shots.iter().any(|s| s.stage != Stage::Over);
+            self.open -= 1;
+            self.tally.terminated += 1;
+            self.acts.push_back(Act::Terminate { tag, late });
+        }
+    }
+
+    fn hold(&mut self, worker: usize, function: usize, copies: u8) {
+        self.serial += 1;
+        self.tally.orders += 1;
+        let index = self.free_orders.pop().unwrap_or(self.orders.len());
+        let order = Tag { index, serial: self.serial };
+        let ends = self.wheel.set(self.now + self.order_wait, Due::Order(order));
+        let entry = Some(Order { serial: self.serial, worker, function, ends });
+        match self.orders.get_mut(index) {
+            Some(slot) => *slot = entry,
+            None => self.orders.push(entry),
+        }
+        self.acts.push_back(Act::Hold { order, worker, function: self.functions.name(function), copies });
+    }
+
+    fn unload(&mut self, worker: usize, function: usize) {
+        self.acts.push_back(Act::Unload { worker, function: self.functions.name(function) });
+    }
+
+    fn probe(&mut self, worker: usize) {
+        self.serial += 1;
+        self.tally.probes += 1;
+        let ticket = self.wheel.set(self.now + self.bounds.probe, Due::Probe(worker, self.serial));
+        if self.probes.len() <= worker {
+            self.probes.resize(worker + 1, (0, None));
+        }
+        self.probes[worker] = (self.serial, Some(ticket));
+        self.acts.push_back(Act::Probe { worker, serial: self.serial });
+    }
+
+    fn wake(&mut self, after: f64) {
+        self.wheel.set(self.now + after, Due::Wake);
+    }
+
+    fn follow(&mut self) {
+        self.acts.push_back(Act::Follow);
+    }
+
+    fn forget(&mut self, activation: usize) {
+        // An act may still name it: see `act`.
+        self.forgotten.push(activation);
+    }
+
+    fn forget_function(&mut self, function: usize) {
+        self.functions.give_back(function);
+    }
+}
+
+/// One call as it came through the door.
+#[derive(Clone, Copy, Debug)]
+pub struct Come<'c> {
+    pub function: &'c str,
+    pub profile: usize,
+    pub client: usize,
+    /// Seconds until the client gives up.
+    pub patience: f64,
+    pub repeat: bool,
+}
+
+impl<T> Desk<T> {
+    /// A desk whose clock begins at 0 and stands for `epoch` seconds of the Unix clock.
+    pub fn new(house: &House, epoch: f64) -> Self {
+        let seed = house.policy.seed;
+        let mut books = Books {
+            now: 0.0,
+            acts: VecDeque::new(),
+            called_off: VecDeque::new(),
+            calls: Vec::new(),
+            free_calls: Vec::new(),
+            forgotten: Vec::new(),
+            open: 0,
+            orders: Vec::new(),
+            free_orders: Vec::new(),
+            probes: Vec::new(),
+            functions: Indices::new(seed),
+            roll: Roll::new(&house.kinds, seed, epoch),
+            wheel: Wheel::default(),
+            serial: 0,
+            bounds: house.bounds.clone(),
+            order_wait: house.policy.order_wait,
+            tally: Tally::default(),
+        };
+        let router = Router::new(house.policy.clone(), 0.0, &mut books);
+        Self { router, books, functions: house.functions.clone(), profiles: house.profiles.clone() }
+    }
+
+    /// The next thing to do.
+    pub fn act(&mut self) -> Option<Act> {
+        let act = self.books.acts.pop_front();
+        if act.is_none() {
+            // No act names them any more.
+            while let Some(index) = self.books.forgotten.pop() {
+                self.books.calls[index] = None;
+                self.books.free_calls.push(index);
+            }
+        }
+        act
+    }
+
+    /// When [`turn`](Self::turn) is wanted next.
+    pub fn next(&self) -> Option<f64> {
+        self.books.wheel.next()
+    }
+
+    /// Activations in hand that are owed an answer.
+    pub fn open(&self) -> usize {
+        self.books.open
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.books.tally
+    }
+
+    /// Whether a worker list is known.
+    pub fn listed(&self) -> bool {
+        self.books.roll.edition() > 0
+    }
+
+    /// Functions known now.
+    pub fn functions(&self) -> usize {
+        self.books.functions.len()
+    }
+
+    /// The address of a worker, and a number that changes when another process takes its name.
+    pub fn address(&self, worker: usize) -> (SocketAddr, u64) {
+        self.books.roll.address(worker)
+    }
+
+    /// Passes on one edition of the worker list.
+    pub fn list(&mut self, now: f64, whole: bool, entries: &[Entry]) {
+        self.books.now = now;
+        if whole {
+            self.router.list_renewed();
+        }
+        self.books.roll.take(now, whole, entries, |listing| self.router.listed(listing));
+        self.router.list_complete(now, &mut self.books);
+        self.settle();
+    }
+
+    /// The registry did not answer, or dropped the stream.
+    pub fn list_failed(&mut self, now: f64) {
+        self.books.now = now;
+        self.router.list_failed(now, &mut self.books);
+        self.settle();
+    }
+
+    /// An activation arrives. None where the table is full: it is not taken and must be bounced at the door.
+    pub fn arrive(&mut self, now: f64, come: Come<'_>, what: T) -> Option<Tag> {
+        let books = &mut self.books;
+        if books.open >= books.bounds.open {
+            return None;
+        }
+        books.now = now;
+        books.serial += 1;
+        books.open += 1;
+        books.tally.taken += 1;
+        let patience = come.patience.min(self.profiles[come.profile].cut_off);
+        let function = books.functions.take(come.function);
+        let call = Call {
+            serial: books.serial,
+            function,
+            until: now + patience,
+            open: true,
+            shots: Vec::new(),
+            late: false,
+            what,
+        };
+        let index = books.place(call);
+        let instance = self.functions.of(come.function);
+        let arrival = Arrival {
+            function,
+            name: xxh3_64(come.function.as_bytes()),
+            profile: come.profile,
+            client: come.client,
+            patience,
+            repeat: come.repeat,
+            lanes: instance.lanes,
+            memory: instance.memory,
+            load: instance.load,
+        };
+        let tag = Tag { index, serial: books.serial };
+        self.router.arrived(now, index, arrival, &mut self.books);
+        self.settle();
+        Some(tag)
+    }
+
+    /// What the shell keeps of a call.
+    pub fn what(&mut self, tag: Tag) -> Option<&mut T> {
+        self.books.call(tag).map(|c| &mut c.what)
+    }
+
+    pub fn function(&mut self, tag: Tag) -> Option<Arc<str>> {
+        let function = self.books.call(tag)?.function;
+        Some(self.books.functions.name(function))
+    }
+
+    /// Seconds until a shot is given up.
+    pub fn left_for(&mut self, now: f64, tag: Tag, shot: usize) -> Option<f64> {
+        self.books.shot(tag, shot).map(|s| s.until - now)
+    }
+
+    /// The client has left; whatever is out is called off.
+    pub fn left(&mut self, now: f64, tag: Tag) {
+        self.books.now = now;
+        if let Some(call) = self.books.call(tag)
+            && std::mem::replace(&mut call.open, false)
+        {
+            self.books.open -= 1;
+            self.books.tally.left += 1;
+            self.router.close(tag.index, None, &mut self.books);
+            self.settle();
+        }
+    }
+
+    /// Whether a shot that has its connection may be sent now: its answer is still owed, there is time, and the
+    /// worker takes work as far as the list says at this moment. If not, it ends here as never sent.
+    pub fn begin(&mut self, now: f64, tag: Tag, shot: usize) -> bool {
+        self.books.now = now;
+        let open = self.books.call(tag).is_some_and(|c| c.open && now < c.until);
+        let Some(s) = self.books.shot(tag, shot) else { return false };
+        let (worker, connects) = (s.worker, s.connects);
+        let ready = self.books.roll.ready(worker);
+        let s = self.books.shot(tag, shot).filter(|s| open && ready && now < s.until);
+        if let Some(s) = s {
+            s.stage = Stage::Begun;
+            self.books.wheel.call_off(connects);
+            return true;
+        }
+        self.books.tally.kept_back += u64::from(!ready);
+        self.end(now, tag, shot, End::plain(Outcome::Unsent));
+        false
+    }
+
+    /// A shot ended. Tells whether what it brought is the client's final answer, which the shell then gives.
+    pub fn end(&mut self, now: f64, tag: Tag, shot: usize, end: End) -> bool {
+        self.books.now = now;
+        let Some(call) = self.books.call(tag) else { return false };
+        let in_time = call.open && now < call.until;
+        // What comes when the client has given up is nobody's answer.
+        let outcome = match end.outcome {
+            Outcome::Handled if call.open && !in_time => Outcome::Overdue,
+            other => other,
+        };
+        let Some(latency) = self.books.end_shot(tag, shot, outcome) else { return false };
+        let settles = in_time && (end.settles || outcome == Outcome::Handled);
+        if settles && let Some(call) = self.books.call(tag) {
+            call.open = false;
+            self.books.open -= 1;
+            if outcome == Outcome::Handled {
+                self.books.tally.handled += 1;
+            } else {
+                self.books.tally.terminated += 1;
+            }
+        }
+        self.tell(tag, shot, outcome, latency, settles, end);
+        self.settle();
+        settles
+    }
+
+    /// Whether an order may be sent now, by what the list says at this moment. If not, it ends here.
+    pub fn begin_order(&mut self, now: f64, order: Tag) -> bool {
+        self.books.now = now;
+        let known = self.books.orders.get(order.index).and_then(Option::as_ref);
+        let Some(worker) = known.filter(|o| o.serial == order.serial).map(|o| o.worker) else { return false };
+        let ready = self.books.roll.ready(worker);
+        if !ready {
+            self.books.tally.kept_back += 1;
+            self.order_ended(now, order, Outcome::Unsent, 0);
+        }
+        ready
+    }
+
+    /// An order to hold was answered, with the instances that stand.
+    pub fn order_ended(&mut self, now: f64, order: Tag, outcome: Outcome, copies: u8) {
+        self.books.now = now;
+        let Some(slot) = self.books.orders.get_mut(order.index) else { return };
+        if slot.as_ref().is_none_or(|o| o.serial != order.serial) {
+            return;
+        }
+        let Some(Order { worker, function, ends, .. }) = slot.take() else { return };
+        self.books.free_orders.push(order.index);
+        self.books.wheel.call_off(ends);
+        self.router.held(now, worker, function, outcome, copies, &mut self.books);
+        self.settle();
+    }
+
+    /// A probe was answered, or not.
+    pub fn probed(&mut self, now: f64, worker: usize, serial: u64, outcome: Outcome, report: Option<Report>) {
+        self.books.now = now;
+        match self.books.probes.get_mut(worker) {
+            Some(probe) if probe.0 == serial => {
+                if let (_, Some(ticket)) = std::mem::take(probe) {
+                    self.books.wheel.call_off(ticket);
+                }
+                self.router.probed(now, worker, outcome, report, &mut self.books);
+                self.settle();
+            }
+            _ => {}
+        }
+    }
+
+    /// Time has passed: does what is due.
+    pub fn turn(&mut self, now: f64) {
+        self.books.now = now;
+        while let Some(due) = self.books.wheel.fire(now) {
+            match due {
+                Due::Wake => {
+                    self.router.woken(now, &mut self.books);
+                    self.settle();
+                }
+                Due::Shot(tag, shot) => self.give_up_on(tag, shot, Outcome::Overdue),
+                Due::Connect(tag, shot) => {
+                    if self.books.shot(tag, shot).is_some_and(|s| s.stage == Stage::Connecting) {
+                        self.give_up_on(tag, shot, Outcome::Unreached);
+                    }
+                }
+                Due::Order(order) => self.order_ended(now, order, Outcome::Overdue, 0),
+                Due::Probe(worker, serial) => self.probed(now, worker, serial, Outcome::Overdue, None),
+            }
+        }
+    }
+
+    /// Ends a shot that took too long, for the module and for the shell.
+    fn give_up_on(&mut self, tag: Tag, shot: usize, outcome: Outcome) {
+        let Some(stage) = self.books.shot(tag, shot).map(|s| s.stage) else { return };
+        // Without a connection nothing can have run, whatever ended it.
+        let outcome = if stage == Stage::Connecting { Outcome::Unreached } else { outcome };
+        let Some(latency) = self.books.end_shot(tag, shot, outcome) else { return };
+        self.books.acts.push_back(Act::Drop { tag, shot });
+        self.tell(tag, shot, outcome, latency, false, End::plain(outcome));
+        self.settle();
+    }
+
+    fn tell(&mut self, tag: Tag, shot: usize, outcome: Outcome, latency: f64, settled: bool, end: End) {
+        let End { found, company, report, .. } = end;
+        let settled = settled || self.books.call(tag).is_some_and(|c| !c.open);
+        let answer = Answer { shot, outcome, settled, latency, found, company, report };
+        let now = self.books.now;
+        self.router.answered(now, tag.index, answer, &mut self.books);
+    }
+
+    /// Tells the router how the shots that it called off ended, until it calls off no more.
+    fn settle(&mut self) {
+        while let Some((tag, shot, outcome)) = self.books.called_off.pop_front() {
+            if let Some(latency) = self.books.end_shot(tag, shot, outcome) {
+                self.tell(tag, shot, outcome, latency, true, End::plain(outcome));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,64 @@
+//! Follows the registry's stream of worker lists. Each line is taken whole or not at all; an edition that is not
+//! newer than the last is passed over, and a gap between changes ends the stream, so that the next begins whole.
+
+use crate::pool::{self, Pool};
+use crate::shell::Gateway;
+use bytes::{Bytes, BytesMut};
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use milletpath_protocol::registry;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Follows until the stream breaks, and tells the desk that it did.
+pub async fn follow(gateway: Rc<Gateway>, address: SocketAddr) {
+    let why = stream(&gateway, address).await;
+    tracing::warn!(%address, "the registry's list is not followed any more: {why}");
+    gateway.tell(|desk, now| desk.list_failed(now));
+}
+
+async fn stream(gateway: &Rc<Gateway>, address: SocketAddr) -> String {
+    let Some(place) = Pool::default().reserve(1) else { return "no place".into() };
+    let mut connection = match pool::connect(place, address, 0).await {
+        Ok(connection) => connection,
+        Err(e) => return format!("no connection: {e}"),
+    };
+    let request =
+        Request::get(registry::PATH).header(header::HOST, address.to_string()).body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return "no request".into() };
+    let response = match connection.sender.send_request(request).await {
+        Ok(response) if response.status().is_success() => response,
+        Ok(response) => return format!("it answered {}", response.status()),
+        Err(e) => return format!("no answer: {e}"),
+    };
+    let mut body = response.into_body();
+    let mut rest = BytesMut::new();
+    // Known only from a whole list on; an edition counts within one stream.
+    let mut last = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(Ok(data)) = frame.map(|f| f.into_data()) else { return "the stream broke".into() };
+        rest.extend_from_slice(&data);
+        while let Some(end) = rest.iter().position(|&b| b == b'\n') {
+            let line = rest.split_to(end + 1);
+            let (edition, whole, entries) = match registry::read(&line) {
+                Ok(read) => read,
+                Err(fault) => return format!("a line that can't be read, {fault}"),
+            };
+            match last {
+                Some(last) if edition <= last => continue,
+                Some(last) if !whole && edition != last + 1 => {
+                    return format!("nothing between {last} and {edition}");
+                }
+                None if !whole => return "it begins with changes".into(),
+                _ => {}
+            }
+            last = Some(edition);
+            tracing::info!(edition, whole, lines = entries.len(), "worker list");
+            gateway.tell(|desk, now| desk.list(now, whole, &entries));
+        }
+        if rest.len() > registry::LONGEST {
+            return "a line without end".into();
+        }
+    }
+    "the stream ended".into()
+}
--- /dev/null
+++ b/crates/gateway/src/paced.rs
@@ -0,0 +1,79 @@
+//! A client's connection that gives up on a peer which takes nothing for too long, so that answers nobody reads do
+//! not stay in memory.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+pub struct Paced<S> {
+    stream: S,
+    stall: Duration,
+    /// Set while a write waits.
+    waits: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> Paced<S> {
+    pub fn new(stream: S, stall: Duration) -> Self {
+        Self { stream, stall, waits: None }
+    }
+
+    /// Passes on what a write came to; one that waits is given so much time in all.
+    fn pace<R>(&mut self, cx: &mut Context<'_>, done: Poll<io::Result<R>>) -> Poll<io::Result<R>> {
+        if done.is_ready() {
+            self.waits = None;
+            return done;
+        }
+        let stall = self.stall;
+        let waits = self.waits.get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + stall)));
+        match waits.as_mut().poll(cx) {
+            Poll::Ready(()) => {
+                Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, "the client reads nothing")))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl<S: Read + Unpin> Read for Paced<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: Write + Unpin> Write for Paced<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.pace(cx, done)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let done = Pin::new(&mut self.stream).poll_flush(cx);
+        self.pace(cx, done)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let done = Pin::new(&mut self.stream).poll_shutdown(cx);
+        self.pace(cx, done)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.pace(cx, done)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/roll.rs
@@ -0,0 +1,115 @@
+//! The workers as the list names them: addresses, processes and states under the desk's indices. What the list
+//! says is passed on to the decisions; what must be known at the moment of sending is kept here.
+
+use crate::indices::Indices;
+use milletpath_policy::host::{Listing, State};
+use milletpath_protocol::registry::{Entry, Standing};
+use std::net::{Ipv4Addr, SocketAddr};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Workers that may ever be named in a gateway's life; a list that goes on inventing names is not followed further.
+const MOST: usize = 65_536;
+
+pub struct Roll {
+    names: Indices,
+    zones: Indices,
+    cells: Indices,
+    kinds: Vec<String>,
+    address: Vec<SocketAddr>,
+    /// Counts the processes that were seen under the name.
+    process: Vec<u64>,
+    started: Vec<Option<f64>>,
+    state: Vec<State>,
+    /// The Unix time at which the desk's clock began.
+    epoch: f64,
+    edition: u64,
+}
+
+impl Roll {
+    pub fn new(kinds: &[String], seed: u64, epoch: f64) -> Self {
+        Self {
+            names: Indices::new(seed),
+            zones: Indices::new(seed),
+            cells: Indices::new(seed),
+            kinds: kinds.to_vec(),
+            address: Vec::new(),
+            process: Vec::new(),
+            started: Vec::new(),
+            state: Vec::new(),
+            epoch,
+            edition: 0,
+        }
+    }
+
+    /// Lists taken so far.
+    pub fn edition(&self) -> u64 {
+        self.edition
+    }
+
+    pub fn ready(&self, worker: usize) -> bool {
+        self.state.get(worker) == Some(&State::Ready)
+    }
+
+    pub fn address(&self, worker: usize) -> (SocketAddr, u64) {
+        let none = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        (self.address.get(worker).copied().unwrap_or(none), self.process.get(worker).copied().unwrap_or(0))
+    }
+
+    /// Takes one edition, whole or changes only, and tells each line of it.
+    pub fn take(&mut self, now: f64, whole: bool, entries: &[Entry], mut tell: impl FnMut(Listing)) {
+        self.edition += 1;
+        if whole {
+            self.state.fill(State::Gone);
+        }
+        for entry in entries {
+            let new = self.names.get(&entry.name).is_none();
+            if new && self.names.len() >= MOST {
+                tracing::error!(worker = entry.name, "over {MOST} workers named; restart to forget old ones");
+                continue;
+            }
+            let worker = self.names.take(&entry.name);
+            let started = entry.started.map(|at| at - self.epoch);
+            let started = if new {
+                self.address.push(entry.address);
+                self.process.push(1);
+                self.started.push(started);
+                self.state.push(State::Gone);
+                started
+            } else {
+                self.change(now, worker, entry.address, started)
+            };
+            self.state[worker] = match entry.state {
+                Standing::Ready => State::Ready,
+                Standing::Draining => State::Draining,
+                Standing::Gone => State::Gone,
+            };
+            // Workers of no stated zone or cell share none: their receipts are known to nobody else.
+            let alone = usize::MAX - worker;
+            let part =
+                |parts: &mut Indices, name: &str| if name.is_empty() { alone } else { parts.take(name) };
+            tell(Listing {
+                worker,
+                name: xxh3_64(entry.name.as_bytes()),
+                started,
+                size: entry.size,
+                kind: self.kinds.iter().position(|k| *k == entry.kind).unwrap_or(usize::MAX),
+                zone: part(&mut self.zones, &entry.zone),
+                cell: part(&mut self.cells, &entry.cell),
+                state: self.state[worker],
+            });
+        }
+    }
+
+    /// A line for a worker that is known. Another address or a later start is another process, cold and empty;
+    /// one whose start nobody tells started now at the latest.
+    fn change(&mut self, now: f64, worker: usize, address: SocketAddr, started: Option<f64>) -> Option<f64> {
+        let moved = self.address[worker] != address;
+        let later = started.is_some_and(|at| self.started[worker].is_none_or(|before| at > before));
+        if moved || later {
+            self.process[worker] += 1;
+            self.address[worker] = address;
+            self.started[worker] = if later { started } else { Some(now) };
+        }
+        self.started[worker]
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,409 @@
+//! The way of a call: accept, door (decode, bounds, indices), desk, shot, answer. Stops in order: first nothing
+//! new is taken, then what was taken is finished, within the longest cut-off.
+
+use crate::desk::{Come, Tag, Tally};
+use crate::paced::Paced;
+use crate::shell::{Gateway, Held, Reply, Waiting};
+use crate::shot::pass_on;
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderValue};
+use http::{Request, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use milletpath_charter::House;
+use milletpath_policy::host::Effect;
+use milletpath_protocol::{Fault, invoke, problem};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::spawn_local;
+
+/// Runs a gateway on a listener until `stop` comes, and finishes what it took. Must run within a `LocalSet`.
+pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
+    let gateway = Gateway::new(house);
+    let time = spawn_local(gateway.clone().keep_time());
+    let (stopping, stopped) = watch::channel(false);
+    let clients = Rc::new(Clients::default());
+    let mut stop = pin!(stop);
+    loop {
+        let room = clients.count.get() < gateway.bounds().connections;
+        tokio::select! {
+            biased;
+            () = &mut stop => break,
+            accepted = listener.accept(), if room => match accepted {
+                Ok((stream, _)) => {
+                    let guest = Guest::new(clients.clone());
+                    spawn_local(connection(gateway.clone(), stream, stopped.clone(), guest));
+                }
+                Err(e) => {
+                    // Out of descriptors, as a rule: what is open goes on, and closing gives some back.
+                    tracing::error!("no connection can be accepted: {e}; raise the limit of open files");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            },
+            () = clients.fewer.notified(), if !room => {}
+        }
+    }
+    drop(listener);
+    let _ = stopping.send(true);
+    tracing::info!(open = gateway.ask(|d| d.open()), connections = clients.count.get(), "stopping");
+    // A client's patience is within its profile's cut-off; a little more lets the last answers be written.
+    let longest = gateway.house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max) + 1.0;
+    let _ = tokio::time::timeout(Duration::from_secs_f64(longest), async {
+        while clients.count.get() > 0 {
+            clients.fewer.notified().await;
+        }
+    })
+    .await;
+    time.abort();
+    gateway.ask(|desk| desk.tally())
+}
+
+/// Client connections open now.
+#[derive(Default)]
+struct Clients {
+    count: Cell<usize>,
+    fewer: Notify,
+}
+
+struct Guest(Rc<Clients>);
+
+impl Guest {
+    fn new(clients: Rc<Clients>) -> Self {
+        clients.count.set(clients.count.get() + 1);
+        Self(clients)
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.fewer.notify_one();
+    }
+}
+
+/// One client connection, for as long as it lasts.
+async fn connection(gateway: Rc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<bool>, _guest: Guest) {
+    /// Bytes of header fields, and their number: several times what browsers and tools send.
+    const HEAD: usize = 64 << 10;
+    const FIELDS: usize = 128;
+    let _ = stream.set_nodelay(true);
+    let bounds = gateway.bounds().clone();
+    let stopping = stop.clone();
+    let service = service_fn(move |request| {
+        let (gateway, stopping) = (gateway.clone(), *stopping.borrow());
+        async move { Ok::<_, Infallible>(answer(gateway, request, stopping).await) }
+    });
+    let io = Paced::new(TokioIo::new(stream), Duration::from_secs_f64(bounds.stall));
+    let mut connection = pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_secs_f64(bounds.head))
+            .max_buf_size(HEAD)
+            .max_headers(FIELDS)
+            .serve_connection(io, service)
+    );
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = stop.wait_for(|stop| *stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!("a client's connection ended: {e}");
+    }
+}
+
+/// A call that its client may still leave: dropped before its answer, it is called off.
+struct Leaving<'g> {
+    gateway: &'g Rc<Gateway>,
+    tag: Option<Tag>,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if let Some(tag) = self.tag {
+            self.gateway.tell(|desk, now| desk.left(now, tag));
+        }
+    }
+}
+
+/// The body of an answer; its bytes count as in hand until it is written.
+pub struct Written {
+    bytes: Bytes,
+    _held: Option<Held>,
+}
+
+impl Body for Written {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let bytes = std::mem::take(&mut self.bytes);
+        Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
+
+const BOUNCED: HeaderValue = HeaderValue::from_static("bounced");
+
+/// An answer that the gateway gives itself, as a problem document.
+fn own(status: StatusCode, outcome: HeaderValue, kind: &str, title: &str, detail: &str) -> Response<Written> {
+    let bytes = problem::document(status.as_u16(), kind, title, detail).into();
+    let mut response = Response::new(Written { bytes, _held: None });
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(problem::MEDIA_TYPE));
+    headers.insert(invoke::OUTCOME, outcome);
+    response
+}
+
+fn bounced(kind: &str, title: &str, come_back: Option<f64>) -> Response<Written> {
+    let detail = "The call was not taken, or nothing of it has run; trying again does no harm.";
+    let mut response = own(StatusCode::SERVICE_UNAVAILABLE, BOUNCED, kind, title, detail);
+    let after = HeaderValue::from(invoke::retry_after(come_back.unwrap_or(1.0)));
+    response.headers_mut().insert(header::RETRY_AFTER, after);
+    response
+}
+
+/// A client's mistake: refused, and the connection is closed, as what follows on it can't be trusted.
+fn refused(status: StatusCode, kind: &str, title: &str, detail: &str) -> Response<Written> {
+    let mut response = own(status, BOUNCED, kind, title, detail);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn faulty(fault: &Fault) -> Response<Written> {
+    refused(StatusCode::BAD_REQUEST, "bad-field", "A header field can't be understood", &fault.to_string())
+}
+
+/// Health answers, for balancers: short text.
+fn healthy(ok: bool, text: &'static str) -> Response<Written> {
+    let mut response = Response::new(Written { bytes: Bytes::from_static(text.as_bytes()), _held: None });
+    *response.status_mut() = if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+/// One request, from its head to its answer.
+async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>, stopping: bool) -> Response<Written> {
+    let came = gateway.now();
+    let (mut parts, body) = request.into_parts();
+    let function = match invoke::wanted(&parts.method, parts.uri.path()) {
+        Ok(invoke::Wanted::Activation(function)) => function,
+        Ok(invoke::Wanted::Live) => return healthy(true, "live\n"),
+        Ok(invoke::Wanted::Ready) if stopping => return healthy(false, "stopping\n"),
+        Ok(invoke::Wanted::Ready) if !gateway.ask(|d| d.listed()) => {
+            return healthy(false, "no worker list yet\n");
+        }
+        Ok(invoke::Wanted::Ready) => return healthy(true, "ready\n"),
+        Err(invoke::Unknown::Path) => {
+            let detail = "Calls go to POST /v1/functions/{name}/activations.";
+            return refused(StatusCode::NOT_FOUND, "unknown-path", "There is nothing here", detail);
+        }
+        Err(invoke::Unknown::Method(right)) => {
+            let detail = format!("Use {right} here.");
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            let mut response = refused(status, "wrong-method", "Another method is needed", &detail);
+            response.headers_mut().insert(header::ALLOW, HeaderValue::from_static(right));
+            return response;
+        }
+        Err(invoke::Unknown::Name) => {
+            let detail = "A function's name has 1 to 128 letters, digits and -._~: and is part of the path.";
+            return refused(StatusCode::BAD_REQUEST, "bad-name", "That is no function's name", detail);
+        }
+    };
+    if stopping {
+        return bounced("stopping", "This gateway is stopping", None);
+    }
+    let door = match door(&gateway, function, &parts.headers) {
+        Ok(door) => door,
+        Err(response) => return *response,
+    };
+    let (body, held) = match read(&gateway, body, came + door.patience).await {
+        Ok(read) => read,
+        Err(response) => return *response,
+    };
+    // Taken out before, so that no `Connection: idempotency-key` strips a receipt of its mark.
+    let key = parts.headers.remove(invoke::IDEMPOTENCY_KEY);
+    pass_on(&mut parts.headers);
+    if let Some(key) = key {
+        parts.headers.insert(invoke::IDEMPOTENCY_KEY, key);
+    }
+    let (sender, receiver) = oneshot::channel();
+    let waiting = Waiting::new(sender, parts.headers, body);
+    let tag = gateway.tell(|desk, now| {
+        let patience = door.patience - (now - came);
+        let Door { profile, client, repeat, .. } = door;
+        desk.arrive(now, Come { function, profile, client, patience, repeat }, waiting)
+    });
+    let Some(tag) = tag else {
+        return bounced("full", "Too many calls are in hand", gateway.house.policy.come_back);
+    };
+    let mut leaving = Leaving { gateway: &gateway, tag: Some(tag) };
+    let reply = receiver.await;
+    leaving.tag = None;
+    drop(held);
+    let mut response = match reply {
+        Ok(Reply::Handled(parts, bytes, held)) => {
+            let mut response = Response::from_parts(parts, Written { bytes, _held: Some(held) });
+            response.headers_mut().insert(invoke::OUTCOME, HeaderValue::from_static("handled"));
+            response
+        }
+        Ok(Reply::Bounced(come_back)) => {
+            bounced("bounced", "No worker could take the call in time", come_back)
+        }
+        Ok(Reply::Terminated { late: true }) => {
+            let detail = "A worker had the call and did not answer in time; it may have run, or may still.";
+            terminated(StatusCode::GATEWAY_TIMEOUT, "late", "No answer in time", detail)
+        }
+        Ok(Reply::TooLarge) => {
+            let detail = "The worker's answer is larger than this gateway passes on; the call has run.";
+            terminated(StatusCode::BAD_GATEWAY, "answer-too-large", "The answer is too large", detail)
+        }
+        // The sender is only ever dropped unused when the gateway itself ends.
+        Ok(Reply::Terminated { late: false }) | Err(_) => {
+            let detail = "A worker had the call and failed; it may have run.";
+            terminated(StatusCode::BAD_GATEWAY, "failed", "The call failed", detail)
+        }
+    };
+    if let Ok(id) = HeaderValue::from_str(&format!("{:08x}-{:x}", gateway.life, tag.serial)) {
+        response.headers_mut().insert(invoke::ACTIVATION, id);
+    }
+    response
+}
+
+fn terminated(status: StatusCode, kind: &str, title: &str, detail: &str) -> Response<Written> {
+    own(status, HeaderValue::from_static("terminated"), kind, title, detail)
+}
+
+/// Why a call is not taken; boxed, as it is seldom and large.
+type Refusal = Box<Response<Written>>;
+
+/// What the door makes of a call's header fields.
+struct Door {
+    profile: usize,
+    client: usize,
+    patience: f64,
+    repeat: bool,
+}
+
+fn door(gateway: &Gateway, function: &str, headers: &http::HeaderMap) -> Result<Door, Refusal> {
+    let house = &gateway.house;
+    let named = invoke::name(headers, invoke::PROFILE).map_err(|f| Box::new(faulty(&f)))?;
+    let bound = house.functions.of(function).profile;
+    let profile = match named {
+        None => bound.unwrap_or(0),
+        Some(name) => match house.profiles.iter().position(|p| p.name == name) {
+            Some(profile) if bound.is_none_or(|bound| bound == profile) => profile,
+            Some(_) => {
+                return Err(Box::new(faulty(&Fault::new(
+                    invoke::PROFILE,
+                    "the function is called under another profile only",
+                ))));
+            }
+            None => {
+                return Err(Box::new(faulty(&Fault::new(
+                    invoke::PROFILE,
+                    format!("there is no profile {name}"),
+                ))));
+            }
+        },
+    };
+    let client = invoke::name(headers, invoke::CLIENT).map_err(|f| Box::new(faulty(&f)))?;
+    let client = client.and_then(|name| house.clients.iter().position(|c| c == name)).unwrap_or(usize::MAX);
+    let patience = invoke::patience(headers).map_err(|f| Box::new(faulty(&f)))?;
+    let key = invoke::key(headers).map_err(|f| Box::new(faulty(&f)))?;
+    let receipted = matches!(house.policy.profiles[profile].effect, Effect::Receipted { .. });
+    if receipted && key.is_none() {
+        let wrong = "is missing; calls of this profile need a mark by which a repeat is known";
+        return Err(Box::new(faulty(&Fault::new(invoke::IDEMPOTENCY_KEY, wrong))));
+    }
+    Ok(Door {
+        profile,
+        client,
+        patience: patience.unwrap_or(f64::INFINITY).min(house.profiles[profile].cut_off),
+        repeat: invoke::repeat(headers).map_err(|f| Box::new(faulty(&f)))?,
+    })
+}
+
+/// Reads a call's body to its end, within its bounds of size and time.
+async fn read(gateway: &Gateway, mut body: Incoming, until: f64) -> Result<(Bytes, Vec<Held>), Refusal> {
+    let bounds = gateway.bounds();
+    let too_large = || {
+        let detail = format!("A call's body may have {} bytes here.", bounds.body);
+        Box::new(refused(StatusCode::PAYLOAD_TOO_LARGE, "too-large", "The body is too large", &detail))
+    };
+    if body.size_hint().lower() > bounds.body as u64 {
+        return Err(too_large());
+    }
+    let (mut first, mut rest, mut held) = (Bytes::new(), BytesMut::new(), Vec::new());
+    while !body.is_end_stream() {
+        let wait = bounds.stall.min(until - gateway.now()).max(0.0);
+        let frame = match tokio::time::timeout(Duration::from_secs_f64(wait), body.frame()).await {
+            Ok(None) => break,
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(e))) => {
+                return Err(Box::new(refused(
+                    StatusCode::BAD_REQUEST,
+                    "bad-body",
+                    "The body can't be read",
+                    &e.to_string(),
+                )));
+            }
+            Err(_) => {
+                let detail = "The body did not come within the client's own time.";
+                return Err(Box::new(refused(
+                    StatusCode::REQUEST_TIMEOUT,
+                    "slow-body",
+                    "The body came too slowly",
+                    detail,
+                )));
+            }
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if first.len() + rest.len() + data.len() > bounds.body {
+            return Err(too_large());
+        }
+        match gateway.hold(data.len()) {
+            Some(bytes) => held.push(bytes),
+            None => {
+                return Err(Box::new(bounced(
+                    "full",
+                    "Too many bytes are in hand",
+                    gateway.house.policy.come_back,
+                )));
+            }
+        }
+        if first.is_empty() {
+            first = data;
+        } else {
+            if rest.is_empty() {
+                rest.extend_from_slice(&first);
+            }
+            rest.extend_from_slice(&data);
+        }
+    }
+    Ok((if rest.is_empty() { first } else { rest.freeze() }, held))
+}
--- /dev/null
+++ b/crates/gateway/src/shot.rs
@@ -0,0 +1,328 @@
+//! One exchange with a worker: a shot, an order or a probe. Outcomes are judged strictly: that something never ran
+//! is believed where no connection was made, where nothing was written, or on the worker's own word; all else may
+//! have run.
+
+use crate::desk::{End, Tag};
+use crate::pool::{Body, Connection};
+use crate::shell::{Gateway, Held, Reply};
+use bytes::{Bytes, BytesMut};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Request, Response};
+use http_body::Body as _;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use milletpath_policy::host::{Found, Outcome, Report};
+use milletpath_protocol::{orca, worker as wire};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why an exchange brought no answer.
+enum Broken {
+    /// No connection, or nothing written on one.
+    Unreached,
+    /// All connections that the worker may have are taken.
+    Unsent,
+    /// It does not go any more; the desk has booked that.
+    KeptBack,
+    /// Written, at least in part, and then the connection broke or garbage came.
+    Cut,
+}
+
+/// Sends one request on a kept connection or a new one. `may` is asked at the last moment before writing. A kept
+/// connection that turns out closed before anything was written proves that nothing ran: another is taken.
+async fn exchange(
+    gateway: &Gateway,
+    worker: usize,
+    mut request: Request<Body>,
+    mut may: impl FnMut() -> bool,
+) -> Result<(Response<Incoming>, Connection), Broken> {
+    loop {
+        let (mut connection, new) = match gateway.kept(worker) {
+            Some(connection) => (connection, false),
+            None => match gateway.connect(worker).await {
+                Some(Ok(connection)) => (connection, true),
+                Some(Err(_)) => return Err(Broken::Unreached),
+                None => return Err(Broken::Unsent),
+            },
+        };
+        if connection.sender.ready().await.is_err() {
+            if new {
+                return Err(Broken::Unreached);
+            }
+            continue;
+        }
+        if !may() {
+            gateway.give_back(worker, connection);
+            return Err(Broken::KeptBack);
+        }
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return Ok((response, connection)),
+            Err(mut error) => match error.take_message() {
+                // Given back whole: not a byte of it was written.
+                Some(unwritten) if !new => request = unwritten,
+                Some(_) => return Err(Broken::Unreached),
+                None => return Err(Broken::Cut),
+            },
+        }
+    }
+}
+
+fn request(method: Method, path: String, headers: HeaderMap, body: Bytes) -> Option<Request<Body>> {
+    let mut request = Request::builder().method(method).uri(path).body(Full::new(body)).ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+fn host(gateway: &Gateway, worker: usize) -> HeaderValue {
+    let (address, _) = gateway.ask(|desk| desk.address(worker));
+    HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("worker"))
+}
+
+/// Header fields that speak of one connection only (RFC 9110, 7.6.1), or that are made anew for each.
+const OWN: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+    header::EXPECT,
+];
+
+/// Takes out of a message what is not to be passed on: fields of one connection, and what we say ourselves.
+pub fn pass_on(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&OWN) {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", orca::FIELD] {
+        headers.remove(name);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    let ours: Vec<HeaderName> =
+        headers.keys().filter(|name| name.as_str().starts_with("milletpath-")).cloned().collect();
+    for name in ours {
+        headers.remove(name);
+    }
+}
+
+/// A worker's load report, where there is one that can be read.
+fn report(headers: &HeaderMap) -> Option<Report> {
+    let text = headers.get(orca::FIELD)?.to_str().ok()?;
+    let mut report = Report::default();
+    let read = orca::read(text, |name, figure| match name {
+        orca::BUSY => report.busy = Some(figure),
+        orca::MEMORY => report.memory = Some(figure),
+        orca::HELD => report.held = Some(figure),
+        orca::WAITING => report.waiting = Some(figure),
+        orca::LOADING => report.loading = Some(figure),
+        _ => {}
+    });
+    if let Err(fault) = read {
+        tracing::debug!(%fault, "a load report that can't be read");
+        return None;
+    }
+    Some(report)
+}
+
+/// What a response's head says of the shot.
+fn judge(response: &Response<Incoming>) -> End {
+    let headers = response.headers();
+    let status = response.status();
+    let refused = wire::refused(headers).filter(|_| status.is_client_error() || status.is_server_error());
+    let outcome = match refused {
+        Some(wire::Refused::Full | wire::Refused::Draining) => Outcome::Full,
+        Some(wire::Refused::Missing) => Outcome::Missed,
+        // The worker's answer, be it that the client's input was wrong.
+        None if status.as_u16() < 500 => Outcome::Handled,
+        // A bare error may come from anything that stands in between; it may have run.
+        None => Outcome::Failed,
+    };
+    let found = wire::found(headers).map(|found| match found {
+        wire::Found::Loaded => Found::Loaded,
+        wire::Found::Began => Found::BeganLoad,
+        wire::Found::Awaited => Found::AwaitedLoad,
+        wire::Found::Failed => Found::LoadFailed,
+    });
+    let company = wire::count(headers, wire::COMPANY).ok().flatten().unwrap_or(0);
+    End { outcome, found, company: company.into(), report: report(headers), settles: false }
+}
+
+/// Why an answer's body is not there in full.
+enum Short {
+    Cut,
+    TooLarge,
+}
+
+/// Reads an answer to its end, within the bounds on one and on all together.
+async fn read(gateway: &Gateway, mut body: Incoming) -> Result<(Bytes, Held), Short> {
+    let most = gateway.bounds().answer;
+    if body.size_hint().lower() > most as u64 {
+        return Err(Short::TooLarge);
+    }
+    let mut first = Bytes::new();
+    let mut rest = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Short::Cut)?.into_data() else { continue };
+        if first.len() + rest.len() + data.len() > most {
+            return Err(Short::TooLarge);
+        }
+        if first.is_empty() {
+            first = data;
+        } else {
+            if rest.is_empty() {
+                rest.extend_from_slice(&first);
+            }
+            rest.extend_from_slice(&data);
+        }
+    }
+    let whole = if rest.is_empty() { first } else { rest.freeze() };
+    let held = gateway.hold(whole.len()).ok_or(Short::TooLarge)?;
+    Ok((whole, held))
+}
+
+/// One shot of an activation.
+pub async fn activation(gateway: Rc<Gateway>, tag: Tag, shot: usize, worker: usize) {
+    let now = gateway.now();
+    let parts = gateway.ask(|desk| {
+        let left = desk.left_for(now, tag, shot)?;
+        let function = desk.function(tag)?;
+        desk.what(tag).map(|w| (function, left, w.headers.clone(), w.body.clone()))
+    });
+    // None where it was called off before this task's first step.
+    let Some((function, left, mut headers, body)) = parts else { return };
+    headers.insert(header::HOST, host(&gateway, worker));
+    headers.insert(wire::SHOT, HeaderValue::from(shot as u64));
+    if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
+        headers.insert(wire::LEFT, left);
+    }
+    let Some(request) = request(Method::POST, wire::infer(&function), headers, body) else { return };
+    let may = || gateway.tell(|desk, now| desk.begin(now, tag, shot));
+    let (response, connection) = match exchange(&gateway, worker, request, may).await {
+        Ok(answer) => answer,
+        Err(broken) => {
+            let outcome = match broken {
+                Broken::KeptBack => return,
+                Broken::Unreached => Outcome::Unreached,
+                Broken::Unsent => Outcome::Unsent,
+                Broken::Cut => Outcome::Cut,
+            };
+            gateway.tell(|desk, now| desk.end(now, tag, shot, End::plain(outcome)));
+            return;
+        }
+    };
+    let end = judge(&response);
+    let (mut parts, body) = response.into_parts();
+    match read(&gateway, body).await {
+        Ok((body, held)) => {
+            gateway.give_back(worker, connection);
+            pass_on(&mut parts.headers);
+            let reply = Reply::Handled(parts, body, held);
+            settle(&gateway, tag, shot, end, reply);
+        }
+        Err(Short::Cut) => {
+            let end = End { outcome: Outcome::Cut, ..end };
+            gateway.tell(|desk, now| desk.end(now, tag, shot, end));
+        }
+        // It would be too large from any other worker as well.
+        Err(Short::TooLarge) => {
+            let end = End { outcome: Outcome::Failed, settles: true, ..end };
+            settle(&gateway, tag, shot, end, Reply::TooLarge);
+        }
+    }
+}
+
+/// Ends a shot; what it brought goes to the client if the desk says that it is the answer.
+fn settle(gateway: &Rc<Gateway>, tag: Tag, shot: usize, end: End, reply: Reply) {
+    // The sender is taken first: the desk lets go of the call in the same breath.
+    let answer = gateway.tell(|desk, now| {
+        let taken = desk.what(tag).and_then(|w| w.answer.take());
+        if desk.end(now, tag, shot, end) {
+            return taken;
+        }
+        if let (Some(waiting), Some(sender)) = (desk.what(tag), taken) {
+            waiting.answer = Some(sender);
+        }
+        None
+    });
+    if let Some(answer) = answer {
+        let _ = answer.send(reply);
+    }
+}
+
+/// Asks a worker for something of our own making; gives the answer's status and fields once all of it is read.
+async fn ask(
+    gateway: &Gateway,
+    worker: usize,
+    method: Method,
+    path: String,
+    copies: Option<u8>,
+    may: impl FnMut() -> bool,
+) -> Result<http::response::Parts, Broken> {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::HOST, host(gateway, worker));
+    if let Some(copies) = copies {
+        headers.insert(wire::COPIES, HeaderValue::from(u16::from(copies)));
+    }
+    let request = request(method, path, headers, Bytes::new()).ok_or(Broken::Unsent)?;
+    let (response, connection) = exchange(gateway, worker, request, may).await?;
+    let (parts, body) = response.into_parts();
+    read(gateway, body).await.map_err(|_| Broken::Cut)?;
+    gateway.give_back(worker, connection);
+    Ok(parts)
+}
+
+/// An order to hold instances.
+pub async fn hold(gateway: Rc<Gateway>, order: Tag, worker: usize, function: Arc<str>, copies: u8) {
+    let may = || gateway.tell(|desk, now| desk.begin_order(now, order));
+    let wait = Duration::from_secs_f64(gateway.house.policy.order_wait);
+    let asked = ask(&gateway, worker, Method::POST, wire::load(&function), Some(copies), may);
+    // The desk ends the order at the same time; here only the connection is let go of.
+    let Ok(answer) = tokio::time::timeout(wait, asked).await else { return };
+    let (outcome, stand) = match answer {
+        Ok(parts) if parts.status.is_success() => {
+            let stand = wire::count(&parts.headers, wire::COPIES).ok().flatten();
+            (Outcome::Handled, stand.unwrap_or(u32::from(copies)).min(255) as u8)
+        }
+        Ok(parts) => match wire::refused(&parts.headers) {
+            Some(wire::Refused::Full | wire::Refused::Draining) => (Outcome::Full, 0),
+            Some(wire::Refused::Missing) | None => (Outcome::Failed, 0),
+        },
+        Err(Broken::KeptBack) => return,
+        Err(Broken::Unreached) => (Outcome::Unreached, 0),
+        Err(Broken::Unsent) => (Outcome::Unsent, 0),
+        Err(Broken::Cut) => (Outcome::Cut, 0),
+    };
+    gateway.tell(|desk, now| desk.order_ended(now, order, outcome, stand));
+}
+
+/// Has a worker unload idle instances. Nobody waits for the answer.
+pub async fn unload(gateway: Rc<Gateway>, worker: usize, function: Arc<str>) {
+    let wait = Duration::from_secs_f64(gateway.bounds().probe);
+    let asked = ask(&gateway, worker, Method::POST, wire::unload(&function), None, || true);
+    let _ = tokio::time::timeout(wait, asked).await;
+}
+
+/// Asks a worker how it is.
+pub async fn probe(gateway: Rc<Gateway>, worker: usize, serial: u64) {
+    let wait = Duration::from_secs_f64(gateway.bounds().probe);
+    let asked = ask(&gateway, worker, Method::GET, wire::READY.to_owned(), None, || true);
+    let Ok(answer) = tokio::time::timeout(wait, asked).await else { return };
+    let (outcome, report) = match answer {
+        Ok(parts) if parts.status.is_success() => (Outcome::Handled, report(&parts.headers)),
+        Ok(parts) => (Outcome::Failed, report(&parts.headers)),
+        Err(Broken::Unreached) => (Outcome::Unreached, None),
+        Err(Broken::Unsent | Broken::KeptBack) => (Outcome::Unsent, None),
+        Err(Broken::Cut) => (Outcome::Cut, None),
+    };
+    gateway.tell(|desk, now| desk.probed(now, worker, serial, outcome, report));
+}
--- /dev/null
+++ b/crates/milletpath/src/log.rs
@@ -0,0 +1,21 @@
+//! Logging on standard error: text on a terminal, JSON for machines; `MILLETPATH_LOG` filters, as `info` or
+//! `milletpath_gateway=debug`.
+
+use clap::ValueEnum;
+use tracing_subscriber::EnvFilter;
+
+#[derive(Clone, Copy, Default, ValueEnum)]
+pub enum Form {
+    #[default]
+    Text,
+    Json,
+}
+
+pub fn begin(form: Form) {
+    let filter = EnvFilter::try_from_env("MILLETPATH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match form {
+        Form::Text => log.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr())).init(),
+        Form::Json => log.json().init(),
+    }
+}
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -1,3 +1,62 @@
-//! The milletpath program.
+//! The milletpath program: sub-commands, logging and exit codes. 0 is fine, 1 that the thing asked failed, 2 wrong
+//! use or wrong input.
 
-fn main() {}
+mod log;
+mod serve;
+
+use clap::{Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A gateway for functions and models that workers load on demand
+#[derive(Parser)]
+#[command(version, arg_required_else_help = true)]
+struct Line {
+    /// The form of the log on standard error
+    #[arg(long, value_enum, default_value_t, global = true)]
+    log: log::Form,
+    #[command(subcommand)]
+    wanted: Wanted,
+}
+
+#[derive(Subcommand)]
+enum Wanted {
+    /// Run the gateway
+    Serve {
+        /// The charter to go by; without it, one built in, with stand-in workers inside
+        #[arg(long, value_name = "FILE")]
+        charter: Option<PathBuf>,
+    },
+    /// Read and check a charter; tells all mistakes at once
+    Check {
+        #[arg(value_name = "FILE")]
+        charter: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    log::begin(line.log);
+    match line.wanted {
+        Wanted::Serve { charter } => serve::serve(charter.as_deref()),
+        Wanted::Check { charter } => match read(&charter) {
+            Ok(_) => {
+                println!("{}: sound", charter.display());
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+    }
+}
+
+/// Reads a charter; what is wrong with it goes to standard error, a line for each mistake.
+fn read(path: &Path) -> Result<milletpath_charter::House, ExitCode> {
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        eprintln!("{}: can't be read: {e}; name a charter file", path.display());
+        ExitCode::from(2)
+    })?;
+    milletpath_charter::read(&text).map_err(|mistakes| {
+        mistakes.iter().for_each(|mistake| eprintln!("{}:{mistake}", path.display()));
+        ExitCode::from(2)
+    })
+}
