The witness: five rules and service, from what passed on the sockets only

Need: rules must be seen kept by someone who does not ask the gateway. Change: package witness: records of clients, workers and registry; a check for each rule, service by first tries. Measured: 14 records, made by breaking a correct one in one place, are each rejected; five that only look broken pass.

--- /dev/null
+++ b/crates/witness/src/rules.rs
@@ -0,0 +1,265 @@
+//! The five rules. Each check walks the records once, in the order of time, with tables bounded by the records.
+
+use crate::{Effect, Ended, Record, Saw};
+use std::collections::{BTreeMap, VecDeque};
+
+/// The figures that the rules state, and how exactly sockets can be watched.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// Seconds after word of a drain past which nothing new is sent.
+    pub grace: f64,
+    /// A cold worker's part of its capacity at the start, and the seconds until it is warm.
+    pub cold_share: f64,
+    pub warm_up: f64,
+    /// Sent more than this multiple of what it can do, for so many seconds, a cold worker falls over.
+    pub tip_multiple: f64,
+    pub tip_window: f64,
+    /// Orders to load: window, free ones, and orders for each activation taken.
+    pub ration: Option<(f64, f64, f64)>,
+    /// Seconds by which a stand-in's reading may lag behind what was written.
+    pub lag: f64,
+}
+
+/// One place where a rule is broken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Broken {
+    pub rule: u8,
+    pub at: f64,
+    pub what: String,
+}
+
+/// All places where a rule is broken. Records are in the order of time.
+pub fn check(records: &[Record], terms: &Terms) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    answered_once(records, terms, &mut broken);
+    no_effect_twice(records, &mut broken);
+    drains_kept(records, terms, &mut broken);
+    cold_not_pushed_over(records, terms, &mut broken);
+    orders_rationed(records, terms, &mut broken);
+    broken.sort_by(|a, b| a.at.total_cmp(&b.at));
+    broken
+}
+
+/// Rule 1: every try that a gateway took gets one final answer within the client's time, and nothing is sent for
+/// it afterwards. A try whose gateway was killed meanwhile is its client's to repeat.
+fn answered_once(records: &[Record], terms: &Terms, broken: &mut Vec<Broken>) {
+    let mut killed: BTreeMap<usize, f64> = BTreeMap::new();
+    // When it was asked, and when and how it ended.
+    let mut tries: BTreeMap<(u64, u32), (f64, Option<(f64, Ended)>)> = BTreeMap::new();
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Killed { gateway } => {
+                killed.insert(gateway, *at);
+            }
+            Saw::Asked { call, attempt, .. } => {
+                if tries.insert((call, attempt), (*at, None)).is_some() {
+                    broken.push(Broken {
+                        rule: 1,
+                        at: *at,
+                        what: format!("call {call}.{attempt} asked twice"),
+                    });
+                }
+            }
+            Saw::Ended { call, attempt, gateway, how } => {
+                let Some((asked, ended)) = tries.get_mut(&(call, attempt)) else {
+                    broken.push(Broken {
+                        rule: 1,
+                        at: *at,
+                        what: format!("call {call}.{attempt} ended unasked"),
+                    });
+                    continue;
+                };
+                if let Some((_, before)) = ended.replace((*at, how)) {
+                    let what = format!("call {call}.{attempt} ended as {before:?} and again as {how:?}");
+                    broken.push(Broken { rule: 1, at: *at, what });
+                }
+                let fell = killed.get(&gateway).is_some_and(|k| *k >= *asked - terms.lag);
+                if matches!(how, Ended::Unanswered | Ended::Broken) && !fell {
+                    let what = format!("call {call}.{attempt} at gateway {gateway} got no answer: {how:?}");
+                    broken.push(Broken { rule: 1, at: *at, what });
+                }
+            }
+            Saw::Came { call, attempt, gateway, worker, .. } => {
+                let ended = tries.get(&(call, attempt)).and_then(|(_, ended)| *ended);
+                if let Some((when, how)) = ended.filter(|(when, _)| at - when > terms.lag) {
+                    let late = at - when;
+                    let what = format!(
+                        "call {call}.{attempt} was {how:?}, and {late:.3} s later gateway {gateway} sent it to \
+                         worker {worker}"
+                    );
+                    broken.push(Broken { rule: 1, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+    let last = records.last().map_or(0.0, |r| r.at);
+    for ((call, attempt), (asked, ended)) in tries {
+        if ended.is_none() {
+            let what = format!("call {call}.{attempt} of {asked:.3} s has no end");
+            broken.push(Broken { rule: 1, at: last, what });
+        }
+    }
+}
+
+/// Rule 2: no effectful or receipted call runs twice, and a bounce means that nothing ran.
+fn no_effect_twice(records: &[Record], broken: &mut Vec<Broken>) {
+    let mut effects: BTreeMap<u64, Effect> = BTreeMap::new();
+    let mut ran: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut bounced: BTreeMap<u64, f64> = BTreeMap::new();
+    let mut tries: BTreeMap<u64, u32> = BTreeMap::new();
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Call { call, effect, .. } => {
+                effects.insert(call, effect);
+            }
+            Saw::Asked { call, attempt, .. } => {
+                tries.insert(call, attempt);
+            }
+            Saw::Ran { call, worker } => {
+                let effect = effects.get(&call).copied().unwrap_or(Effect::Effectful);
+                let times = ran.entry(call).or_default();
+                *times += 1;
+                if effect != Effect::Pure && *times > 1 {
+                    let what =
+                        format!("{effect:?} call {call} ran for the {times}th time, on worker {worker}");
+                    broken.push(Broken { rule: 2, at: *at, what });
+                }
+                if effect == Effect::Effectful && bounced.contains_key(&call) && tries.get(&call) == Some(&0)
+                {
+                    let what = format!("effectful call {call} ran on worker {worker} after it was bounced");
+                    broken.push(Broken { rule: 2, at: *at, what });
+                }
+            }
+            Saw::Ended { call, how: Ended::Bounced, .. } => {
+                bounced.insert(call, *at);
+                let effectful = effects.get(&call) == Some(&Effect::Effectful);
+                if effectful && ran.contains_key(&call) {
+                    let what = format!("effectful call {call} was bounced though it had run");
+                    broken.push(Broken { rule: 2, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 3: no shot or order to a worker later than the grace after the gateway was told that it drains or is gone.
+fn drains_kept(records: &[Record], terms: &Terms, broken: &mut Vec<Broken>) {
+    let mut told: BTreeMap<(usize, usize), f64> = BTreeMap::new();
+    for Record { at, saw } in records {
+        let (gateway, worker, kind) = match *saw {
+            Saw::Told { gateway, worker, ready: true } => {
+                told.remove(&(gateway, worker));
+                continue;
+            }
+            Saw::Told { gateway, worker, ready: false } => {
+                told.entry((gateway, worker)).or_insert(*at);
+                continue;
+            }
+            // A new process knows nothing of what the old one was told.
+            Saw::Killed { gateway } => {
+                told.retain(|(g, _), _| *g != gateway);
+                continue;
+            }
+            Saw::Came { gateway, worker, .. } => (gateway, worker, "a shot"),
+            Saw::Ordered { gateway, worker } => (gateway, worker, "an order"),
+            _ => continue,
+        };
+        if let Some(when) = told.get(&(gateway, worker)).filter(|when| at - **when > terms.grace + terms.lag)
+        {
+            let late = at - when;
+            let what =
+                format!("{kind} of gateway {gateway} came to worker {worker}, {late:.3} s after its drain");
+            broken.push(Broken { rule: 3, at: *at, what });
+        }
+    }
+}
+
+/// Rule 4: what all gateways send a worker that started lately stays, over any window, within the multiple of what
+/// it can do at that moment.
+fn cold_not_pushed_over(records: &[Record], terms: &Terms, broken: &mut Vec<Broken>) {
+    /// Shots of chance beyond the budget: work is known by its mean alone.
+    const CHANCE: f64 = 3.0;
+    struct Cold {
+        started: f64,
+        capacity: f64,
+        sent: VecDeque<(f64, f64)>,
+        sum: f64,
+        fallen: bool,
+    }
+    let mut cold: BTreeMap<usize, Cold> = BTreeMap::new();
+    let (mut works, mut shots) = (0.0, 0.0);
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Started { worker, capacity, warm } => {
+                let new = Cold { started: *at, capacity, sent: VecDeque::new(), sum: 0.0, fallen: warm };
+                cold.insert(worker, new);
+            }
+            Saw::Came { worker, work, .. } => {
+                works += work;
+                shots += 1.0;
+                let Some(c) = cold.get_mut(&worker).filter(|c| !c.fallen) else { continue };
+                let age = at - c.started;
+                if age > terms.warm_up {
+                    cold.remove(&worker);
+                    continue;
+                }
+                c.sent.push_back((*at, work));
+                c.sum += work;
+                while c.sent.front().is_some_and(|(when, _)| at - when > terms.tip_window) {
+                    c.sum -= c.sent.pop_front().map_or(0.0, |(_, work)| work);
+                }
+                let warmth = terms.cold_share + (1.0 - terms.cold_share) * age / terms.warm_up.max(1e-9);
+                let budget = terms.tip_multiple * c.capacity * warmth * terms.tip_window;
+                if c.sum > budget + CHANCE * works / shots {
+                    c.fallen = true;
+                    let sum = c.sum;
+                    let what = format!(
+                        "worker {worker}, {age:.1} s old, was sent {sum:.2} s of work for {budget:.2}"
+                    );
+                    broken.push(Broken { rule: 4, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Rule 5: at each order of a gateway, its orders within the window stay within the free ones and the share of what
+/// it took.
+fn orders_rationed(records: &[Record], terms: &Terms, broken: &mut Vec<Broken>) {
+    let Some((window, free, share)) = terms.ration else { return };
+    let mut taken: BTreeMap<usize, VecDeque<f64>> = BTreeMap::new();
+    let mut orders: BTreeMap<usize, VecDeque<f64>> = BTreeMap::new();
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Killed { gateway } => {
+                taken.remove(&gateway);
+                orders.remove(&gateway);
+            }
+            Saw::Asked { gateway, .. } => taken.entry(gateway).or_default().push_back(*at),
+            Saw::Ordered { gateway, .. } => {
+                let ordered = orders.entry(gateway).or_default();
+                ordered.push_back(*at);
+                // What lags behind may have been sent up to so much earlier, within another window.
+                while ordered.front().is_some_and(|when| at - when > window - terms.lag) {
+                    ordered.pop_front();
+                }
+                let taken = taken.entry(gateway).or_default();
+                while taken.front().is_some_and(|when| at - when > window + terms.lag) {
+                    taken.pop_front();
+                }
+                let most = free + share * taken.len() as f64;
+                if ordered.len() as f64 > most {
+                    let count = ordered.len();
+                    let what = format!(
+                        "gateway {gateway} gave {count} orders within {window} s, for {most:.1} at most"
+                    );
+                    broken.push(Broken { rule: 5, at: *at, what });
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/witness/tests/rejects.rs
@@ -0,0 +1,120 @@
+//! A correct record, and for each rule records that must be rejected: the correct one, broken in one place.
+
+use milletpath_witness::{Account, Effect, Ended, Record, Saw, Terms, check, count};
+use test_case::test_case;
+
+const TERMS: Terms = Terms {
+    grace: 1.0,
+    cold_share: 0.2,
+    warm_up: 10.0,
+    tip_multiple: 2.0,
+    tip_window: 1.0,
+    ration: Some((10.0, 1.0, 0.5)),
+    lag: 0.05,
+};
+
+fn call(call: u64, effect: Effect) -> Saw {
+    Saw::Call { call, group: 0, importance: 1.0, due: 1.0, effect, trouble: None }
+}
+
+fn asked(call: u64, attempt: u32) -> Saw {
+    Saw::Asked { call, attempt, gateway: 0, patience: 3.0 }
+}
+
+fn came(call: u64, worker: usize) -> Saw {
+    Saw::Came { call, attempt: 0, gateway: 0, worker, work: 0.1 }
+}
+
+fn ended(call: u64, how: Ended) -> Saw {
+    Saw::Ended { call, attempt: 0, gateway: 0, how }
+}
+
+/// Two workers, the second started at 0.5 s and drained at 5 s; three calls of each effect, all in order.
+fn correct() -> Vec<Record> {
+    let started = |worker, warm| Saw::Started { worker, capacity: 2.0, warm };
+    let told = |worker, ready| Saw::Told { gateway: 0, worker, ready };
+    let mut day =
+        vec![(0.0, started(0, true)), (0.0, told(0, true)), (0.5, started(1, false)), (0.6, told(1, true))];
+    for (n, effect) in [Effect::Pure, Effect::Receipted, Effect::Effectful].into_iter().enumerate() {
+        let (n, at) = (n as u64, 1.0 + n as f64);
+        day.extend([
+            (at, call(n, effect)),
+            (at, asked(n, 0)),
+            (at + 0.01, came(n, 1)),
+            (at + 0.1, Saw::Ran { call: n, worker: 1 }),
+            (at + 0.2, ended(n, Ended::Handled)),
+        ]);
+    }
+    day.extend([(4.0, Saw::Ordered { gateway: 0, worker: 1 }), (5.0, told(1, false))]);
+    day.into_iter().map(|(at, saw)| Record { at, saw }).collect()
+}
+
+fn with(more: Vec<(f64, Saw)>) -> Vec<Record> {
+    let mut day = correct();
+    day.extend(more.into_iter().map(|(at, saw)| Record { at, saw }));
+    day.sort_by(|a, b| a.at.total_cmp(&b.at));
+    day
+}
+
+#[test]
+fn a_correct_day_breaks_nothing() {
+    assert_eq!(check(&correct(), &TERMS), []);
+}
+
+#[test_case(1, vec![(6.0, call(9, Effect::Pure)), (6.0, asked(9, 0))]; "a call without an end")]
+#[test_case(1, vec![(6.0, call(9, Effect::Pure)), (6.0, asked(9, 0)), (9.0, ended(9, Ended::Unanswered))]; "an end without an answer")]
+#[test_case(1, vec![(6.0, call(9, Effect::Pure)), (6.0, asked(9, 0)), (6.1, ended(9, Ended::Broken))]; "a broken connection")]
+#[test_case(1, vec![(1.3, ended(0, Ended::Bounced))]; "two answers")]
+#[test_case(1, vec![(1.5, came(0, 0))]; "a shot after the answer")]
+#[test_case(1, vec![(6.0, ended(77, Ended::Handled))]; "an answer to nothing")]
+#[test_case(2, vec![(2.15, Saw::Ran { call: 1, worker: 0 })]; "a receipted call runs twice")]
+#[test_case(2, vec![(3.15, Saw::Ran { call: 2, worker: 0 })]; "an effectful call runs twice")]
+#[test_case(2, vec![(6.0, call(9, Effect::Effectful)), (6.0, asked(9, 0)), (6.1, Saw::Ran { call: 9, worker: 0 }), (6.2, ended(9, Ended::Bounced))]; "a bounce of what has run")]
+#[test_case(2, vec![(6.0, call(9, Effect::Effectful)), (6.0, asked(9, 0)), (6.1, ended(9, Ended::Bounced)), (6.12, Saw::Ran { call: 9, worker: 0 })]; "a bounce of what runs later")]
+#[test_case(3, vec![(6.2, came(2, 1))]; "a shot after the grace")]
+#[test_case(3, vec![(6.2, Saw::Ordered { gateway: 0, worker: 1 })]; "an order after the grace")]
+#[test_case(4, (0..40).map(|n| (0.7 + 0.001 * f64::from(n), came(90, 1))).collect(); "a crowd at a cold worker")]
+#[test_case(5, vec![(4.1, Saw::Ordered { gateway: 0, worker: 0 }), (4.2, Saw::Ordered { gateway: 0, worker: 0 })]; "orders beyond the ration")]
+fn each_rule_has_records_that_it_rejects(rule: u8, more: Vec<(f64, Saw)>) {
+    let broken = check(&with(more), &TERMS);
+    assert!(broken.iter().any(|b| b.rule == rule), "{broken:?}");
+}
+
+/// What looks like a broken rule and is none.
+#[test_case(vec![(6.0, asked(9, 0)), (6.0, call(9, Effect::Pure)), (7.0, Saw::Killed { gateway: 0 }), (7.1, ended(9, Ended::Broken))]; "its gateway was killed")]
+#[test_case(vec![(5.9, came(2, 1))]; "a shot within the grace, for a call that is over")]
+#[test_case(vec![(6.0, Saw::Told { gateway: 0, worker: 1, ready: true }), (7.2, Saw::Ordered { gateway: 0, worker: 1 })]; "the worker is back")]
+#[test_case(vec![(1.15, Saw::Ran { call: 0, worker: 0 })]; "a pure call runs twice")]
+#[test_case((0..40).map(|n| (0.7 + 0.001 * f64::from(n), came(90, 0))).collect(); "a crowd at a warm worker")]
+fn what_breaks_no_other_rule(more: Vec<(f64, Saw)>) {
+    let broken = check(&with(more), &TERMS);
+    assert!(broken.iter().all(|b| b.rule == 1 && b.what.contains("later gateway")), "{broken:?}");
+}
+
+/// A client's further try counts with its first: answered by then, the call was waited for since the first.
+#[test]
+fn service_counts_from_the_first_try() {
+    let day = |second: f64| {
+        let at = |at, saw| Record { at, saw };
+        let again = Saw::Asked { call: 1, attempt: 1, gateway: 0, patience: 3.0 };
+        let handled = Saw::Ended { call: 1, attempt: 1, gateway: 0, how: Ended::Handled };
+        vec![
+            at(0.0, call(1, Effect::Pure)),
+            at(0.0, asked(1, 0)),
+            at(0.5, ended(1, Ended::Bounced)),
+            at(0.6, again),
+            at(second, handled),
+        ]
+    };
+    let account = Account { late: 0.1, quotas: vec![], over_share: 1.0 };
+    let service = |second| count(&day(second), &account).0.service();
+    assert_eq!((service(0.9), service(1.2)), (1.0, 0.1));
+}
+
+#[test]
+fn calls_beyond_a_share_count_less() {
+    let records: Vec<_> = (0..10).map(|n| Record { at: 0.01, saw: call(n, Effect::Pure) }).collect();
+    let account = Account { late: 0.0, quotas: vec![Some(4.0)], over_share: 0.5 };
+    let (whole, _) = count(&records, &account);
+    assert_eq!((whole.asked, whole.unanswered), (4.0 + 6.0 * 0.5, 10));
+}
