After a standstill nothing is sent before what came meanwhile has been read

Change: the thread is looked for every 50 ms; after 150 ms without, shots wait until the sockets were read, and what is read then counts from before the standstill. serve without a charter runs stand-in workers inside; workers alone.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -208,7 +208,7 @@
 
 /// One request, from its head to its answer.
 async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>, stopping: bool) -> Response<Written> {
-    let came = gateway.now();
+    let came = gateway.since();
     let (mut parts, body) = request.into_parts();
     let function = match invoke::wanted(&parts.method, parts.uri.path()) {
         Ok(invoke::Wanted::Activation(function)) => function,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -49,6 +49,12 @@
     }
 }
 
+/// Seconds between two looks at whether this thread runs.
+const PULSE: f64 = 0.05;
+
+/// A thread not seen for so long stood still: several pulses, as a busy machine keeps one waiting now and then.
+const STILL: f64 = 0.15;
+
 pub struct Gateway {
     began: Instant,
     desk: RefCell<Desk<Waiting>>,
@@ -59,6 +65,9 @@
     armed: Cell<f64>,
     earlier: Notify,
     following: RefCell<Option<AbortHandle>>,
+    /// When this thread was last seen to run, and who waits for it to be so again.
+    seen: Cell<f64>,
+    moves: Notify,
     /// Told apart in logs and ids from other gateways and earlier lives.
     pub life: u32,
 }
@@ -75,6 +84,8 @@
             armed: Cell::new(f64::INFINITY),
             earlier: Notify::new(),
             following: RefCell::default(),
+            seen: Cell::new(0.0),
+            moves: Notify::new(),
             life: unix.subsec_nanos() ^ std::process::id().rotate_left(16) ^ unix.as_secs() as u32,
             house,
         });
@@ -94,6 +105,20 @@
         self.began.elapsed().as_secs_f64()
     }
 
+    /// Since when a request that is read now may have waited unread: now, unless the process has just stood still.
+    pub fn since(&self) -> f64 {
+        let now = self.now();
+        if now - self.seen.get() > STILL { self.seen.get() } else { now }
+    }
+
+    /// Waits, after the process stood still, until what came meanwhile has been read: the list may say that a
+    /// worker drains, and clients may have left.
+    pub async fn awake(&self) {
+        while self.now() - self.seen.get() > STILL {
+            self.moves.notified().await;
+        }
+    }
+
     /// Tells the desk something and carries out what follows.
     pub fn tell<R>(self: &Rc<Self>, what: impl FnOnce(&mut Desk<Waiting>, f64) -> R) -> R {
         let result = what(&mut self.desk.borrow_mut(), self.now());
@@ -171,15 +196,24 @@
     pub async fn keep_time(self: Rc<Self>) {
         /// Seconds between two looks for idle connections: short against the time they may be idle.
         const LOOK: f64 = 1.0;
+        /// Seconds after a standstill within which all that came meanwhile is read.
+        const READ: Duration = Duration::from_millis(5);
         let mut look = LOOK;
         loop {
-            let next = self.desk.borrow().next().unwrap_or(f64::INFINITY).min(look);
+            let next = self.desk.borrow().next().unwrap_or(f64::INFINITY).min(self.now() + PULSE);
             self.armed.set(next);
             let wait = Duration::from_secs_f64((next - self.now()).max(0.0));
             tokio::select! {
                 () = tokio::time::sleep(wait) => {}
                 () = self.earlier.notified() => {}
             }
+            let still = self.now() - self.seen.get();
+            if still > STILL {
+                tracing::warn!(seconds = still, "the process stood still");
+                tokio::time::sleep(READ).await;
+            }
+            self.seen.set(self.now());
+            self.moves.notify_waiters();
             self.tell(|desk, now| desk.turn(now));
             if self.now() >= look {
                 look = self.now() + LOOK;
--- a/crates/gateway/src/shot.rs
+++ b/crates/gateway/src/shot.rs
@@ -52,6 +52,7 @@
             }
             continue;
         }
+        gateway.awake().await;
         if !may() {
             gateway.give_back(worker, connection);
             return Err(Broken::KeptBack);
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -4,6 +4,7 @@
 mod day;
 mod log;
 mod serve;
+mod workers;
 
 use clap::{Parser, Subcommand};
 use std::path::{Path, PathBuf};
@@ -33,6 +34,11 @@
         #[arg(value_name = "FILE")]
         charter: PathBuf,
     },
+    /// Run stand-in workers alone, at the addresses that a charter lists
+    Workers {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+    },
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -64,6 +70,7 @@
             }
             Err(code) => code,
         },
+        Wanted::Workers { charter } => workers::workers(&charter),
         Wanted::Day { file, seed, json, lag, records } => {
             day::day(&day::Asked { file: &file, seed, json, lag, records: records.as_deref() })
         }
@@ -81,3 +88,14 @@
         ExitCode::from(2)
     })
 }
+
+/// Runs something on one thread, with tasks of its own.
+fn local(what: impl Future<Output = ExitCode>) -> ExitCode {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(tokio::task::LocalSet::new().run_until(what)),
+        Err(e) => {
+            eprintln!("the runtime can't start: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -6,26 +6,28 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 pub fn serve(charter: Option<&Path>) -> ExitCode {
-    let Some(path) = charter else {
-        eprintln!("name a charter with --charter FILE");
-        return ExitCode::from(2);
-    };
-    let house = match crate::read(path) {
+    let house = match charter.map(crate::read).transpose() {
         Ok(house) => house,
         Err(code) => return code,
     };
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("the runtime can't start: {e}");
-            return ExitCode::FAILURE;
+    crate::local(async move {
+        match house {
+            Some(house) => run(house, false).await,
+            None => match crate::workers::inside().await {
+                Ok(house) => run(house, true).await,
+                Err(code) => code,
+            },
         }
-    };
-    runtime.block_on(tokio::task::LocalSet::new().run_until(run(house)))
+    })
 }
 
-async fn run(house: milletpath_charter::House) -> ExitCode {
-    let listener = match TcpListener::bind(house.listen).await {
+async fn run(house: milletpath_charter::House, inside: bool) -> ExitCode {
+    let mut bound = TcpListener::bind(house.listen).await;
+    if bound.is_err() && inside {
+        // The built-in charter's port is taken: any other will do.
+        bound = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await;
+    }
+    let listener = match bound {
         Ok(listener) => listener,
         Err(e) => {
             eprintln!("{} can't be listened on: {e}; change listen in the charter", house.listen);
@@ -36,6 +38,9 @@
         tracing::info!(%address, "listening");
         // For whoever started it with port 0.
         println!("listening on http://{address}");
+        if inside {
+            println!("try: curl -d hello http://{address}/v1/functions/greet/activations");
+        }
     }
     let tally = milletpath_gateway::serve(house, listener, stop()).await;
     tracing::info!(?tally, "stopped");
@@ -43,7 +48,7 @@
 }
 
 /// SIGTERM, or Ctrl-C on a terminal.
-async fn stop() {
+pub async fn stop() {
     let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
     else {
         tracing::error!("signals can't be heard; end the process outright");
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -83,7 +83,7 @@
 }
 
 impl Worker {
-    /// Starts a worker that is cold if `born` is lately; it stops when [`kill`](Self::kill)ed.
+    /// Starts a worker with a port for each gateway.
     pub async fn start(
         hall: Rc<Hall>,
         number: usize,
@@ -96,6 +96,18 @@
         for _ in 0..gateways {
             listeners.push(TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?);
         }
+        Self::on(hall, number, receipts, make, born, listeners)
+    }
+
+    /// Starts a worker that is cold if `born` is lately; it stops when [`kill`](Self::kill)ed.
+    pub fn on(
+        hall: Rc<Hall>,
+        number: usize,
+        receipts: u32,
+        make: Make,
+        born: f64,
+        listeners: Vec<TcpListener>,
+    ) -> io::Result<Rc<Self>> {
         let addresses = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<Vec<_>>>()?;
         let warm = hall.now() - born >= make.warm_up;
         hall.note(Saw::Started { worker: number, capacity: Engine::capacity(&make), warm });
