--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -67,6 +67,8 @@
     following: RefCell<Option<AbortHandle>>,
     /// When this thread was last seen to run, and who waits for it to be so again.
     seen: Cell<f64>,
+    /// The last standstill: since when, and until when.
+    stood: Cell<(f64, f64)>,
     moves: Notify,
     /// Told apart in logs and ids from other gateways and earlier lives.
     pub life: u32,
@@ -85,6 +87,7 @@
             earlier: Notify::new(),
             following: RefCell::default(),
             seen: Cell::new(0.0),
+            stood: Cell::new((0.0, 0.0)),
             moves: Notify::new(),
             life: unix.subsec_nanos() ^ std::process::id().rotate_left(16) ^ unix.as_secs() as u32,
             house,
@@ -105,10 +108,16 @@
         self.began.elapsed().as_secs_f64()
     }
 
-    /// Since when a request that is read now may have waited unread: now, unless the process has just stood still.
+    /// Since when a request that is read now may have waited unread: now, unless the process stood still lately.
     pub fn since(&self) -> f64 {
+        /// What came during a standstill is read about so many times as fast as it came.
+        const CATCH_UP: f64 = 4.0;
         let now = self.now();
-        if now - self.seen.get() > STILL { self.seen.get() } else { now }
+        if now - self.seen.get() > STILL {
+            return self.seen.get();
+        }
+        let (from, to) = self.stood.get();
+        now.min(from + CATCH_UP * (now - to))
     }
 
     /// Waits, after the process stood still, until what came meanwhile has been read: the list may say that a
@@ -210,6 +219,7 @@
             let still = self.now() - self.seen.get();
             if still > STILL {
                 tracing::warn!(seconds = still, "the process stood still");
+                self.stood.set((self.seen.get(), self.now()));
                 tokio::time::sleep(READ).await;
             }
             self.seen.set(self.now());
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -10,7 +10,7 @@
     pub at_once: f64,
     /// Fetches under way past which more are turned away.
     pub takes: usize,
-    /// Fetches asked for within a second that make it stop; none where it never does.
+    /// Fetches asked for a second, kept up for three seconds, that make it stop; none where it never does.
     pub tips: Option<f64>,
     /// Seconds for which it then stops.
     pub stops: f64,
@@ -45,11 +45,17 @@
 
     /// A fetch of so many seconds on an idle store; gives how long it takes, none where it is turned away.
     pub fn fetch(&mut self, now: f64, seconds: f64) -> Option<f64> {
-        self.asked.push_back(now);
-        while self.asked.front().is_some_and(|at| now - at > 1.0) {
+        /// Seconds for which it must be pushed.
+        const PUSHED: f64 = 3.0;
+        // While it is stopped nothing pushes it further.
+        if now >= self.stopped {
+            self.asked.push_back(now);
+        }
+        while self.asked.front().is_some_and(|at| now - at > PUSHED) {
             self.asked.pop_front();
         }
-        if self.shelf.tips.is_some_and(|tips| self.asked.len() as f64 > tips) {
+        if self.shelf.tips.is_some_and(|tips| self.asked.len() as f64 > tips * PUSHED) {
+            self.asked.clear();
             self.stopped = self.stopped.max(now + self.shelf.stops);
         }
         if now < self.stopped || self.refuses || self.under_way >= self.shelf.takes {
