--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,4 +16,4 @@
 mod shell;
 mod shot;
 
-pub use serve::serve;
+pub use serve::{listen, serve};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -20,14 +20,27 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 
+/// Opens the listener of a gateway. Connections that come while the process stands still wait in the kernel: with
+/// the usual 128 places for them the rest would be dropped, and each dropped client tries again a second later only.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    /// Places for connections not yet accepted; the kernel takes its own bound where that is less.
+    const WAITING: u32 = 16_384;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(WAITING)
+}
+
 /// Runs a gateway on a listener until `stop` comes, and finishes what it took. Must run within a `LocalSet`.
 pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
     let gateway = Gateway::new(house);
@@ -175,7 +188,7 @@
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(problem::MEDIA_TYPE));
-    headers.insert(invoke::OUTCOME, outcome);
+    headers.insert(&invoke::OUTCOME, outcome);
     response
 }
 
@@ -246,10 +259,10 @@
         Err(response) => return *response,
     };
     // Taken out before, so that no `Connection: idempotency-key` strips a receipt of its mark.
-    let key = parts.headers.remove(invoke::IDEMPOTENCY_KEY);
+    let key = parts.headers.remove(&invoke::IDEMPOTENCY_KEY);
     pass_on(&mut parts.headers);
     if let Some(key) = key {
-        parts.headers.insert(invoke::IDEMPOTENCY_KEY, key);
+        parts.headers.insert(&invoke::IDEMPOTENCY_KEY, key);
     }
     let (sender, receiver) = oneshot::channel();
     let waiting = Waiting::new(sender, parts.headers, body);
@@ -268,7 +281,7 @@
     let mut response = match reply {
         Ok(Reply::Handled(parts, bytes, held)) => {
             let mut response = Response::from_parts(parts, Written { bytes, _held: Some(held) });
-            response.headers_mut().insert(invoke::OUTCOME, HeaderValue::from_static("handled"));
+            response.headers_mut().insert(&invoke::OUTCOME, HeaderValue::from_static("handled"));
             response
         }
         Ok(Reply::Bounced(come_back)) => {
@@ -289,7 +302,7 @@
         }
     };
     if let Ok(id) = HeaderValue::from_str(&format!("{:08x}-{:x}", gateway.life, tag.serial)) {
-        response.headers_mut().insert(invoke::ACTIVATION, id);
+        response.headers_mut().insert(&invoke::ACTIVATION, id);
     }
     response
 }
@@ -311,7 +324,7 @@
 
 fn door(gateway: &Gateway, function: &str, headers: &http::HeaderMap) -> Result<Door, Refusal> {
     let house = &gateway.house;
-    let named = invoke::name(headers, invoke::PROFILE).map_err(|f| Box::new(faulty(&f)))?;
+    let named = invoke::name(headers, &invoke::PROFILE).map_err(|f| Box::new(faulty(&f)))?;
     let bound = house.functions.of(function).profile;
     let profile = match named {
         None => bound.unwrap_or(0),
@@ -319,26 +332,26 @@
             Some(profile) if bound.is_none_or(|bound| bound == profile) => profile,
             Some(_) => {
                 return Err(Box::new(faulty(&Fault::new(
-                    invoke::PROFILE,
+                    invoke::PROFILE.as_str(),
                     "the function is called under another profile only",
                 ))));
             }
             None => {
                 return Err(Box::new(faulty(&Fault::new(
-                    invoke::PROFILE,
+                    invoke::PROFILE.as_str(),
                     format!("there is no profile {name}"),
                 ))));
             }
         },
     };
-    let client = invoke::name(headers, invoke::CLIENT).map_err(|f| Box::new(faulty(&f)))?;
+    let client = invoke::name(headers, &invoke::CLIENT).map_err(|f| Box::new(faulty(&f)))?;
     let client = client.and_then(|name| house.clients.iter().position(|c| c == name)).unwrap_or(usize::MAX);
     let patience = invoke::patience(headers).map_err(|f| Box::new(faulty(&f)))?;
     let key = invoke::key(headers).map_err(|f| Box::new(faulty(&f)))?;
     let receipted = matches!(house.policy.profiles[profile].effect, Effect::Receipted { .. });
     if receipted && key.is_none() {
         let wrong = "is missing; calls of this profile need a mark by which a repeat is known";
-        return Err(Box::new(faulty(&Fault::new(invoke::IDEMPOTENCY_KEY, wrong))));
+        return Err(Box::new(faulty(&Fault::new(invoke::IDEMPOTENCY_KEY.as_str(), wrong))));
     }
     Ok(Door {
         profile,
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -130,8 +130,16 @@
 
     /// Tells the desk something and carries out what follows.
     pub fn tell<R>(self: &Rc<Self>, what: impl FnOnce(&mut Desk<Waiting>, f64) -> R) -> R {
-        let result = what(&mut self.desk.borrow_mut(), self.now());
+        /// Seconds past which one event's decisions are worth a line in the log.
+        const SLOW: f64 = 0.02;
+        let began = self.now();
+        let result = what(&mut self.desk.borrow_mut(), began);
         self.carry_out();
+        let took = self.now() - began;
+        if took > SLOW {
+            let (open, functions) = self.ask(|desk| (desk.open(), desk.functions()));
+            tracing::warn!(seconds = took, open, functions, "one event took long to decide");
+        }
         result
     }
 
--- a/crates/gateway/src/shot.rs
+++ b/crates/gateway/src/shot.rs
@@ -80,45 +80,39 @@
     HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("worker"))
 }
 
-/// Header fields that speak of one connection only (RFC 9110, 7.6.1), or that are made anew for each.
-const OWN: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::HOST,
-    header::EXPECT,
-];
+/// Whether a header field speaks of one connection only (RFC 9110, 7.6.1), is made anew for each, or is said by us
+/// alone.
+fn own(name: &HeaderName) -> bool {
+    const OURS: &str = "milletpath-";
+    matches!(
+        *name,
+        header::CONNECTION
+            | header::CONTENT_LENGTH
+            | header::EXPECT
+            | header::HOST
+            | header::PROXY_AUTHENTICATE
+            | header::PROXY_AUTHORIZATION
+            | header::TE
+            | header::TRAILER
+            | header::TRANSFER_ENCODING
+            | header::UPGRADE
+    ) || matches!(name.as_str(), "keep-alive" | "proxy-connection" | "endpoint-load-metrics")
+        || name.as_str().starts_with(OURS)
+}
 
-/// Takes out of a message what is not to be passed on: fields of one connection, and what we say ourselves.
+/// Takes out of a message what is not to be passed on.
 pub fn pass_on(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&OWN) {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", orca::FIELD] {
-        headers.remove(name);
-    }
-    headers.remove(header::CONTENT_LENGTH);
-    let ours: Vec<HeaderName> =
-        headers.keys().filter(|name| name.as_str().starts_with("milletpath-")).cloned().collect();
-    for name in ours {
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    let named = named.flat_map(|v| v.split(',')).filter_map(|name| name.trim().parse().ok());
+    let named: Vec<HeaderName> = named.chain(headers.keys().filter(|name| own(name)).cloned()).collect();
+    for name in &named {
         headers.remove(name);
     }
 }
 
 /// A worker's load report, where there is one that can be read.
 fn report(headers: &HeaderMap) -> Option<Report> {
-    let text = headers.get(orca::FIELD)?.to_str().ok()?;
+    let text = headers.get(&orca::FIELD)?.to_str().ok()?;
     let mut report = Report::default();
     let read = orca::read(text, |name, figure| match name {
         orca::BUSY => report.busy = Some(figure),
@@ -154,7 +148,7 @@
         wire::Found::Awaited => Found::AwaitedLoad,
         wire::Found::Failed => Found::LoadFailed,
     });
-    let company = wire::count(headers, wire::COMPANY).ok().flatten().unwrap_or(0);
+    let company = wire::count(headers, &wire::COMPANY).ok().flatten().unwrap_or(0);
     End { outcome, found, company: company.into(), report: report(headers), settles: false }
 }
 
@@ -202,9 +196,9 @@
     // None where it was called off before this task's first step.
     let Some((function, left, mut headers, body)) = parts else { return };
     headers.insert(header::HOST, host(&gateway, worker));
-    headers.insert(wire::SHOT, HeaderValue::from(shot as u64));
+    headers.insert(&wire::SHOT, HeaderValue::from(shot as u64));
     if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
-        headers.insert(wire::LEFT, left);
+        headers.insert(&wire::LEFT, left);
     }
     let Some(request) = request(Method::POST, wire::infer(&function), headers, body) else { return };
     let may = || gateway.tell(|desk, now| desk.begin(now, tag, shot));
@@ -272,7 +266,7 @@
     let mut headers = HeaderMap::new();
     headers.insert(header::HOST, host(gateway, worker));
     if let Some(copies) = copies {
-        headers.insert(wire::COPIES, HeaderValue::from(u16::from(copies)));
+        headers.insert(&wire::COPIES, HeaderValue::from(u16::from(copies)));
     }
     let request = request(method, path, headers, Bytes::new()).ok_or(Broken::Unsent)?;
     let (response, connection) = exchange(gateway, worker, request, may).await?;
@@ -291,7 +285,7 @@
     let Ok(answer) = tokio::time::timeout(wait, asked).await else { return };
     let (outcome, stand) = match answer {
         Ok(parts) if parts.status.is_success() => {
-            let stand = wire::count(&parts.headers, wire::COPIES).ok().flatten();
+            let stand = wire::count(&parts.headers, &wire::COPIES).ok().flatten();
             (Outcome::Handled, stand.unwrap_or(u32::from(copies)).min(255) as u8)
         }
         Ok(parts) => match wire::refused(&parts.headers) {
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 pub fn serve(charter: Option<&Path>) -> ExitCode {
@@ -22,10 +21,10 @@
 }
 
 async fn run(house: milletpath_charter::House, inside: bool) -> ExitCode {
-    let mut bound = TcpListener::bind(house.listen).await;
+    let mut bound = milletpath_gateway::listen(house.listen);
     if bound.is_err() && inside {
         // The built-in charter's port is taken: any other will do.
-        bound = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0)).await;
+        bound = milletpath_gateway::listen((std::net::Ipv4Addr::LOCALHOST, 0).into());
     }
     let listener = match bound {
         Ok(listener) => listener,
--- a/crates/protocol/src/invoke.rs
+++ b/crates/protocol/src/invoke.rs
@@ -2,20 +2,21 @@
 //! Paths and fields are read here; what they mean is for the gateway.
 
 use crate::{Fault, field, is_name};
+use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Method};
 
 /// Seconds, with fractions, until the client gives up.
-pub const PATIENCE: &str = "milletpath-patience";
-pub const PROFILE: &str = "milletpath-profile";
+pub static PATIENCE: HeaderName = HeaderName::from_static("milletpath-patience");
+pub static PROFILE: HeaderName = HeaderName::from_static("milletpath-profile");
 /// The client's group.
-pub const CLIENT: &str = "milletpath-client";
+pub static CLIENT: HeaderName = HeaderName::from_static("milletpath-client");
 /// A client's own further try.
-pub const REPEAT: &str = "milletpath-repeat";
+pub static REPEAT: HeaderName = HeaderName::from_static("milletpath-repeat");
 /// `handled`, `bounced` or `terminated`; on every answer.
-pub const OUTCOME: &str = "milletpath-outcome";
-pub const ACTIVATION: &str = "milletpath-activation";
+pub static OUTCOME: HeaderName = HeaderName::from_static("milletpath-outcome");
+pub static ACTIVATION: HeaderName = HeaderName::from_static("milletpath-activation");
 /// The mark by which workers know a repeat (draft-ietf-httpapi-idempotency-key-header).
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub static IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// What a request line asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,43 +67,46 @@
 /// Seconds until the client gives up, above 0; none where it does not say. More than a day counts as a day.
 pub fn patience(headers: &HeaderMap) -> Result<Option<f64>, Fault> {
     const DAY: f64 = 86_400.0;
-    let Some(text) = field(headers, PATIENCE)? else { return Ok(None) };
+    let Some(text) = field(headers, &PATIENCE)? else { return Ok(None) };
     let plain = text.bytes().all(|c| c.is_ascii_digit() || c == b'.');
     let seconds = text.parse::<f64>().ok().filter(|s| plain && s.is_finite() && *s > 0.0);
     seconds.map(|s| Some(s.min(DAY))).ok_or_else(|| {
-        Fault::new(PATIENCE, format!("`{}` is no time; say seconds above 0, as 1.5", short(text)))
+        Fault::new(PATIENCE.as_str(), format!("`{}` is no time; say seconds above 0, as 1.5", short(text)))
     })
 }
 
 /// A field that holds a name.
-pub fn name<'h>(headers: &'h HeaderMap, which: &str) -> Result<Option<&'h str>, Fault> {
+pub fn name<'h>(headers: &'h HeaderMap, which: &HeaderName) -> Result<Option<&'h str>, Fault> {
     match field(headers, which)? {
-        Some(text) if !is_name(text) => {
-            Err(Fault::new(which, format!("`{}` is no name; use letters, digits and -._~:", short(text))))
-        }
+        Some(text) if !is_name(text) => Err(Fault::new(
+            which.as_str(),
+            format!("`{}` is no name; use letters, digits and -._~:", short(text)),
+        )),
         other => Ok(other),
     }
 }
 
 /// Whether the client marks this as a further try of its own: `1`, `true` or the number of the try.
 pub fn repeat(headers: &HeaderMap) -> Result<bool, Fault> {
-    match field(headers, REPEAT)? {
+    match field(headers, &REPEAT)? {
         None | Some("0" | "false") => Ok(false),
         Some("true") => Ok(true),
         Some(text) if text.len() <= 9 && text.parse::<u32>().is_ok() => Ok(true),
-        Some(text) => Err(Fault::new(REPEAT, format!("`{}` is neither true nor a number", short(text)))),
+        Some(text) => {
+            Err(Fault::new(REPEAT.as_str(), format!("`{}` is neither true nor a number", short(text))))
+        }
     }
 }
 
 /// The mark of a receipted activation: a structured string or a bare token, at most 255 characters.
 pub fn key(headers: &HeaderMap) -> Result<Option<&HeaderValue>, Fault> {
     const LONGEST: usize = 255;
-    match field(headers, IDEMPOTENCY_KEY)? {
+    match field(headers, &IDEMPOTENCY_KEY)? {
         None => Ok(None),
         Some(text) if text.is_empty() || text.len() > LONGEST => {
-            Err(Fault::new(IDEMPOTENCY_KEY, format!("must have 1 to {LONGEST} characters")))
+            Err(Fault::new(IDEMPOTENCY_KEY.as_str(), format!("must have 1 to {LONGEST} characters")))
         }
-        Some(_) => Ok(headers.get(IDEMPOTENCY_KEY)),
+        Some(_) => Ok(headers.get(&IDEMPOTENCY_KEY)),
     }
 }
 
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -39,12 +39,12 @@
 }
 
 /// A header field's one value as text; none where it is absent, a fault where it comes twice or is no text.
-pub fn field<'h>(headers: &'h http::HeaderMap, name: &str) -> Result<Option<&'h str>, Fault> {
+pub fn field<'h>(headers: &'h http::HeaderMap, name: &http::HeaderName) -> Result<Option<&'h str>, Fault> {
     let mut all = headers.get_all(name).iter();
     let Some(value) = all.next() else { return Ok(None) };
     if all.next().is_some() {
-        return Err(Fault::new(name, "comes more than once; send it once"));
+        return Err(Fault::new(name.as_str(), "comes more than once; send it once"));
     }
-    let text = value.to_str().map_err(|_| Fault::new(name, "is no visible ASCII text"))?;
+    let text = value.to_str().map_err(|_| Fault::new(name.as_str(), "is no visible ASCII text"))?;
     Ok(Some(text.trim()))
 }
--- a/crates/protocol/src/orca.rs
+++ b/crates/protocol/src/orca.rs
@@ -2,9 +2,10 @@
 //! or `JSON {...}` (Envoy's ORCA load report, its header form). The binary form is not read.
 
 use crate::Fault;
+use http::header::HeaderName;
 
 /// The header field of a load report.
-pub const FIELD: &str = "endpoint-load-metrics";
+pub static FIELD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 /// How busy the cores are, 0 to 1.
 pub const BUSY: &str = "cpu_utilization";
 /// The share of memory that cannot be freed.
@@ -28,15 +29,15 @@
         "TEXT" => {
             for (n, pair) in rest.split(',').map(str::trim).filter(|p| !p.is_empty()).enumerate() {
                 let (name, value) =
-                    pair.split_once('=').ok_or_else(|| Fault::new(FIELD, "a pair without ="))?;
+                    pair.split_once('=').ok_or_else(|| Fault::new(FIELD.as_str(), "a pair without ="))?;
                 figure(n, name.trim(), value.trim().parse().ok(), &mut take)?;
             }
             Ok(())
         }
         "JSON" => {
-            let value: serde_json::Value =
-                serde_json::from_str(rest).map_err(|e| Fault::new(FIELD, format!("no JSON: {e}")))?;
-            let object = value.as_object().ok_or_else(|| Fault::new(FIELD, "no object"))?;
+            let value: serde_json::Value = serde_json::from_str(rest)
+                .map_err(|e| Fault::new(FIELD.as_str(), format!("no JSON: {e}")))?;
+            let object = value.as_object().ok_or_else(|| Fault::new(FIELD.as_str(), "no object"))?;
             let mut n = 0;
             for (name, value) in object {
                 if let Some(inner) = value.as_object() {
@@ -51,17 +52,17 @@
             }
             Ok(())
         }
-        _ => Err(Fault::new(FIELD, "neither TEXT nor JSON")),
+        _ => Err(Fault::new(FIELD.as_str(), "neither TEXT nor JSON")),
     }
 }
 
 fn figure(n: usize, name: &str, value: Option<f64>, take: &mut impl FnMut(&str, f64)) -> Result<(), Fault> {
     if n >= MOST {
-        return Err(Fault::new(FIELD, format!("over {MOST} figures")));
+        return Err(Fault::new(FIELD.as_str(), format!("over {MOST} figures")));
     }
     match value.filter(|x| x.is_finite() && *x >= 0.0) {
         Some(value) => take(name, value),
-        None => return Err(Fault::new(FIELD, "a figure that is none, or negative")),
+        None => return Err(Fault::new(FIELD.as_str(), "a figure that is none, or negative")),
     }
     Ok(())
 }
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -3,19 +3,20 @@
 
 use crate::{Fault, field, is_name};
 use http::HeaderMap;
+use http::header::HeaderName;
 
 /// On an answer: whether an instance stood loaded, and what became of the load otherwise.
-pub const FOUND: &str = "milletpath-found";
+pub static FOUND: HeaderName = HeaderName::from_static("milletpath-found");
 /// On an answer: activations of the same function that the worker held when this one came.
-pub const COMPANY: &str = "milletpath-company";
+pub static COMPANY: HeaderName = HeaderName::from_static("milletpath-company");
 /// On a refusal: the worker's own word that it never ran the activation.
-pub const REFUSED: &str = "milletpath-refused";
+pub static REFUSED: HeaderName = HeaderName::from_static("milletpath-refused");
 /// On an order to load, and in its answer: instances to hold, and instances that stand.
-pub const COPIES: &str = "milletpath-copies";
+pub static COPIES: HeaderName = HeaderName::from_static("milletpath-copies");
 /// On a shot: seconds for which the answer is waited for.
-pub const LEFT: &str = "milletpath-left";
+pub static LEFT: HeaderName = HeaderName::from_static("milletpath-left");
 /// On a shot: the number of the shot, from 0.
-pub const SHOT: &str = "milletpath-shot";
+pub static SHOT: HeaderName = HeaderName::from_static("milletpath-shot");
 /// Asks how a worker is.
 pub const READY: &str = "/v2/health/ready";
 
@@ -90,12 +91,12 @@
 
 /// The worker's word on its instance; one that is not known says nothing.
 pub fn found(headers: &HeaderMap) -> Option<Found> {
-    word(headers, FOUND, &FOUNDS)
+    word(headers, &FOUND, &FOUNDS)
 }
 
 /// The worker's own word that nothing ran. Anything but the exact words proves nothing.
 pub fn refused(headers: &HeaderMap) -> Option<Refused> {
-    word(headers, REFUSED, &REFUSALS)
+    word(headers, &REFUSED, &REFUSALS)
 }
 
 pub fn found_word(found: Found) -> &'static str {
@@ -106,17 +107,17 @@
     REFUSALS.iter().find(|(_, r)| *r == refused).map_or("", |(word, _)| word)
 }
 
-fn word<T: Copy>(headers: &HeaderMap, name: &str, words: &[(&str, T)]) -> Option<T> {
+fn word<T: Copy>(headers: &HeaderMap, name: &HeaderName, words: &[(&str, T)]) -> Option<T> {
     let text = field(headers, name).ok()??;
     words.iter().find(|(word, _)| *word == text).map(|(_, value)| *value)
 }
 
 /// A count in a field of ours, up to a million.
-pub fn count(headers: &HeaderMap, name: &str) -> Result<Option<u32>, Fault> {
+pub fn count(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u32>, Fault> {
     const MOST: u32 = 1_000_000;
     let Some(text) = field(headers, name)? else { return Ok(None) };
     match text.parse::<u32>() {
         Ok(n) if n <= MOST => Ok(Some(n)),
-        _ => Err(Fault::new(name, format!("is no number from 0 to {MOST}"))),
+        _ => Err(Fault::new(name.as_str(), format!("is no number from 0 to {MOST}"))),
     }
 }
--- a/crates/protocol/tests/round_trips.rs
+++ b/crates/protocol/tests/round_trips.rs
@@ -68,14 +68,14 @@
         let _ = invoke::wanted(&Method::POST, &text);
         let mut headers = HeaderMap::new();
         if let Ok(value) = HeaderValue::from_bytes(&bytes) {
-            for name in [invoke::PATIENCE, invoke::REPEAT, invoke::CLIENT, worker::FOUND, worker::COMPANY] {
+            for name in [&invoke::PATIENCE, &invoke::REPEAT, &invoke::CLIENT, &worker::FOUND, &worker::COMPANY] {
                 headers.insert(name, value.clone());
             }
             if let Ok(Some(seconds)) = invoke::patience(&headers) {
                 prop_assert!(seconds > 0.0 && seconds <= 86_400.0);
             }
-            let _ = (invoke::repeat(&headers), invoke::name(&headers, invoke::CLIENT));
-            let _ = (worker::found(&headers), worker::count(&headers, worker::COMPANY));
+            let _ = (invoke::repeat(&headers), invoke::name(&headers, &invoke::CLIENT));
+            let _ = (worker::found(&headers), worker::count(&headers, &worker::COMPANY));
         }
     }
 
@@ -98,7 +98,7 @@
 #[test_case("999999", Some(86_400.0); "more than a day")]
 fn patience_is_a_time(text: &str, seconds: Option<f64>) {
     let mut headers = HeaderMap::new();
-    headers.insert(invoke::PATIENCE, HeaderValue::from_str(text).unwrap());
+    headers.insert(&invoke::PATIENCE, HeaderValue::from_str(text).unwrap());
     assert_eq!(invoke::patience(&headers).ok().flatten(), seconds);
 }
 
@@ -106,8 +106,8 @@
 #[test]
 fn a_field_that_comes_twice_is_refused() {
     let mut headers = HeaderMap::new();
-    headers.append(invoke::PATIENCE, HeaderValue::from_static("1"));
-    headers.append(invoke::PATIENCE, HeaderValue::from_static("9"));
+    headers.append(&invoke::PATIENCE, HeaderValue::from_static("1"));
+    headers.append(&invoke::PATIENCE, HeaderValue::from_static("9"));
     assert!(invoke::patience(&headers).is_err());
 }
 
@@ -117,7 +117,7 @@
 #[test_case("full, draining", None; "two words")]
 fn a_refusal_is_believed_in_its_own_words(text: &str, is: Option<worker::Refused>) {
     let mut headers = HeaderMap::new();
-    headers.insert(worker::REFUSED, HeaderValue::from_str(text).unwrap());
+    headers.insert(&worker::REFUSED, HeaderValue::from_str(text).unwrap());
     assert_eq!(worker::refused(&headers), is);
 }
 
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -146,7 +146,7 @@
                     None => return Ended::Broken,
                 },
             };
-            let how = match response.headers().get(invoke::OUTCOME).map(HeaderValue::as_bytes) {
+            let how = match response.headers().get(&invoke::OUTCOME).map(HeaderValue::as_bytes) {
                 Some(b"handled") => Ended::Handled,
                 Some(b"bounced") => Ended::Bounced,
                 Some(b"terminated") => Ended::Terminated,
@@ -170,18 +170,18 @@
         let profile = &self.day.profiles[planned.profile];
         let mut request = Request::post(invoke::path(&planned.function))
             .header("host", "gateway")
-            .header(invoke::PATIENCE, format!("{patience:.4}"))
-            .header(invoke::PROFILE, &profile.name)
-            .header(invoke::CLIENT, &self.day.groups[planned.group].name)
-            .header(fields::CALL, format!("{call}.{attempt}"))
-            .header(fields::WORK, planned.work.to_string())
-            .header(fields::IO, planned.io.to_string())
-            .header(fields::GROUP, planned.group);
+            .header(&invoke::PATIENCE, format!("{patience:.4}"))
+            .header(&invoke::PROFILE, &profile.name)
+            .header(&invoke::CLIENT, &self.day.groups[planned.group].name)
+            .header(&fields::CALL, format!("{call}.{attempt}"))
+            .header(&fields::WORK, planned.work.to_string())
+            .header(&fields::IO, planned.io.to_string())
+            .header(&fields::GROUP, planned.group);
         if attempt > 0 {
-            request = request.header(invoke::REPEAT, attempt);
+            request = request.header(&invoke::REPEAT, attempt);
         }
         if profile.effect == Effect::Receipted {
-            request = request.header(invoke::IDEMPOTENCY_KEY, format!("call-{call}"));
+            request = request.header(&invoke::IDEMPOTENCY_KEY, format!("call-{call}"));
         }
         request.body(Full::new(self.body.clone())).ok()
     }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -11,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use milletpath_protocol::worker as wire;
-use milletpath_protocol::{field, orca};
+use milletpath_protocol::{field, invoke, orca};
 use milletpath_witness::Saw;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,15 +26,17 @@
 
 /// Header fields by which stand-in clients tell stand-in workers what a call is; gateways pass them on unread.
 pub mod fields {
+    use http::HeaderName;
+
     /// The call and the client's try, as `17.0`.
-    pub const CALL: &str = "standin-call";
+    pub static CALL: HeaderName = HeaderName::from_static("standin-call");
     /// Seconds of work, and of waiting beside it.
-    pub const WORK: &str = "standin-work";
-    pub const IO: &str = "standin-io";
+    pub static WORK: HeaderName = HeaderName::from_static("standin-work");
+    pub static IO: HeaderName = HeaderName::from_static("standin-io");
     /// The number of the client's group.
-    pub const GROUP: &str = "standin-group";
+    pub static GROUP: HeaderName = HeaderName::from_static("standin-group");
     /// Bytes that the answer has.
-    pub const ANSWER: &str = "standin-answer";
+    pub static ANSWER: HeaderName = HeaderName::from_static("standin-answer");
 }
 
 /// What ails a worker, by chance of each answer where a figure is below 1.
@@ -249,7 +251,7 @@
     }
 
     async fn load(self: &Rc<Self>, gateway: usize, name: &str, headers: &HeaderMap) -> Answer {
-        let copies = wire::count(headers, wire::COPIES).ok().flatten().unwrap_or(1);
+        let copies = wire::count(headers, &wire::COPIES).ok().flatten().unwrap_or(1);
         if copies > 0 {
             self.hall.note(Saw::Ordered { gateway, worker: self.number });
         }
@@ -261,7 +263,7 @@
         self.listen_to_engine();
         let (copies, failed) = stands.await.unwrap_or((0, true));
         let mut answer = plain(if failed { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK });
-        answer.headers_mut().insert(wire::COPIES, HeaderValue::from(copies));
+        answer.headers_mut().insert(&wire::COPIES, HeaderValue::from(copies));
         answer
     }
 
@@ -275,21 +277,22 @@
     ) -> Answer {
         /// Bytes of a body that a stand-in reads.
         const BODY: usize = 64 << 20;
-        let figure = |name| field(headers, name).ok().flatten().and_then(|t| t.parse::<f64>().ok());
-        let (call, attempt) = field(headers, fields::CALL)
+        let figure =
+            |name: &http::HeaderName| field(headers, name).ok().flatten().and_then(|t| t.parse::<f64>().ok());
+        let (call, attempt) = field(headers, &fields::CALL)
             .ok()
             .flatten()
             .and_then(|t| t.split_once('.'))
             .and_then(|(call, attempt)| Some((call.parse().ok()?, attempt.parse().ok()?)))
             .unwrap_or((u64::MAX, 0));
-        let work = figure(fields::WORK).unwrap_or(0.0);
+        let work = figure(&fields::WORK).unwrap_or(0.0);
         self.hall.note(Saw::Came { call, attempt, gateway, worker: self.number, work });
         let Ok(body) = Limited::new(body, BODY).collect().await else {
             return plain(StatusCode::BAD_REQUEST);
         };
         let body = body.to_bytes();
-        let group = figure(fields::GROUP).map_or(usize::MAX, |g| g as usize);
-        let mark = field(headers, "idempotency-key").ok().flatten().map(str::to_owned);
+        let group = figure(&fields::GROUP).map_or(usize::MAX, |g| g as usize);
+        let mark = field(headers, &invoke::IDEMPOTENCY_KEY).ok().flatten().map(str::to_owned);
         let told = Told { call, attempt, group, mark };
         let mood = self.mood.get();
         if mood.silent {
@@ -303,21 +306,21 @@
         }
         let (function, pack) = self.hall.pack(name);
         let (sender, ended) = oneshot::channel();
-        let job = Job { function, pack, work, io: figure(fields::IO).unwrap_or(0.0) };
+        let job = Job { function, pack, work, io: figure(&fields::IO).unwrap_or(0.0) };
         tracing::trace!(worker = self.number, call, attempt = told.attempt, "came");
         let id = self.engine.borrow_mut().arrive(self.hall.now(), job);
         self.jobs.borrow_mut().insert(id, (told, sender));
         self.listen_to_engine();
         let answer = match ended.await {
             Ok(Ended::Done(found, company)) => {
-                let bytes = figure(fields::ANSWER).map_or(body, |n| vec![b'x'; n as usize].into());
+                let bytes = figure(&fields::ANSWER).map_or(body, |n| vec![b'x'; n as usize].into());
                 let mut answer = Response::new(Full::new(bytes));
                 let headers = answer.headers_mut();
                 if self.hall.tells.found {
-                    headers.insert(wire::FOUND, HeaderValue::from_static(wire::found_word(found)));
+                    headers.insert(&wire::FOUND, HeaderValue::from_static(wire::found_word(found)));
                 }
                 if self.hall.tells.company {
-                    headers.insert(wire::COMPANY, HeaderValue::from(company));
+                    headers.insert(&wire::COMPANY, HeaderValue::from(company));
                 }
                 answer
             }
@@ -325,7 +328,7 @@
                 let mut answer = refusal(why);
                 if failed_load {
                     let word = HeaderValue::from_static(wire::found_word(wire::Found::Failed));
-                    answer.headers_mut().insert(wire::FOUND, word);
+                    answer.headers_mut().insert(&wire::FOUND, word);
                 }
                 answer
             }
@@ -353,7 +356,7 @@
             (orca::LOADING, figures.loading),
         ]);
         if let Ok(value) = HeaderValue::from_str(&text) {
-            answer.headers_mut().insert(orca::FIELD, value);
+            answer.headers_mut().insert(&orca::FIELD, value);
         }
         answer
     }
@@ -372,6 +375,6 @@
     let status =
         if why == wire::Refused::Missing { StatusCode::NOT_FOUND } else { StatusCode::SERVICE_UNAVAILABLE };
     let mut answer = plain(status);
-    answer.headers_mut().insert(wire::REFUSED, HeaderValue::from_static(wire::refused_word(why)));
+    answer.headers_mut().insert(&wire::REFUSED, HeaderValue::from_static(wire::refused_word(why)));
     answer
 }
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -83,9 +83,9 @@
                     broken.push(Broken { rule: 1, at: *at, what });
                 }
                 let fell = killed.get(&gateway).is_some_and(|k| *k >= *asked - terms.lag);
-                // While it stands still no process can answer; once it moves, what is overdue is due at once.
-                let stood =
-                    how == Ended::Unanswered && moved.get(&gateway).is_some_and(|m| *m >= at - terms.lag);
+                // While it stands still no process can answer; what is due as it moves is due at once.
+                let stood = how == Ended::Unanswered
+                    && moved.get(&gateway).is_some_and(|m| *m >= at - 2.0 * terms.lag);
                 if matches!(how, Ended::Unanswered | Ended::Broken) && !fell && !stood {
                     let what = format!("call {call}.{attempt} at gateway {gateway} got no answer: {how:?}");
                     broken.push(Broken { rule: 1, at: *at, what });
