--- a/crates/gateway/src/wheel.rs
+++ b/crates/gateway/src/wheel.rs
@@ -9,6 +9,9 @@
 /// 2^42 ms: over a hundred years.
 const LEVELS: usize = 7;
 const LAST: u64 = (1 << (BITS * LEVELS as u32)) - 1;
+/// Part of a millisecond that rounding may take off a time in seconds: 1.001 s is 1000.9999999999999 ms. Without it
+/// a timer would be due at a time at which it does not fire, and whoever waits for that time would wait for ever.
+const HAIR: f64 = 1e-6;
 /// No node.
 const NONE: u32 = u32::MAX;
 /// The list of those that are due.
@@ -61,7 +64,7 @@
 
     /// Sets a timer for a time in seconds; one in the past is due at once.
     pub fn set(&mut self, at: f64, what: T) -> Ticket {
-        let at = (at.max(0.0) * 1e3).ceil().min(LAST as f64) as u64;
+        let at = (at.max(0.0) * 1e3 - HAIR).ceil().min(LAST as f64) as u64;
         let node = if self.free == NONE {
             let fresh = Node { at, what: Some(what), list: DUE, before: NONE, after: NONE, turn: 0 };
             self.nodes.push(fresh);
@@ -98,7 +101,7 @@
 
     /// One timer that is due by `now`, the earliest first.
     pub fn fire(&mut self, now: f64) -> Option<T> {
-        let now = (now.max(0.0) * 1e3).floor().min(LAST as f64) as u64;
+        let now = (now.max(0.0) * 1e3 + HAIR).floor().min(LAST as f64) as u64;
         loop {
             let first = self.lists[DUE].0;
             if first != NONE {
--- a/crates/gateway/tests/wheel.rs
+++ b/crates/gateway/tests/wheel.rs
@@ -76,3 +76,21 @@
     assert_eq!(wheel.call_off(old), None);
     assert_eq!(wheel.fire(4.0), Some('b'));
 }
+
+/// A turn taken at the very time that `next` tells always gets further, however that time is rounded.
+#[test]
+fn the_time_that_is_told_is_late_enough() {
+    let mut wheel = Wheel::default();
+    (0..200_000u32).for_each(|ms| {
+        wheel.set(f64::from(ms) / 1e3, ms);
+    });
+    let mut fired = 0;
+    while let Some(at) = wheel.next() {
+        let before = fired;
+        while wheel.fire(at).is_some() {
+            fired += 1;
+        }
+        assert!(fired > before || wheel.next().is_none_or(|next| next > at), "stuck at {at}");
+    }
+    assert_eq!(fired, 200_000);
+}
