--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod wheel;
 
 mod follow;
+mod gather;
 mod paced;
 mod pool;
 mod serve;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,10 +2,11 @@
 //! new is taken, then what was taken is finished, within the longest cut-off.
 
 use crate::desk::{Come, Tag, Tally};
+use crate::gather::Gathered;
 use crate::paced::Paced;
 use crate::shell::{Gateway, Held, Reply, Waiting};
 use crate::shot::pass_on;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
@@ -371,7 +372,7 @@
     if body.size_hint().lower() > bounds.body as u64 {
         return Err(too_large());
     }
-    let (mut first, mut rest, mut held) = (Bytes::new(), BytesMut::new(), Vec::new());
+    let (mut gathered, mut held) = (Gathered::default(), Vec::new());
     while !body.is_end_stream() {
         let wait = bounds.stall.min(until - gateway.now()).max(0.0);
         let frame = match tokio::time::timeout(Duration::from_secs_f64(wait), body.frame()).await {
@@ -396,7 +397,7 @@
             }
         };
         let Ok(data) = frame.into_data() else { continue };
-        if first.len() + rest.len() + data.len() > bounds.body {
+        if gathered.len() + data.len() > bounds.body {
             return Err(too_large());
         }
         match gateway.hold(data.len()) {
@@ -409,14 +410,7 @@
                 )));
             }
         }
-        if first.is_empty() {
-            first = data;
-        } else {
-            if rest.is_empty() {
-                rest.extend_from_slice(&first);
-            }
-            rest.extend_from_slice(&data);
-        }
+        gathered.add(data);
     }
-    Ok((if rest.is_empty() { first } else { rest.freeze() }, held))
+    Ok((gathered.whole(), held))
 }
--- a/crates/gateway/src/shot.rs
+++ b/crates/gateway/src/shot.rs
@@ -3,9 +3,10 @@
 //! have run.
 
 use crate::desk::{End, Tag};
+use crate::gather::Gathered;
 use crate::pool::{Body, Connection};
 use crate::shell::{Gateway, Held, Reply};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Request, Response};
 use http_body::Body as _;
@@ -164,23 +165,15 @@
     if body.size_hint().lower() > most as u64 {
         return Err(Short::TooLarge);
     }
-    let mut first = Bytes::new();
-    let mut rest = BytesMut::new();
+    let mut gathered = Gathered::default();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| Short::Cut)?.into_data() else { continue };
-        if first.len() + rest.len() + data.len() > most {
+        if gathered.len() + data.len() > most {
             return Err(Short::TooLarge);
         }
-        if first.is_empty() {
-            first = data;
-        } else {
-            if rest.is_empty() {
-                rest.extend_from_slice(&first);
-            }
-            rest.extend_from_slice(&data);
-        }
+        gathered.add(data);
     }
-    let whole = if rest.is_empty() { first } else { rest.freeze() };
+    let whole = gathered.whole();
     let held = gateway.hold(whole.len()).ok_or(Short::TooLarge)?;
     Ok((whole, held))
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -302,3 +302,18 @@
         assert_eq!((tally.taken, tally.handled + tally.bounced + tally.terminated), (10_000, 10_000));
     });
 }
+
+/// A body and an answer that come in pieces are passed on whole.
+#[test]
+fn pieces_are_put_together() {
+    story(async {
+        let pieces = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nwe\r\n4\r\n did\r\n0\r\n\r\n";
+        let (worker, mut heads) = town::worker(Does::Says(pieces)).await;
+        let (at, ..) = gateway(charter(&[worker], "")).await;
+        let head = "POST /v1/functions/greet/activations HTTP/1.1\r\nhost: g\r\nconnection: close\r\n";
+        let body = "transfer-encoding: chunked\r\n\r\n3\r\ndo \r\n2\r\nit\r\n1\r\n!\r\n0\r\n\r\n";
+        let answer = town::say(at, format!("{head}{body}").as_bytes()).await;
+        assert!(seen(&mut heads)[0].ends_with("do it!"));
+        assert!(outcome(&answer) == "handled" && answer.ends_with("we did"), "{answer}");
+    });
+}
