--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -8,7 +8,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use town::{
-    BARE_503, Does, EFFECTFUL, FULL, OK, PURE, RECEIPTED, call, charter, gateway, outcome, status, story,
+    BARE_503, Does, EFFECTFUL, FULL, OK, PURE, RECEIPTED, ZONED, call, charter, gateway, outcome, status,
+    story,
 };
 
 /// Heads that a worker saw until now.
@@ -50,6 +51,7 @@
 #[test_case(PURE, 0, "handled", 2; "pure")]
 #[test_case(RECEIPTED, 0, "handled", 2; "receipted")]
 #[test_case(RECEIPTED, 500, "bounced", 1; "receipted, and forgotten")]
+#[test_case(ZONED, 0, "terminated", 1; "receipted, and known to no other worker")]
 #[test_case(EFFECTFUL, 0, "terminated", 1; "effectful")]
 fn a_worker_dies_in_mid_call(profile: &str, after: u64, is: &str, shots: usize) {
     story(async {
--- a/crates/gateway/tests/town/mod.rs
+++ b/crates/gateway/tests/town/mod.rs
@@ -37,6 +37,9 @@
 
 pub const PURE: &str = "profile \"pure\" {\ndue = 1\ncut_off = 3\neffect = \"pure\"\n}\n";
 pub const EFFECTFUL: &str = "profile \"once\" {\ndue = 1\ncut_off = 3\neffect = \"effectful\"\n}\n";
+/// Workers here have no stated zone: a mark is known to the one that saw it alone.
+pub const ZONED: &str =
+    "profile \"zoned\" {\ndue = 1\ncut_off = 3\neffect = \"receipted\"\ngroup = \"zone\"\nmemory = 60\n}\n";
 pub const RECEIPTED: &str =
     "profile \"marked\" {\ndue = 1\ncut_off = 3\neffect = \"receipted\"\nmemory = 0.4\n}\n";
 
