--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the registry's stream of worker lists. Each line is taken whole or not at all; an edition that is not
-//! newer than the last is passed over, and a gap between changes ends the stream, so that the next begins whole.
+//! newer than the last is passed over. After a gap between changes the list is asked for
+//! anew, whole, and the stream is read on until then.
 
 use crate::pool::{self, Pool};
 use crate::shell::Gateway;
@@ -35,6 +36,7 @@
     let mut rest = BytesMut::new();
     // Known only from a whole list on; an edition counts within one stream.
     let mut last = None;
+    let mut asked_anew = false;
     while let Some(frame) = body.frame().await {
         let Ok(Ok(data)) = frame.map(|f| f.into_data()) else { return "the stream broke".into() };
         rest.extend_from_slice(&data);
@@ -44,17 +46,22 @@
                 Ok(read) => read,
                 Err(fault) => return format!("a line that can't be read, {fault}"),
             };
-            match last {
+            let gap = match last {
                 Some(last) if edition <= last => continue,
-                Some(last) if !whole && edition != last + 1 => {
-                    return format!("nothing between {last} and {edition}");
-                }
+                Some(last) => !whole && edition != last + 1,
                 None if !whole => return "it begins with changes".into(),
-                _ => {}
-            }
-            last = Some(edition);
+                None => false,
+            };
             tracing::info!(edition, whole, lines = entries.len(), "worker list");
+            // Also past a gap: what is said of these workers is true, and may be that one drains.
             gateway.tell(|desk, now| desk.list(now, whole, &entries));
+            if gap && !asked_anew {
+                tracing::warn!(edition, "changes before it are missing; the list is asked for anew");
+                // This stream is read on until the next takes its place: it may say more that must be known.
+                asked_anew = true;
+                gateway.tell(|desk, now| desk.list_failed(now));
+            }
+            last = Some(edition);
         }
         if rest.len() > registry::LONGEST {
             return "a line without end".into();
