The worker's model drops a time that nothing in it used

Cause: read over once more, load_failed took the time only to throw it away, and load passed it on for that. Change: both without it; behaviour as it was. Measured: 7 stories and histories of the models pass, clippy clean.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -284,7 +284,7 @@
         let (waiting, loads) = (line.waiting.len() as u32, line.loads);
         let stands = self.instances.values().any(|i| i.function == function && !i.void);
         if waiting > 0 && (loads == 0 && !stands || self.make.eager && waiting > loads * pack.lanes) {
-            self.load(now, function, pack);
+            self.load(function, pack);
         }
     }
 
@@ -303,7 +303,7 @@
     }
 
     /// Begins a load, or puts it in line.
-    fn load(&mut self, now: f64, function: u32, pack: Pack) {
+    fn load(&mut self, function: u32, pack: Pack) {
         // Idle instances make room, the longest idle first.
         while self.used + pack.memory > self.make.memory {
             let idle = self.instances.iter().filter_map(|(&at, i)| i.idle.map(|since| (since, at))).min();
@@ -311,7 +311,7 @@
             self.remove(at);
         }
         if self.used + pack.memory > self.make.memory {
-            self.load_failed(now, function, Refused::Full, false);
+            self.load_failed(function, Refused::Full, false);
             return;
         }
         self.used += pack.memory;
@@ -341,13 +341,12 @@
         self.under_way -= 1;
         self.used -= pack.memory;
         self.lines.entry(function).or_default().loads -= 1;
-        self.load_failed(now, function, Refused::Missing, true);
+        self.load_failed(function, Refused::Missing, true);
         self.fetch();
     }
 
     /// A load came to nothing: what waits for it alone is turned away.
-    fn load_failed(&mut self, now: f64, function: u32, why: Refused, failed_load: bool) {
-        let _ = now;
+    fn load_failed(&mut self, function: u32, why: Refused, failed_load: bool) {
         let stands = self.instances.values().filter(|i| i.function == function && !i.void).count() as u32;
         let Some(line) = self.lines.get_mut(&function) else { return };
         if line.loads == 0 && stands == 0 {
@@ -390,7 +389,7 @@
         let line = self.lines.entry(function).or_default();
         line.orders.push((order, copies));
         for _ in stand + line.loads..copies {
-            self.load(now, function, pack);
+            self.load(function, pack);
         }
         order
     }
