--- a/crates/cores/src/deal.rs
+++ b/crates/cores/src/deal.rs
@@ -65,7 +65,7 @@
 
     /// The core for the next connection: the one with the fewest calls to expect, of those alike the one with the
     /// fewest connections. Where all stand still, the one that has least is as good as any.
-    pub fn next(&mut self) -> usize {
+    pub fn pick(&mut self) -> usize {
         let each = self.each();
         let better = |a: &usize, b: &usize| {
             let key = |c: usize| (self.still[c], self.load[c], self.open[c]);
--- a/crates/cores/tests/models.rs
+++ b/crates/cores/tests/models.rs
@@ -82,7 +82,7 @@
 fn idle_connections_are_dealt_in_turn() {
     let mut deal = Deal::new(4, 0.0);
     let mut counts = [0; 4];
-    (0..42).for_each(|_| counts[deal.next()] += 1);
+    (0..42).for_each(|_| counts[deal.pick()] += 1);
     assert!(counts.iter().all(|c| (10..=11).contains(c)), "{counts:?}");
 }
 
@@ -92,7 +92,7 @@
     let mut deal = Deal::new(4, 0.0);
     let (_, away) = looks(&mut deal, 0.0, 12, &[9000.0, 333.0, 333.0, 333.0], &[30, 30, 30, 30]);
     assert!(away[0] >= 3 && away[1..] == [0, 0, 0], "{away:?}");
-    let dealt: Vec<_> = (0..12).map(|_| deal.next()).collect();
+    let dealt: Vec<_> = (0..12).map(|_| deal.pick()).collect();
     assert!(!dealt.contains(&0), "{dealt:?}");
 }
 
@@ -111,7 +111,7 @@
 fn nothing_is_dealt_to_a_core_that_stands_still() {
     let mut deal = Deal::new(2, 0.0);
     deal.look(1.0, &[Seen { still: true, ..Seen::default() }, Seen { open: 50, ..Seen::default() }]);
-    assert!((0..9).all(|_| deal.next() == 1));
+    assert!((0..9).all(|_| deal.pick() == 1));
 }
 
 #[test]
