--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -83,6 +83,10 @@
 /// Bounds of the gateway's own queues, tables and waits. Times in seconds, sizes in bytes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
+    /// Threads that carry calls.
+    pub cores: usize,
+    /// Whether each is kept on a processor of its own.
+    pub pin: bool,
     /// Activations in hand at once; what comes beyond is bounced at the door.
     pub open: usize,
     /// Bytes of all bodies and answers in hand together.
--- a/crates/charter/src/read.rs
+++ b/crates/charter/src/read.rs
@@ -74,6 +74,8 @@
     const GIB: u32 = 1 << 30;
     let count = |key, unit, within, usual| limits.and_then(|l| l.count(key, unit, within)).unwrap_or(usual);
     let bounds = Bounds {
+        cores: top.count("cores", "cores", 1..=63).unwrap_or_else(processors),
+        pin: top.flag("pin").unwrap_or(false),
         open: count("open", "activations", 1..=10_000_000, 20_000),
         held: count("held", "bytes", 1024..=u32::MAX, 256 << 20),
         body: count("body", "bytes", 0..=GIB, 1 << 20),
@@ -104,6 +106,11 @@
     text.parse().ok()
 }
 
+/// The processors that this process may use.
+fn processors() -> usize {
+    std::thread::available_parallelism().map_or(1, |n| n.get()).min(63)
+}
+
 /// A seed for an instance that is given none: alike gateways must not act in step.
 fn chance() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -109,6 +109,8 @@
     shots: Vec<Shot>,
     /// A shot ended for want of time.
     late: bool,
+    /// A shot was sent: something of it may have run.
+    begun: bool,
     what: T,
 }
 
@@ -170,6 +172,8 @@
     serial: u64,
     bounds: Bounds,
     order_wait: f64,
+    /// Until when no order is sent: see [`Desk::anew`].
+    embargo: f64,
     tally: Tally,
 }
 
@@ -315,9 +319,31 @@
 impl<T> Desk<T> {
     /// A desk whose clock begins at 0 and stands for `epoch` seconds of the Unix clock.
     pub fn new(house: &House, epoch: f64) -> Self {
+        Self::from(house, epoch, 0.0, 0, 0)
+    }
+
+    /// A desk in the place of one that broke, empty of all but its counts; `epoch` and the clock go on. What the
+    /// other still had open is given out, and whether something of it may have run: it is owed an answer.
+    ///
+    /// The ration's window is waited out before any order goes out, as nothing is known of those in it.
+    pub fn anew(house: &House, epoch: f64, now: f64, broken: Self) -> (Self, Vec<(T, bool)>) {
+        let Books { calls, serial, roll, mut tally, .. } = broken.books;
+        // Past any number that was given out amid what broke.
+        let mut desk = Self::from(house, epoch, now, serial + 1, roll.life() + 1);
+        desk.books.embargo = now + house.policy.ration.map_or(0.0, |(window, ..)| window);
+        let open: Vec<_> =
+            calls.into_iter().flatten().filter(|c| c.open).map(|c| (c.what, c.begun)).collect();
+        let begun = open.iter().filter(|(_, begun)| *begun).count() as u64;
+        tally.terminated += begun;
+        tally.bounced += open.len() as u64 - begun;
+        desk.books.tally = tally;
+        (desk, open)
+    }
+
+    fn from(house: &House, epoch: f64, now: f64, serial: u64, life: u64) -> Self {
         let seed = house.policy.seed;
         let mut books = Books {
-            now: 0.0,
+            now,
             acts: VecDeque::new(),
             called_off: VecDeque::new(),
             calls: Vec::new(),
@@ -328,14 +354,15 @@
             free_orders: Vec::new(),
             probes: Vec::new(),
             functions: Indices::new(seed),
-            roll: Roll::new(&house.kinds, seed, epoch),
+            roll: Roll::new(&house.kinds, seed, epoch, life),
             wheel: Wheel::default(),
-            serial: 0,
+            serial,
             bounds: house.bounds.clone(),
             order_wait: house.policy.order_wait,
+            embargo: 0.0,
             tally: Tally::default(),
         };
-        let router = Router::new(house.policy.clone(), 0.0, &mut books);
+        let router = Router::new(house.policy.clone(), now, &mut books);
         Self { router, books, functions: house.functions.clone(), profiles: house.profiles.clone() }
     }
 
@@ -418,6 +445,7 @@
             open: true,
             shots: Vec::new(),
             late: false,
+            begun: false,
             what,
         };
         let index = books.place(call);
@@ -454,17 +482,18 @@
         self.books.shot(tag, shot).map(|s| s.until - now)
     }
 
-    /// The client has left; whatever is out is called off.
-    pub fn left(&mut self, now: f64, tag: Tag) {
+    /// The client has left; whatever is out is called off. Tells whether something of the call may have run.
+    pub fn left(&mut self, now: f64, tag: Tag) -> bool {
         self.books.now = now;
-        if let Some(call) = self.books.call(tag)
-            && std::mem::replace(&mut call.open, false)
-        {
+        let Some(call) = self.books.call(tag) else { return false };
+        let begun = call.begun;
+        if std::mem::replace(&mut call.open, false) {
             self.books.open -= 1;
             self.books.tally.left += 1;
             self.router.close(tag.index, None, &mut self.books);
             self.settle();
         }
+        begun
     }
 
     /// Whether a shot that has its connection may be sent now: its answer is still owed, there is time, and the
@@ -479,6 +508,9 @@
         if let Some(s) = s {
             s.stage = Stage::Begun;
             self.books.wheel.call_off(connects);
+            if let Some(call) = self.books.call(tag) {
+                call.begun = true;
+            }
             return true;
         }
         self.books.tally.kept_back += u64::from(!ready);
@@ -517,7 +549,7 @@
         self.books.now = now;
         let known = self.books.orders.get(order.index).and_then(Option::as_ref);
         let Some(worker) = known.filter(|o| o.serial == order.serial).map(|o| o.worker) else { return false };
-        let ready = self.books.roll.ready(worker);
+        let ready = self.books.roll.ready(worker) && now >= self.books.embargo;
         if !ready {
             self.books.tally.kept_back += 1;
             self.order_ended(now, order, Outcome::Unsent, 0);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -2,7 +2,7 @@
 //! newer than the last is passed over. After a gap between changes the list is asked for
 //! anew, whole, and the stream is read on until then.
 
-use crate::pool::{self, Pool};
+use crate::pool::{self, Way};
 use crate::shell::Gateway;
 use bytes::{Bytes, BytesMut};
 use http::{Request, header};
@@ -19,8 +19,8 @@
 }
 
 async fn stream(gateway: &Rc<Gateway>, address: SocketAddr) -> String {
-    let Some(place) = Pool::default().reserve(1) else { return "no place".into() };
-    let mut connection = match pool::connect(place, address, 0).await {
+    let Some(place) = gateway.office.room(address).reserve() else { return "no place".into() };
+    let mut connection = match pool::connect(place, Way { address, process: 0 }).await {
         Ok(connection) => connection,
         Err(e) => return format!("no connection: {e}"),
     };
@@ -54,7 +54,8 @@
             };
             tracing::info!(edition, whole, lines = entries.len(), "worker list");
             // Also past a gap: what is said of these workers is true, and may be that one drains.
-            gateway.tell(|desk, now| desk.list(now, whole, &entries));
+            gateway.office.list(Some(gateway.seat), whole, &entries);
+            gateway.collect();
             if gap && !asked_anew {
                 tracing::warn!(edition, "changes before it are missing; the list is asked for anew");
                 // This stream is read on until the next takes its place: it may say more that must be known.
--- /dev/null
+++ b/crates/gateway/src/keeper.rs
@@ -0,0 +1,302 @@
+//! The keeper: the thread that accepts and deals connections, follows the worker list, keeps the desk's time and
+//! watches the cores. It carries no calls; for a core that stands still it gives the answers that fall due.
+
+use crate::core;
+use crate::desk::{End, Tally};
+use crate::office::{Errand, Office, Stir, Ticket};
+use crate::serve::answer_of;
+use crate::shell::{Gateway, PULSE};
+use milletpath_charter::{House, Source};
+use milletpath_cores::deal::{self, Deal, Seen};
+use milletpath_cores::watch::{Do, Watch};
+use milletpath_policy::host::Outcome;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
+
+/// Opens the listener of a gateway. Connections that come while the process stands still wait in the kernel: with
+/// the usual 128 places for them the rest would be dropped, and each dropped client tries again a second later only.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    /// Places for connections not yet accepted; the kernel takes its own bound where that is less.
+    const WAITING: u32 = 16_384;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(WAITING)
+}
+
+/// Runs a gateway on a listener until `stop` comes, and finishes what it took. Must run within a `LocalSet`; the
+/// calling thread is the keeper, and the cores are threads beside it.
+pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
+    let (_, quiet) = tokio::sync::mpsc::unbounded_channel();
+    serve_stirred(house, listener, stop, quiet).await
+}
+
+/// As [`serve`], with mischief for tests and days: what comes on the channel befalls the core of that number.
+pub async fn serve_stirred(
+    house: House,
+    listener: TcpListener,
+    stop: impl Future<Output = ()>,
+    mut stirs: UnboundedReceiver<(usize, Stir)>,
+) -> Tally {
+    let keeper = Rc::new(Keeper::new(house));
+    let office = keeper.office.clone();
+    tracing::info!(cores = office.cores(), "serving");
+    let time = spawn_local(keeper.clone().keep_time());
+    let mut stop = pin!(stop);
+    let mut stirred = true;
+    loop {
+        let room = office.guests.used() < office.guests.most();
+        tokio::select! {
+            biased;
+            () = &mut stop => break,
+            stir = stirs.recv(), if stirred => match stir {
+                Some((seat, stir)) if seat < office.cores() => office.send(seat, Errand::Stir(stir)),
+                Some((seat, _)) => tracing::warn!(seat, "there is no such core to stir"),
+                None => stirred = false,
+            },
+            accepted = listener.accept(), if room => match accepted.and_then(|(stream, _)| stream.into_std()) {
+                Ok(stream) => keeper.deal(stream),
+                Err(e) => {
+                    // Out of descriptors, as a rule: what is open goes on, and closing gives some back.
+                    tracing::error!("no connection can be accepted: {e}; raise the limit of open files");
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            },
+            () = office.fewer.notified(), if !room => {}
+        }
+    }
+    drop(listener);
+    office.stopping.store(true, Ordering::Release);
+    office.seats.iter().for_each(|seat| seat.bell.notify_one());
+    tracing::info!(open = office.ask(|d| d.open()), connections = office.guests.used(), "stopping");
+    // A client's patience is within its profile's cut-off; a little more lets the last answers be written.
+    let longest = office.house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max) + 1.0;
+    let _ = tokio::time::timeout(Duration::from_secs_f64(longest), async {
+        while office.guests.used() > 0 {
+            office.fewer.notified().await;
+        }
+    })
+    .await;
+    keeper.end().await;
+    time.abort();
+    office.tally()
+}
+
+/// The thread in a seat.
+struct Filled {
+    thread: Option<JoinHandle<()>>,
+    life: u32,
+    watch: Watch,
+}
+
+struct Keeper {
+    office: Arc<Office>,
+    gateway: Rc<Gateway>,
+    filled: RefCell<Vec<Filled>>,
+    deal: RefCell<Deal>,
+}
+
+impl Keeper {
+    fn new(house: House) -> Self {
+        let office = Office::new(house);
+        let gateway = Gateway::new(office.clone(), office.cores(), 0);
+        match &office.house.source {
+            Source::List(entries) => office.list(Some(gateway.seat), true, entries),
+            // Says what the desk had to say at its start: that the list is to be followed.
+            Source::Registry(_) => office.tell(Some(gateway.seat), |_, _| ()),
+        }
+        gateway.collect();
+        let now = office.now();
+        let filled = (0..office.cores()).map(|seat| {
+            let mut filled = Filled { thread: None, life: 0, watch: Watch::new(now) };
+            filled.fill(&office, seat);
+            filled
+        });
+        let filled = RefCell::new(filled.collect());
+        let deal = RefCell::new(Deal::new(office.cores(), now));
+        Self { office, gateway, filled, deal }
+    }
+
+    /// Gives a connection to a core.
+    fn deal(&self, stream: std::net::TcpStream) {
+        if self.office.guests.take(1) {
+            let seat = self.deal.borrow_mut().pick();
+            self.office.send(seat, Errand::Guest(stream, Ticket(self.office.clone())));
+        }
+    }
+
+    /// Lets the desk's timers fire and looks after the cores. Runs for as long as the gateway.
+    async fn keep_time(self: Rc<Self>) {
+        let office = &self.office;
+        let mut look = 0.0;
+        loop {
+            let wait = (office.arm(office.now() + PULSE) - office.now()).max(0.0);
+            tokio::select! {
+                () = tokio::time::sleep(Duration::from_secs_f64(wait)) => {}
+                () = office.earlier.notified() => {}
+                () = office.keeper().bell.notified() => {}
+            }
+            let stood = self.gateway.stood();
+            self.gateway.beat().await;
+            let now = office.now();
+            if self.gateway.stood() != stood {
+                self.filled.borrow_mut().iter_mut().for_each(|f| f.watch.moved(now));
+            }
+            self.gateway.tell(|desk, now| desk.turn(now));
+            self.watch(now);
+            if now >= look {
+                look = now + deal::LOOK;
+                self.look(now);
+            }
+        }
+    }
+
+    /// Looks at how even the load is.
+    fn look(&self, now: f64) {
+        let filled = self.filled.borrow();
+        let seen = |(seat, filled): (&crate::office::Seat, &Filled)| Seen {
+            open: seat.open.load(Ordering::Relaxed),
+            calls: seat.calls.load(Ordering::Relaxed),
+            still: filled.thread.is_none() || filled.watch.look(now, seat.pulse.seen()) != Do::Nothing,
+        };
+        let seen: Vec<_> = self.office.seats.iter().zip(filled.iter()).map(seen).collect();
+        for away in self.deal.borrow_mut().look(now, &seen) {
+            let seat = &self.office.seats[away.core];
+            let (connections, most) = (away.connections, away.most);
+            tracing::info!(seat = away.core, connections, "crowded: clients are asked to connect anew");
+            seat.away_most.store(most.to_bits(), Ordering::Relaxed);
+            seat.away.store(connections, Ordering::Relaxed);
+        }
+        self.gateway.close_idle();
+        self.office.clear_rooms();
+    }
+
+    /// Looks at each core; does what must be done about it.
+    fn watch(&self, now: f64) {
+        let mut filled = self.filled.borrow_mut();
+        for (seat, core) in filled.iter_mut().enumerate() {
+            let pulse = &self.office.seats[seat].pulse;
+            if core.thread.as_ref().is_some_and(JoinHandle::is_finished)
+                && !self.office.stopping.load(Ordering::Acquire)
+            {
+                let panicked = core.thread.take().is_some_and(|t| t.join().is_err());
+                tracing::error!(
+                    seat,
+                    panicked,
+                    "a core has ended; its calls were answered, another takes its seat"
+                );
+                self.vacate(seat, core, now);
+            }
+            match core.watch.look(now, pulse.seen()) {
+                Do::Nothing => {}
+                Do::StandIn => self.stand_in(seat),
+                Do::Replace => {
+                    tracing::error!(seat, seen = pulse.seen(), "a core stands still; another takes its seat");
+                    core.thread = None;
+                    self.vacate(seat, core, now);
+                }
+            }
+            if core.thread.is_none() {
+                self.stand_in(seat);
+                if core.watch.due(now) {
+                    core.fill(&self.office, seat);
+                }
+            }
+        }
+    }
+
+    /// Empties a seat: what is left of its last life learns that it is over.
+    fn vacate(&self, seat: usize, core: &mut Filled, now: f64) {
+        let place = &self.office.seats[seat];
+        core.life = place.pulse.succeed(core.life, now).unwrap_or(core.life);
+        std::mem::take(&mut *place.lines()).values().for_each(|line| line.close());
+        core.watch.lost(now);
+    }
+
+    /// Does a still core's errands where they can be done by another: final answers are given on its clients'
+    /// connections, its shots count as never sent, its orders and probes are sent from here.
+    fn stand_in(&self, seat: usize) {
+        loop {
+            let errands = self.office.seats[seat].mail.take();
+            if errands.is_empty() {
+                return;
+            }
+            for errand in errands {
+                match errand {
+                    Errand::Answer { own, line, .. } => {
+                        if line.last_word(answer_of(own)) {
+                            tracing::info!(seat, ?own, "answered for a core that stands still");
+                        }
+                    }
+                    Errand::Shoot { tag, shot, .. } => {
+                        self.gateway.tell(|desk, now| desk.end(now, tag, shot, End::plain(Outcome::Unsent)));
+                    }
+                    Errand::Guest(stream, ticket) => {
+                        let other = self.deal.borrow_mut().pick();
+                        if other == seat {
+                            // Nobody else runs: closed, it comes back or goes to another gateway.
+                            continue;
+                        }
+                        self.office.send(other, Errand::Guest(stream, ticket));
+                    }
+                    errand @ (Errand::Hold { .. } | Errand::Unload { .. } | Errand::Probe { .. }) => {
+                        self.gateway.carry_out(errand);
+                    }
+                    // Its own tasks and idle connections, which nobody else can reach.
+                    Errand::Drop { .. } | Errand::Spare { .. } | Errand::Follow | Errand::Stir(_) => {}
+                }
+            }
+        }
+    }
+
+    /// Ends the cores: those that have nothing left end by themselves, the others let go of what they have.
+    async fn end(&self) {
+        /// Pulses within which a thread that runs has ended.
+        const PULSES: u32 = 10;
+        let mut threads: Vec<_> =
+            self.filled.borrow_mut().iter_mut().filter_map(|f| f.thread.take()).collect();
+        self.office.seats.iter().for_each(|seat| seat.bell.notify_one());
+        for n in 0..PULSES {
+            threads.retain(|t| !t.is_finished());
+            if threads.is_empty() {
+                return;
+            }
+            if n == 2 {
+                for seat in &self.office.seats[..self.office.cores()] {
+                    seat.pulse.succeed(seat.pulse.life(), self.office.now());
+                }
+            }
+            tokio::time::sleep(Duration::from_secs_f64(PULSE)).await;
+        }
+        tracing::warn!(cores = threads.len(), "stopped with cores that stand still");
+    }
+}
+
+impl Filled {
+    fn fill(&mut self, office: &Arc<Office>, seat: usize) {
+        let now = office.now();
+        // Given time to be seen for the first time.
+        office.seats[seat].pulse.beat(self.life, now);
+        match core::start(office, seat, self.life) {
+            Ok(thread) => {
+                self.thread = Some(thread);
+                self.watch.filled(now);
+            }
+            Err(e) => {
+                tracing::error!(seat, "a core can't start: {e}");
+                self.watch.lost(now);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,20 +1,26 @@
 //! The running router: it tells the decisions what happens and carries out what they decide.
 //!
-//! Two rooms. The [`desk`] knows of calls, shots, orders and workers, free of sockets and clocks; the shell around
-//! it ([`serve`], [`shot`], [`pool`], [`follow`]) has connections. Reading down `serve.rs` shows the whole way of a
-//! call: accept, door, desk, shot, answer.
+//! Two rooms. The [`desk`] knows of calls, shots, orders and workers, free of sockets and clocks; the shells around
+//! it, one on each core, have connections. The cores enter the desk in turn (`office.rs`); the keeper deals out
+//! connections, keeps time and watches the cores (`keeper.rs`). Reading down `serve.rs` shows the whole way of a
+//! call on its core: door, desk, shot, answer.
 
 pub mod desk;
 pub mod indices;
 pub mod roll;
 pub mod wheel;
 
+mod core;
 mod follow;
 mod gather;
+mod keeper;
+mod line;
+mod office;
 mod paced;
 mod pool;
 mod serve;
 mod shell;
 mod shot;
 
-pub use serve::{listen, serve};
+pub use keeper::{listen, serve, serve_stirred};
+pub use office::Stir;
--- /dev/null
+++ b/crates/gateway/src/line.rs
@@ -0,0 +1,156 @@
+//! A client's connection as all cores may see it: its own core reads and writes; where that core stands still or
+//! ends, another says the last word on it.
+
+use crate::desk::Tag;
+use crate::serve::Written;
+use bytes::Bytes;
+use http::Response;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use milletpath_cores::claim::Claim;
+use socket2::SockRef;
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+use tokio::net::TcpStream;
+
+pub struct Line {
+    stream: TcpStream,
+    pub claim: Claim,
+    /// When it was dealt to its core, and the calls that it brought since.
+    since: f64,
+    calls: AtomicU64,
+    /// The serial number of the call in hand; 0 for none.
+    serial: AtomicU64,
+}
+
+impl Line {
+    pub fn new(stream: TcpStream, since: f64) -> Self {
+        Self { stream, claim: Claim::default(), since, calls: AtomicU64::new(0), serial: AtomicU64::new(0) }
+    }
+
+    /// Counts a call; tells how many a second came on this connection.
+    pub fn count(&self, now: f64) -> f64 {
+        /// Seconds below which a rate means little.
+        const YOUNG: f64 = 1.0;
+        let calls = self.calls.fetch_add(1, Ordering::Relaxed) + 1;
+        calls as f64 / (now - self.since).max(YOUNG)
+    }
+
+    /// Tells which call is in hand on this connection.
+    pub fn take_up(&self, tag: Tag) {
+        self.serial.store(tag.serial, Ordering::Relaxed);
+    }
+
+    /// Whether that call is the one in hand. Only its own core asks.
+    pub fn owes(&self, tag: Tag) -> bool {
+        self.serial.load(Ordering::Relaxed) == tag.serial
+    }
+
+    /// Gives the final answer in place of the core that owes it, and ends the connection; false where that core
+    /// has begun to answer, or owes nothing.
+    pub fn last_word(&self, answer: Response<Written>) -> bool {
+        if !self.claim.speak() {
+            return false;
+        }
+        let (parts, body) = answer.into_parts();
+        let mut text =
+            format!("HTTP/1.1 {}\r\nconnection: close\r\ncontent-length: {}\r\n", parts.status, body.len());
+        for (name, value) in parts.headers.iter().filter(|(name, _)| *name != http::header::CONNECTION) {
+            text.push_str(&format!("{name}: {}\r\n", value.to_str().unwrap_or("")));
+        }
+        text.push_str("\r\n");
+        let bytes = [text.as_bytes(), &Bytes::from(body)].concat();
+        // It fits into the socket's buffer, in which no answer waits. A client that left has nobody to take it.
+        let _ = SockRef::from(&self.stream).send(&bytes);
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
+        true
+    }
+
+    /// Ends the connection both ways.
+    pub fn close(&self) {
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+    }
+}
+
+/// The core's own end of a line.
+pub struct Own(pub Arc<Line>);
+
+fn spoken() -> io::Error {
+    io::Error::new(io::ErrorKind::BrokenPipe, "another core has answered here")
+}
+
+impl Read for Own {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        /// Bytes taken at a time: most calls whole.
+        const PIECE: usize = 8192;
+        let mut piece = [0; PIECE];
+        let most = PIECE.min(buf.remaining());
+        loop {
+            ready!(self.0.stream.poll_read_ready(cx))?;
+            match self.0.stream.try_read(&mut piece[..most]) {
+                Ok(read) => {
+                    buf.put_slice(&piece[..read]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Own {
+    /// Writes once the socket is ready, unless the last word has been said.
+    fn write(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if !self.0.claim.write() {
+                return Poll::Ready(Err(spoken()));
+            }
+            ready!(self.0.stream.poll_write_ready(cx))?;
+            match write(&self.0.stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl Write for Own {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(cx, |stream| stream.try_write(buf))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(match SockRef::from(&self.0.stream).shutdown(Shutdown::Write) {
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
+            done => done,
+        })
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.write(cx, |stream| stream.try_write_vectored(bufs))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/office.rs
@@ -0,0 +1,406 @@
+//! What all cores of the gateway share: the desk, which they enter in turn, a seat for each of them with its mailbox
+//! and its pulse, and the bounds on all together. Whoever enters tells the desk one thing, on the true clock, and
+//! posts what follows to the cores whose calls it is about, in the order in which the desk said it.
+
+use crate::desk::{Act, Desk, Tag, Tally};
+use crate::line::Line;
+use crate::pool::{Room, Way};
+use milletpath_charter::House;
+use milletpath_cores::budget::Budget;
+use milletpath_cores::mail::Mailbox;
+use milletpath_cores::pulse::Pulse;
+use milletpath_protocol::registry::{Entry, Standing};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::Notify;
+
+/// Where the shell keeps the rest of a call.
+pub struct Place {
+    pub seat: usize,
+    pub slot: usize,
+    pub line: Arc<Line>,
+}
+
+/// A final answer that the gateway gives itself.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Own {
+    Bounced(Option<f64>),
+    Terminated { late: bool },
+}
+
+/// A client connection's part of the bound on all; given back when dropped.
+pub struct Ticket(pub Arc<Office>);
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.0.guests.give_back(1);
+        self.0.fewer.notify_one();
+    }
+}
+
+/// What a core is to do, with all that it takes.
+pub enum Errand {
+    /// A client's connection.
+    Guest(std::net::TcpStream, Ticket),
+    Shoot {
+        tag: Tag,
+        slot: usize,
+        shot: usize,
+        worker: usize,
+        way: Way,
+        function: Arc<str>,
+        /// Seconds that the shot has.
+        left: f64,
+    },
+    Drop {
+        tag: Tag,
+        slot: usize,
+        shot: usize,
+    },
+    Answer {
+        slot: usize,
+        own: Own,
+        line: Arc<Line>,
+    },
+    Hold {
+        order: Tag,
+        worker: usize,
+        way: Way,
+        function: Arc<str>,
+        copies: u8,
+    },
+    Unload {
+        worker: usize,
+        way: Way,
+        function: Arc<str>,
+    },
+    Probe {
+        worker: usize,
+        way: Way,
+        serial: u64,
+    },
+    Follow,
+    /// Another core has need of a place among this worker's connections.
+    Spare {
+        worker: usize,
+    },
+    Stir(Stir),
+}
+
+/// Mischief for tests and days: what can go wrong with a core, on demand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stir {
+    /// The thread of a core does nothing for so many seconds.
+    Stall(f64),
+    /// The thread of a core ends by a panic.
+    Panic,
+    /// The decisions panic, in the hands of a core.
+    Break,
+}
+
+/// One core as the others see it.
+pub struct Seat {
+    pub mail: Mailbox<Errand>,
+    pub bell: Notify,
+    pub pulse: Pulse,
+    /// Client connections, and those of them that are open, by a number.
+    pub lines: Mutex<BTreeMap<u64, Arc<Line>>>,
+    pub open: AtomicUsize,
+    pub calls: AtomicU64,
+    /// Connections that it should send away, and the calls a second that one of them may have, as bits.
+    pub away: AtomicUsize,
+    pub away_most: AtomicU64,
+}
+
+impl Seat {
+    fn new(letters: usize) -> Self {
+        Self {
+            mail: Mailbox::new(letters),
+            bell: Notify::new(),
+            pulse: Pulse::new(0.0),
+            lines: Mutex::default(),
+            open: AtomicUsize::new(0),
+            calls: AtomicU64::new(0),
+            away: AtomicUsize::new(0),
+            away_most: AtomicU64::new(0),
+        }
+    }
+
+    /// Whether a connection that brings so many calls a second is one to send away now.
+    pub fn sends_away(&self, rate: f64) -> bool {
+        let fewer = |n: usize| n.checked_sub(1);
+        self.away.load(Ordering::Relaxed) > 0
+            && rate <= f64::from_bits(self.away_most.load(Ordering::Relaxed))
+            && self.away.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fewer).is_ok()
+    }
+
+    pub fn lines(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Line>>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Inside {
+    desk: Desk<Place>,
+    /// The list as it stands, for a desk that must begin anew.
+    list: BTreeMap<String, Entry>,
+    /// The time for which the keeper's clock is set.
+    armed: f64,
+}
+
+pub struct Office {
+    began: Instant,
+    /// The Unix time at which that was.
+    epoch: f64,
+    pub house: House,
+    inside: Mutex<Inside>,
+    /// One for each core, and the last for the keeper.
+    pub seats: Vec<Seat>,
+    /// Desks that broke.
+    pub broken: AtomicU64,
+    pub earlier: Notify,
+    pub stopping: AtomicBool,
+    /// Bytes in hand, and client connections.
+    pub held: Budget,
+    pub guests: Budget,
+    pub fewer: Notify,
+    numbers: AtomicU64,
+    rooms: Mutex<BTreeMap<SocketAddr, Arc<Room>>>,
+    /// Told apart in logs and ids from other gateways and earlier lives.
+    pub life: u32,
+}
+
+/// Seats at most: one bit each in the set of those to be woken.
+pub const MOST_CORES: usize = 63;
+
+impl Office {
+    pub fn new(house: House) -> Arc<Self> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let cores = house.bounds.cores.clamp(1, MOST_CORES);
+        // A call has few letters at a time: its shots, their ends and its answer; the rest is for orders and probes.
+        let letters = house.bounds.open.saturating_mul(8).saturating_add(1 << 16);
+        Arc::new(Self {
+            began: Instant::now(),
+            epoch: unix.as_secs_f64(),
+            inside: Mutex::new(Inside {
+                desk: Desk::new(&house, unix.as_secs_f64()),
+                list: BTreeMap::new(),
+                armed: f64::INFINITY,
+            }),
+            seats: (0..=cores).map(|_| Seat::new(letters)).collect(),
+            broken: AtomicU64::new(0),
+            earlier: Notify::new(),
+            stopping: AtomicBool::new(false),
+            held: Budget::new(house.bounds.held),
+            guests: Budget::new(house.bounds.connections),
+            fewer: Notify::new(),
+            numbers: AtomicU64::new(0),
+            rooms: Mutex::default(),
+            life: unix.subsec_nanos() ^ std::process::id().rotate_left(16) ^ unix.as_secs() as u32,
+            house,
+        })
+    }
+
+    /// Cores; also the keeper's seat.
+    pub fn cores(&self) -> usize {
+        self.seats.len() - 1
+    }
+
+    pub fn keeper(&self) -> &Seat {
+        &self.seats[self.cores()]
+    }
+
+    /// Seconds on the true clock since the start.
+    pub fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    pub fn number(&self) -> u64 {
+        self.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Enters the desk. One whose decisions broke is replaced by an empty one first.
+    fn enter(&self) -> MutexGuard<'_, Inside> {
+        self.inside.lock().unwrap_or_else(|poisoned| {
+            let mut inside = poisoned.into_inner();
+            self.begin_anew(&mut inside);
+            self.inside.clear_poison();
+            inside
+        })
+    }
+
+    fn begin_anew(&self, inside: &mut Inside) {
+        let now = self.now();
+        let empty = Desk::new(&self.house, self.epoch);
+        let broken = std::mem::replace(&mut inside.desk, empty);
+        let (desk, open) = Desk::anew(&self.house, self.epoch, now, broken);
+        inside.desk = desk;
+        self.broken.fetch_add(1, Ordering::Relaxed);
+        tracing::error!(
+            calls = open.len(),
+            "the decisions broke; they begin anew, and open calls are answered"
+        );
+        let list: Vec<_> = inside.list.values().cloned().collect();
+        if !list.is_empty() {
+            inside.desk.list(now, true, &list);
+        }
+        for (place, begun) in open {
+            let own = if begun { Own::Terminated { late: false } } else { Own::Bounced(None) };
+            self.post(place.seat, Errand::Answer { slot: place.slot, own, line: place.line });
+            self.seats[place.seat].bell.notify_one();
+        }
+        inside.armed = f64::NEG_INFINITY;
+        self.earlier.notify_one();
+    }
+
+    /// Tells the desk something at the present time; `seat` is the core that does. What follows is posted, and the
+    /// other cores are woken for theirs.
+    pub fn tell<R>(&self, seat: Option<usize>, what: impl FnOnce(&mut Desk<Place>, f64) -> R) -> R {
+        /// Seconds past which one event's decisions are worth a line in the log.
+        const SLOW: f64 = 0.02;
+        let mut inside = self.enter();
+        // Read inside: the desk's time never goes back, whichever core comes next.
+        let now = self.now();
+        let result = what(&mut inside.desk, now);
+        let mut wake = 0u64;
+        while let Some(act) = inside.desk.act() {
+            if let Some((to, errand)) = self.errand(&mut inside.desk, seat, now, act) {
+                wake |= u64::from(self.post(to, errand)) << to;
+            }
+        }
+        let next = inside.desk.next().unwrap_or(f64::INFINITY);
+        if next < inside.armed {
+            inside.armed = next;
+            self.earlier.notify_one();
+        }
+        let took = self.now() - now;
+        if took > SLOW {
+            let (open, functions) = (inside.desk.open(), inside.desk.functions());
+            tracing::warn!(seconds = took, open, functions, "one event took long to decide");
+        }
+        drop(inside);
+        for (n, other) in self.seats.iter().enumerate() {
+            if wake >> n & 1 == 1 && seat != Some(n) {
+                other.bell.notify_one();
+            }
+        }
+        result
+    }
+
+    /// Posts an errand; true where its core must be woken. Called inside the desk, so that letters lie in the order
+    /// of the desk's acts.
+    fn post(&self, seat: usize, errand: Errand) -> bool {
+        self.seats[seat].mail.put(errand).unwrap_or_else(|_| {
+            tracing::error!(seat, "a core's mailbox is full; what it was to do is left to its time limits");
+            false
+        })
+    }
+
+    /// Posts an errand that no event led to.
+    pub fn send(&self, seat: usize, errand: Errand) {
+        if self.post(seat, errand) {
+            self.seats[seat].bell.notify_one();
+        }
+    }
+
+    /// Makes an act into an errand for a core: a call's own, and for the rest the one at the desk, or that to
+    /// which the worker falls where the keeper is.
+    fn errand(
+        &self,
+        desk: &mut Desk<Place>,
+        seat: Option<usize>,
+        now: f64,
+        act: Act,
+    ) -> Option<(usize, Errand)> {
+        let here = |worker: usize| seat.filter(|s| *s < self.cores()).unwrap_or(worker % self.cores());
+        let way = |desk: &Desk<Place>, worker| {
+            let (address, process) = desk.address(worker);
+            Way { address, process }
+        };
+        let answer = |desk: &mut Desk<Place>, tag, own| {
+            let place = desk.what(tag)?;
+            Some((place.seat, Errand::Answer { slot: place.slot, own, line: place.line.clone() }))
+        };
+        match act {
+            Act::Shoot { tag, shot, worker } => {
+                let way = way(desk, worker);
+                // None where it was called off in the same breath.
+                let left = desk.left_for(now, tag, shot)?;
+                let function = desk.function(tag)?;
+                let place = desk.what(tag)?;
+                let (seat, slot) = (place.seat, place.slot);
+                Some((seat, Errand::Shoot { tag, slot, shot, worker, way, function, left }))
+            }
+            Act::Drop { tag, shot } => {
+                let place = desk.what(tag)?;
+                Some((place.seat, Errand::Drop { tag, slot: place.slot, shot }))
+            }
+            Act::Bounce { tag, come_back } => answer(desk, tag, Own::Bounced(come_back)),
+            Act::Terminate { tag, late } => answer(desk, tag, Own::Terminated { late }),
+            Act::Hold { order, worker, function, copies } => {
+                Some((here(worker), Errand::Hold { order, worker, way: way(desk, worker), function, copies }))
+            }
+            Act::Unload { worker, function } => {
+                Some((here(worker), Errand::Unload { worker, way: way(desk, worker), function }))
+            }
+            Act::Probe { worker, serial } => {
+                Some((here(worker), Errand::Probe { worker, way: way(desk, worker), serial }))
+            }
+            Act::Follow => Some((self.cores(), Errand::Follow)),
+        }
+    }
+
+    /// Looks something up at the desk.
+    pub fn ask<R>(&self, what: impl FnOnce(&mut Desk<Place>) -> R) -> R {
+        what(&mut self.enter().desk)
+    }
+
+    /// Passes on one edition of the worker list, and keeps what it says.
+    pub fn list(&self, seat: Option<usize>, whole: bool, entries: &[Entry]) {
+        {
+            let mut inside = self.enter();
+            if whole {
+                inside.list.clear();
+            }
+            for entry in entries {
+                if entry.state == Standing::Gone {
+                    inside.list.remove(&entry.name);
+                } else {
+                    inside.list.insert(entry.name.clone(), entry.clone());
+                }
+            }
+        }
+        self.tell(seat, |desk, now| desk.list(now, whole, entries));
+    }
+
+    /// Sets the keeper's clock for what is due next, at most `most`.
+    pub fn arm(&self, most: f64) -> f64 {
+        let mut inside = self.enter();
+        inside.armed = inside.desk.next().unwrap_or(f64::INFINITY).min(most);
+        inside.armed
+    }
+
+    /// Whether something is due for so long that the keeper must be standing still.
+    pub fn overdue(&self, by: f64) -> bool {
+        let now = self.now();
+        self.ask(|desk| desk.next()).is_some_and(|next| next < now - by)
+    }
+
+    pub fn tally(&self) -> Tally {
+        self.ask(|desk| desk.tally())
+    }
+
+    /// The connections of a worker, over all cores.
+    pub fn room(&self, address: SocketAddr) -> Arc<Room> {
+        let mut rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
+        rooms.entry(address).or_insert_with(|| Arc::new(Room::new(self.house.bounds.per_worker))).clone()
+    }
+
+    /// Forgets the rooms that no connection is in.
+    pub fn clear_rooms(&self) {
+        let mut rooms = self.rooms.lock().unwrap_or_else(PoisonError::into_inner);
+        rooms.retain(|_, room| Arc::strong_count(room) > 1);
+    }
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,36 +4,147 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use milletpath_cores::budget::Budget;
+use milletpath_cores::watch::STILL;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 pub type Body = Full<Bytes>;
 
+/// Where a worker is: its address, and a number that changes when another process takes its name.
+#[derive(Clone, Copy, Debug)]
+pub struct Way {
+    pub address: SocketAddr,
+    pub process: u64,
+}
+
+/// The connections that one worker may have, over all cores.
+pub struct Room {
+    places: Budget,
+    pub freed: Notify,
+}
+
+impl Room {
+    pub fn new(most: usize) -> Self {
+        Self { places: Budget::new(most), freed: Notify::new() }
+    }
+
+    /// A place for one more connection. It is given back when dropped.
+    pub fn reserve(self: &Arc<Self>) -> Option<Place> {
+        self.places.take(1).then(|| Place(self.clone()))
+    }
+}
+
+/// Room for a connection, from before it is made until it is closed.
+pub struct Place(Arc<Room>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.places.give_back(1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// Leave to write one request, for as long as the verdict behind it holds: a thread that stood still since then
+/// must not write what was true before. Nothing but requests is ever written to a worker.
+#[derive(Default)]
+pub struct Leave {
+    until: Cell<Option<Instant>>,
+    refused: Cell<bool>,
+}
+
+impl Leave {
+    /// Given at the verdict.
+    pub fn give(&self) {
+        self.until.set(Some(Instant::now() + Duration::from_secs_f64(STILL)));
+    }
+
+    /// Asked in the moment of writing; the first byte uses it up.
+    fn take(&self) -> io::Result<()> {
+        if self.until.take().is_some_and(|until| Instant::now() > until) {
+            self.refused.set(true);
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "this thread stood still before it wrote"));
+        }
+        Ok(())
+    }
+
+    /// Whether a request was refused, so that not a byte of it was written.
+    pub fn refused(&self) -> bool {
+        self.refused.get()
+    }
+}
+
+/// A worker's stream on which nothing is written without leave.
+struct Gated(TokioIo<TcpStream>, Rc<Leave>);
+
+impl Read for Gated {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buf)
+    }
+}
+
+impl Write for Gated {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.1.take()?;
+        Pin::new(&mut self.0).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.1.take()?;
+        Pin::new(&mut self.0).poll_write_vectored(cx, bufs)
+    }
+}
+
 /// One connection. Dropped, it is closed at once, with whatever is under way on it.
 pub struct Connection {
     pub sender: SendRequest<Body>,
+    pub leave: Rc<Leave>,
     task: AbortHandle,
     /// The process that it leads to.
     process: u64,
-    open: Rc<Cell<usize>>,
+    _place: Place,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
-        self.open.set(self.open.get() - 1);
     }
 }
 
 #[derive(Default)]
 pub struct Pool {
     idle: Vec<(f64, Connection)>,
-    open: Rc<Cell<usize>>,
 }
 
 impl Pool {
@@ -59,22 +170,10 @@
         self.idle.retain(|(used, connection)| *used >= since && !connection.sender.is_closed());
     }
 
-    /// A place for one more connection, none past `most`. The place is given back when dropped.
-    pub fn reserve(&self, most: usize) -> Option<Place> {
-        (self.open.get() < most).then(|| {
-            self.open.set(self.open.get() + 1);
-            Place(Some(self.open.clone()))
-        })
-    }
-}
-
-/// Room for a connection that is being made.
-pub struct Place(Option<Rc<Cell<usize>>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if let Some(open) = &self.0 {
-            open.set(open.get() - 1);
+    /// Closes the connection that is idle for longest: another core has need of its place.
+    pub fn spare(&mut self) {
+        if !self.idle.is_empty() {
+            self.idle.remove(0);
         }
     }
 }
@@ -83,15 +182,16 @@
 const HEAD: usize = 64 << 10;
 
 /// Makes a connection in its place.
-pub async fn connect(mut place: Place, address: SocketAddr, process: u64) -> io::Result<Connection> {
-    let stream = TcpStream::connect(address).await?;
+pub async fn connect(place: Place, way: Way) -> io::Result<Connection> {
+    let stream = TcpStream::connect(way.address).await?;
     stream.set_nodelay(true)?;
-    let made = Builder::new().max_buf_size(HEAD).handshake::<_, Body>(TokioIo::new(stream)).await;
+    let leave = Rc::new(Leave::default());
+    let gated = Gated(TokioIo::new(stream), leave.clone());
+    let made = Builder::new().max_buf_size(HEAD).handshake::<_, Body>(gated).await;
     let (sender, connection) = made.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended is told to whoever waits for an answer on it.
         let _ = connection.await;
     });
-    let open = place.0.take().unwrap_or_default();
-    Ok(Connection { sender, task: task.abort_handle(), process, open })
+    Ok(Connection { sender, leave, task: task.abort_handle(), process: way.process, _place: place })
 }
--- a/crates/gateway/src/roll.rs
+++ b/crates/gateway/src/roll.rs
@@ -23,10 +23,13 @@
     /// The Unix time at which the desk's clock began.
     epoch: f64,
     edition: u64,
+    /// Counts the desks before this one; part of each process's number, so that no connection made for a worker of
+    /// one desk is taken for another's.
+    life: u64,
 }
 
 impl Roll {
-    pub fn new(kinds: &[String], seed: u64, epoch: f64) -> Self {
+    pub fn new(kinds: &[String], seed: u64, epoch: f64, life: u64) -> Self {
         Self {
             names: Indices::new(seed),
             zones: Indices::new(seed),
@@ -38,6 +41,7 @@
             state: Vec::new(),
             epoch,
             edition: 0,
+            life,
         }
     }
 
@@ -46,6 +50,10 @@
         self.edition
     }
 
+    pub fn life(&self) -> u64 {
+        self.life
+    }
+
     pub fn ready(&self, worker: usize) -> bool {
         self.state.get(worker) == Some(&State::Ready)
     }
@@ -71,7 +79,7 @@
             let started = entry.started.map(|at| at - self.epoch);
             let started = if new {
                 self.address.push(entry.address);
-                self.process.push(1);
+                self.process.push(self.life << 32 | 1);
                 self.started.push(started);
                 self.state.push(State::Gone);
                 started
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,10 +1,11 @@
-//! The way of a call: accept, door (decode, bounds, indices), desk, shot, answer. Stops in order: first nothing
-//! new is taken, then what was taken is finished, within the longest cut-off.
+//! The way of a call on its core: door (decode, bounds, indices), desk, shot, answer.
 
-use crate::desk::{Come, Tag, Tally};
+use crate::desk::{Come, Tag};
 use crate::gather::Gathered;
+use crate::line::{Line, Own as OwnEnd};
+use crate::office::{Own, Place, Ticket};
 use crate::paced::Paced;
-use crate::shell::{Gateway, Held, Reply, Waiting};
+use crate::shell::{Gateway, Held, Reply};
 use crate::shot::pass_on;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
@@ -14,111 +15,66 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use milletpath_charter::House;
+use hyper_util::rt::TokioTimer;
 use milletpath_policy::host::Effect;
 use milletpath_protocol::{Fault, invoke, problem};
-use std::cell::Cell;
 use std::convert::Infallible;
-use std::future::Future;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
-/// Opens the listener of a gateway. Connections that come while the process stands still wait in the kernel: with
-/// the usual 128 places for them the rest would be dropped, and each dropped client tries again a second later only.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    /// Places for connections not yet accepted; the kernel takes its own bound where that is less.
-    const WAITING: u32 = 16_384;
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(WAITING)
+/// A client connection of a core, counted and known by its number for as long as it is open.
+struct Guest {
+    gateway: Rc<Gateway>,
+    number: u64,
+    _ticket: Ticket,
 }
 
-/// Runs a gateway on a listener until `stop` comes, and finishes what it took. Must run within a `LocalSet`.
-pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
-    let gateway = Gateway::new(house);
-    let time = spawn_local(gateway.clone().keep_time());
-    let (stopping, stopped) = watch::channel(false);
-    let clients = Rc::new(Clients::default());
-    let mut stop = pin!(stop);
-    loop {
-        let room = clients.count.get() < gateway.bounds().connections;
-        tokio::select! {
-            biased;
-            () = &mut stop => break,
-            accepted = listener.accept(), if room => match accepted {
-                Ok((stream, _)) => {
-                    let guest = Guest::new(clients.clone());
-                    spawn_local(connection(gateway.clone(), stream, stopped.clone(), guest));
-                }
-                Err(e) => {
-                    // Out of descriptors, as a rule: what is open goes on, and closing gives some back.
-                    tracing::error!("no connection can be accepted: {e}; raise the limit of open files");
-                    tokio::time::sleep(Duration::from_millis(50)).await;
-                }
-            },
-            () = clients.fewer.notified(), if !room => {}
-        }
-    }
-    drop(listener);
-    let _ = stopping.send(true);
-    tracing::info!(open = gateway.ask(|d| d.open()), connections = clients.count.get(), "stopping");
-    // A client's patience is within its profile's cut-off; a little more lets the last answers be written.
-    let longest = gateway.house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max) + 1.0;
-    let _ = tokio::time::timeout(Duration::from_secs_f64(longest), async {
-        while clients.count.get() > 0 {
-            clients.fewer.notified().await;
+impl Drop for Guest {
+    fn drop(&mut self) {
+        let office = &self.gateway.office;
+        let seat = &office.seats[self.gateway.seat];
+        seat.lines().remove(&self.number);
+        if seat.open.fetch_sub(1, Ordering::AcqRel) == 1 && office.stopping.load(Ordering::Acquire) {
+            seat.bell.notify_one();
         }
-    })
-    .await;
-    time.abort();
-    gateway.ask(|desk| desk.tally())
-}
-
-/// Client connections open now.
-#[derive(Default)]
-struct Clients {
-    count: Cell<usize>,
-    fewer: Notify,
-}
-
-struct Guest(Rc<Clients>);
-
-impl Guest {
-    fn new(clients: Rc<Clients>) -> Self {
-        clients.count.set(clients.count.get() + 1);
-        Self(clients)
     }
 }
 
-impl Drop for Guest {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.fewer.notify_one();
-    }
+/// Takes up a connection that was dealt to this core.
+pub fn welcome(gateway: &Rc<Gateway>, stream: std::net::TcpStream, ticket: Ticket) {
+    let stream = match TcpStream::from_std(stream) {
+        Ok(stream) => stream,
+        Err(e) => return tracing::warn!("a client's connection can't be taken up: {e}"),
+    };
+    let _ = stream.set_nodelay(true);
+    let line = Arc::new(Line::new(stream, gateway.now()));
+    let seat = &gateway.office.seats[gateway.seat];
+    let guest = Guest { gateway: gateway.clone(), number: gateway.office.number(), _ticket: ticket };
+    seat.open.fetch_add(1, Ordering::AcqRel);
+    seat.lines().insert(guest.number, line.clone());
+    spawn_local(connection(gateway.clone(), line, guest));
 }
 
 /// One client connection, for as long as it lasts.
-async fn connection(gateway: Rc<Gateway>, stream: TcpStream, mut stop: watch::Receiver<bool>, _guest: Guest) {
+async fn connection(gateway: Rc<Gateway>, line: Arc<Line>, _guest: Guest) {
     /// Bytes of header fields, and their number: several times what browsers and tools send.
     const HEAD: usize = 64 << 10;
     const FIELDS: usize = 128;
-    let _ = stream.set_nodelay(true);
+    let mut stop = gateway.stopping();
     let bounds = gateway.bounds().clone();
     let stopping = stop.clone();
+    let owner = line.clone();
     let service = service_fn(move |request| {
-        let (gateway, stopping) = (gateway.clone(), *stopping.borrow());
-        async move { Ok::<_, Infallible>(answer(gateway, request, stopping).await) }
+        let (gateway, line, stopping) = (gateway.clone(), owner.clone(), *stopping.borrow());
+        async move { Ok::<_, Infallible>(answer(gateway, line, request, stopping).await) }
     });
-    let io = Paced::new(TokioIo::new(stream), Duration::from_secs_f64(bounds.stall));
+    let io = Paced::new(OwnEnd(line), Duration::from_secs_f64(bounds.stall));
     let mut connection = pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -129,7 +85,8 @@
     );
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = stop.wait_for(|stop| *stop) => {
+        // What it gives holds a lock, on which this thread would wait when it is told again: let go of at once.
+        () = async { drop(stop.wait_for(|stop| *stop).await) } => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -139,16 +96,27 @@
     }
 }
 
-/// A call that its client may still leave: dropped before its answer, it is called off.
-struct Leaving<'g> {
-    gateway: &'g Rc<Gateway>,
+/// A call until its answer goes to the client. Dropped before, its client has left, or its core ends: it is called
+/// off, and the last word said, in case somebody is there to hear it.
+struct Owed {
+    gateway: Rc<Gateway>,
+    line: Arc<Line>,
     tag: Option<Tag>,
+    slot: Option<usize>,
+    answered: bool,
 }
 
-impl Drop for Leaving<'_> {
+impl Drop for Owed {
     fn drop(&mut self) {
-        if let Some(tag) = self.tag {
-            self.gateway.tell(|desk, now| desk.left(now, tag));
+        let office = &self.gateway.office;
+        if !self.answered {
+            let left = |tag| office.tell(None, |desk, now| desk.left(now, tag));
+            let begun = self.tag.is_some_and(left);
+            let last = if begun { Own::Terminated { late: false } } else { Own::Bounced(None) };
+            self.line.last_word(answer_of(last));
+        }
+        if let Some(slot) = self.slot {
+            self.gateway.let_go(slot);
         }
     }
 }
@@ -180,6 +148,18 @@
     }
 }
 
+impl Written {
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+}
+
+impl From<Written> for Bytes {
+    fn from(written: Written) -> Self {
+        written.bytes
+    }
+}
+
 const BOUNCED: HeaderValue = HeaderValue::from_static("bounced");
 
 /// An answer that the gateway gives itself, as a problem document.
@@ -220,15 +200,64 @@
     response
 }
 
-/// One request, from its head to its answer.
-async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>, stopping: bool) -> Response<Written> {
+/// The answer to a call that no worker handled.
+pub fn answer_of(own: crate::office::Own) -> Response<Written> {
+    match own {
+        Own::Bounced(come_back) => bounced("bounced", "No worker could take the call in time", come_back),
+        Own::Terminated { late: true } => {
+            let detail = "A worker had the call and did not answer in time; it may have run, or may still.";
+            terminated(StatusCode::GATEWAY_TIMEOUT, "late", "No answer in time", detail)
+        }
+        Own::Terminated { late: false } => {
+            let detail = "A worker had the call and failed; it may have run.";
+            terminated(StatusCode::BAD_GATEWAY, "failed", "The call failed", detail)
+        }
+    }
+}
+
+/// One request, from its head to its answer; a crowded core closes the connection behind some.
+async fn answer(
+    gateway: Rc<Gateway>,
+    line: Arc<Line>,
+    request: Request<Incoming>,
+    stopping: bool,
+) -> Response<Written> {
+    let seat = &gateway.office.seats[gateway.seat];
+    seat.calls.fetch_add(1, Ordering::Relaxed);
+    let rate = line.count(gateway.now());
+    line.claim.owe();
+    let owed = Owed { gateway: gateway.clone(), line, tag: None, slot: None, answered: false };
+    let mut response = handle(&gateway, owed, request, stopping).await;
+    if seat.sends_away(rate) {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn handle(
+    gateway: &Rc<Gateway>,
+    mut owed: Owed,
+    request: Request<Incoming>,
+    stopping: bool,
+) -> Response<Written> {
+    let response = take(gateway, &mut owed, request, stopping).await;
+    owed.answered = true;
+    response
+}
+
+async fn take(
+    gateway: &Rc<Gateway>,
+    owed: &mut Owed,
+    request: Request<Incoming>,
+    stopping: bool,
+) -> Response<Written> {
     let came = gateway.since();
     let (mut parts, body) = request.into_parts();
     let function = match invoke::wanted(&parts.method, parts.uri.path()) {
         Ok(invoke::Wanted::Activation(function)) => function,
         Ok(invoke::Wanted::Live) => return healthy(true, "live\n"),
         Ok(invoke::Wanted::Ready) if stopping => return healthy(false, "stopping\n"),
-        Ok(invoke::Wanted::Ready) if !gateway.ask(|d| d.listed()) => {
+        Ok(invoke::Wanted::Ready) if !gateway.office.ask(|d| d.listed()) => {
             return healthy(false, "no worker list yet\n");
         }
         Ok(invoke::Wanted::Ready) => return healthy(true, "ready\n"),
@@ -251,11 +280,11 @@
     if stopping {
         return bounced("stopping", "This gateway is stopping", None);
     }
-    let door = match door(&gateway, function, &parts.headers) {
+    let door = match door(gateway, function, &parts.headers) {
         Ok(door) => door,
         Err(response) => return *response,
     };
-    let (body, held) = match read(&gateway, body, came + door.patience).await {
+    let (body, held) = match read(gateway, body, came + door.patience).await {
         Ok(read) => read,
         Err(response) => return *response,
     };
@@ -265,19 +294,20 @@
     if let Some(key) = key {
         parts.headers.insert(&invoke::IDEMPOTENCY_KEY, key);
     }
-    let (sender, receiver) = oneshot::channel();
-    let waiting = Waiting::new(sender, parts.headers, body);
-    let tag = gateway.tell(|desk, now| {
+    let (slot, receiver) = gateway.keep(owed.line.clone(), parts.headers, body);
+    owed.slot = Some(slot);
+    let line = owed.line.clone();
+    owed.tag = gateway.tell(|desk, now| {
         let patience = door.patience - (now - came);
         let Door { profile, client, repeat, .. } = door;
-        desk.arrive(now, Come { function, profile, client, patience, repeat }, waiting)
+        let place = Place { seat: gateway.seat, slot, line: line.clone() };
+        let tag = desk.arrive(now, Come { function, profile, client, patience, repeat }, place);
+        tag.inspect(|tag| line.take_up(*tag))
     });
-    let Some(tag) = tag else {
-        return bounced("full", "Too many calls are in hand", gateway.house.policy.come_back);
+    let Some(tag) = owed.tag else {
+        return bounced("full", "Too many calls are in hand", gateway.house().policy.come_back);
     };
-    let mut leaving = Leaving { gateway: &gateway, tag: Some(tag) };
     let reply = receiver.await;
-    leaving.tag = None;
     drop(held);
     let mut response = match reply {
         Ok(Reply::Handled(parts, bytes, held)) => {
@@ -285,24 +315,15 @@
             response.headers_mut().insert(&invoke::OUTCOME, HeaderValue::from_static("handled"));
             response
         }
-        Ok(Reply::Bounced(come_back)) => {
-            bounced("bounced", "No worker could take the call in time", come_back)
-        }
-        Ok(Reply::Terminated { late: true }) => {
-            let detail = "A worker had the call and did not answer in time; it may have run, or may still.";
-            terminated(StatusCode::GATEWAY_TIMEOUT, "late", "No answer in time", detail)
-        }
+        Ok(Reply::Own(own)) => answer_of(own),
         Ok(Reply::TooLarge) => {
             let detail = "The worker's answer is larger than this gateway passes on; the call has run.";
             terminated(StatusCode::BAD_GATEWAY, "answer-too-large", "The answer is too large", detail)
         }
-        // The sender is only ever dropped unused when the gateway itself ends.
-        Ok(Reply::Terminated { late: false }) | Err(_) => {
-            let detail = "A worker had the call and failed; it may have run.";
-            terminated(StatusCode::BAD_GATEWAY, "failed", "The call failed", detail)
-        }
+        // Another core has said the last word; this is not written any more.
+        Err(_) => answer_of(Own::Terminated { late: false }),
     };
-    if let Ok(id) = HeaderValue::from_str(&format!("{:08x}-{:x}", gateway.life, tag.serial)) {
+    if let Ok(id) = HeaderValue::from_str(&format!("{:08x}-{:x}", gateway.office.life, tag.serial)) {
         response.headers_mut().insert(&invoke::ACTIVATION, id);
     }
     response
@@ -324,7 +345,7 @@
 }
 
 fn door(gateway: &Gateway, function: &str, headers: &http::HeaderMap) -> Result<Door, Refusal> {
-    let house = &gateway.house;
+    let house = gateway.house();
     let named = invoke::name(headers, &invoke::PROFILE).map_err(|f| Box::new(faulty(&f)))?;
     let bound = house.functions.of(function).profile;
     let profile = match named {
@@ -406,7 +427,7 @@
                 return Err(Box::new(bounced(
                     "full",
                     "Too many bytes are in hand",
-                    gateway.house.policy.come_back,
+                    gateway.house().policy.come_back,
                 )));
             }
         }
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -1,114 +1,112 @@
-//! The shell around the desk: it tells the desk what happens on the true clock and carries out its acts.
+//! The shell of one core: its calls, its connections to workers, and the errands that the desk has for it.
 
-use crate::desk::{Act, Desk, Tag};
-use crate::pool::{self, Connection, Pool};
+use crate::desk::{Desk, Tag};
+use crate::line::Line;
+use crate::office::{Errand, Office, Own, Place, Stir};
+use crate::pool::{self, Connection, Pool, Way};
 use crate::{follow, shot};
 use bytes::Bytes;
 use http::HeaderMap;
 use milletpath_charter::{Bounds, House, Source};
+use milletpath_cores::watch::STILL;
+use slab::Slab;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, oneshot};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 
 /// The final answer of an activation, on its way to the client.
 pub enum Reply {
     Handled(http::response::Parts, Bytes, Held),
-    Bounced(Option<f64>),
-    Terminated {
-        late: bool,
-    },
+    Own(Own),
     /// The worker's answer is larger than may be passed on; it has run.
     TooLarge,
 }
 
 /// What the shell keeps of a call while it is in hand.
 pub struct Waiting {
-    pub answer: Option<oneshot::Sender<Reply>>,
-    pub headers: HeaderMap,
-    pub body: Bytes,
+    answer: Option<oneshot::Sender<Reply>>,
+    line: Arc<Line>,
+    headers: HeaderMap,
+    body: Bytes,
     shots: Vec<AbortHandle>,
+    /// Nobody waits for what is out when the call is let go of.
+    cancels: bool,
 }
 
-impl Waiting {
-    pub fn new(answer: oneshot::Sender<Reply>, headers: HeaderMap, body: Bytes) -> Self {
-        Self { answer: Some(answer), headers, body, shots: Vec::new() }
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.cancels {
+            self.shots.iter().for_each(AbortHandle::abort);
+        }
     }
 }
 
 /// Bytes in hand, given back when dropped.
 pub struct Held {
     bytes: usize,
-    all: Rc<Cell<usize>>,
+    office: Arc<Office>,
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.all.set(self.all.get() - self.bytes);
+        self.office.held.give_back(self.bytes);
     }
 }
 
 /// Seconds between two looks at whether this thread runs.
-const PULSE: f64 = 0.05;
-
-/// A thread not seen for so long stood still: several pulses, as a busy machine keeps one waiting now and then.
-const STILL: f64 = 0.15;
+pub const PULSE: f64 = 0.05;
 
 pub struct Gateway {
-    began: Instant,
-    desk: RefCell<Desk<Waiting>>,
+    pub office: Arc<Office>,
+    pub seat: usize,
+    /// Which of the lives of its seat this is.
+    life: u32,
+    slots: RefCell<Slab<Waiting>>,
     pools: RefCell<Vec<Pool>>,
-    pub house: House,
-    held: Rc<Cell<usize>>,
-    /// The time for which the clock is set.
-    armed: Cell<f64>,
-    earlier: Notify,
     following: RefCell<Option<AbortHandle>>,
     /// When this thread was last seen to run, and who waits for it to be so again.
     seen: Cell<f64>,
     /// The last standstill: since when, and until when.
     stood: Cell<(f64, f64)>,
     moves: Notify,
-    /// Told apart in logs and ids from other gateways and earlier lives.
-    pub life: u32,
+    /// Told to the client connections of this core.
+    stopping: watch::Sender<bool>,
 }
 
 impl Gateway {
-    /// Must run within a `LocalSet`; [`keep_time`](Self::keep_time) drives it.
-    pub fn new(house: House) -> Rc<Self> {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let gateway = Rc::new(Self {
-            began: Instant::now(),
-            desk: RefCell::new(Desk::new(&house, unix.as_secs_f64())),
+    /// Must run within a `LocalSet`.
+    pub fn new(office: Arc<Office>, seat: usize, life: u32) -> Rc<Self> {
+        Rc::new(Self {
+            seen: Cell::new(office.now()),
+            office,
+            seat,
+            life,
+            slots: RefCell::default(),
             pools: RefCell::default(),
-            held: Rc::default(),
-            armed: Cell::new(f64::INFINITY),
-            earlier: Notify::new(),
             following: RefCell::default(),
-            seen: Cell::new(0.0),
             stood: Cell::new((0.0, 0.0)),
             moves: Notify::new(),
-            life: unix.subsec_nanos() ^ std::process::id().rotate_left(16) ^ unix.as_secs() as u32,
-            house,
-        });
-        match gateway.house.source.clone() {
-            Source::List(entries) => gateway.tell(|desk, now| desk.list(now, true, &entries)),
-            Source::Registry(_) => gateway.carry_out(),
-        }
-        gateway
+            stopping: watch::Sender::new(false),
+        })
+    }
+
+    pub fn house(&self) -> &House {
+        &self.office.house
     }
 
     pub fn bounds(&self) -> &Bounds {
-        &self.house.bounds
+        &self.office.house.bounds
     }
 
     /// Seconds on the true clock since the start.
     pub fn now(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
+        self.office.now()
     }
 
-    /// Since when a request that is read now may have waited unread: now, unless the process stood still lately.
+    /// Since when a request that is read now may have waited unread: now, unless this thread stood still lately.
     pub fn since(&self) -> f64 {
         /// What came during a standstill is read about so many times as fast as it came.
         const CATCH_UP: f64 = 4.0;
@@ -120,138 +118,183 @@
         now.min(from + CATCH_UP * (now - to))
     }
 
-    /// Waits, after the process stood still, until what came meanwhile has been read: the list may say that a
-    /// worker drains, and clients may have left.
+    /// Waits, after this thread or the keeper stood still, until what came meanwhile has been read: the list may
+    /// say that a worker drains, and clients may have left.
     pub async fn awake(&self) {
-        while self.now() - self.seen.get() > STILL {
+        let still = |since: f64| self.now() - since > STILL;
+        while still(self.seen.get()) || still(self.office.keeper().pulse.seen()) {
             self.moves.notified().await;
         }
     }
 
     /// Tells the desk something and carries out what follows.
-    pub fn tell<R>(self: &Rc<Self>, what: impl FnOnce(&mut Desk<Waiting>, f64) -> R) -> R {
-        /// Seconds past which one event's decisions are worth a line in the log.
-        const SLOW: f64 = 0.02;
-        let began = self.now();
-        let result = what(&mut self.desk.borrow_mut(), began);
-        self.carry_out();
-        let took = self.now() - began;
-        if took > SLOW {
-            let (open, functions) = self.ask(|desk| (desk.open(), desk.functions()));
-            tracing::warn!(seconds = took, open, functions, "one event took long to decide");
-        }
+    pub fn tell<R>(self: &Rc<Self>, what: impl FnOnce(&mut Desk<Place>, f64) -> R) -> R {
+        let result = self.office.tell(Some(self.seat), what);
+        self.collect();
         result
     }
 
-    /// Looks something up at the desk.
-    pub fn ask<R>(&self, what: impl FnOnce(&mut Desk<Waiting>) -> R) -> R {
-        what(&mut self.desk.borrow_mut())
+    /// Carries out what lies in the mailbox.
+    pub fn collect(self: &Rc<Self>) {
+        for errand in self.office.seats[self.seat].mail.take() {
+            self.carry_out(errand);
+        }
     }
 
-    fn carry_out(self: &Rc<Self>) {
-        loop {
-            let Some(act) = self.desk.borrow_mut().act() else { break };
-            match act {
-                Act::Shoot { tag, shot, worker } => {
-                    let task = spawn_local(shot::activation(self.clone(), tag, shot, worker));
-                    if let Some(waiting) = self.desk.borrow_mut().what(tag) {
-                        waiting.shots.push(task.abort_handle());
-                    }
-                }
-                Act::Drop { tag, shot } => {
-                    if let Some(waiting) = self.desk.borrow_mut().what(tag) {
-                        waiting.shots[shot].abort();
-                    }
-                }
-                Act::Bounce { tag, come_back } => self.reply(tag, Reply::Bounced(come_back)),
-                Act::Terminate { tag, late } => self.reply(tag, Reply::Terminated { late }),
-                Act::Hold { order, worker, function, copies } => {
-                    spawn_local(shot::hold(self.clone(), order, worker, function, copies));
-                }
-                Act::Unload { worker, function } => {
-                    spawn_local(shot::unload(self.clone(), worker, function));
-                }
-                Act::Probe { worker, serial } => {
-                    spawn_local(shot::probe(self.clone(), worker, serial));
-                }
-                Act::Follow => {
-                    if let Source::Registry(address) = self.house.source {
-                        let task = spawn_local(follow::follow(self.clone(), address)).abort_handle();
-                        if let Some(before) = self.following.replace(Some(task)) {
-                            before.abort();
-                        }
+    pub fn carry_out(self: &Rc<Self>, errand: Errand) {
+        match errand {
+            Errand::Guest(stream, ticket) => crate::serve::welcome(self, stream, ticket),
+            Errand::Shoot { tag, slot, shot, worker, way, function, left } => {
+                let mut slots = self.slots.borrow_mut();
+                // Let go of meanwhile: the desk has booked the shot's end with the call's.
+                let Some(waiting) = slots.get_mut(slot).filter(|w| w.line.owes(tag)) else { return };
+                let request = shot::Request {
+                    function,
+                    left,
+                    headers: waiting.headers.clone(),
+                    body: waiting.body.clone(),
+                };
+                let task =
+                    spawn_local(shot::activation(self.clone(), (tag, slot, shot), worker, way, request));
+                waiting.shots.push(task.abort_handle());
+            }
+            Errand::Drop { tag, slot, shot } => {
+                let slots = self.slots.borrow();
+                let waiting = slots.get(slot).filter(|w| w.line.owes(tag));
+                waiting.and_then(|w| w.shots.get(shot)).into_iter().for_each(AbortHandle::abort);
+            }
+            Errand::Answer { slot, own, line } => self.reply(slot, &line, Reply::Own(own)),
+            Errand::Hold { order, worker, way, function, copies } => {
+                spawn_local(shot::hold(self.clone(), order, worker, way, function, copies));
+            }
+            Errand::Unload { worker, way, function } => {
+                spawn_local(shot::unload(self.clone(), worker, way, function));
+            }
+            Errand::Probe { worker, way, serial } => {
+                spawn_local(shot::probe(self.clone(), worker, way, serial));
+            }
+            Errand::Follow => {
+                if let Source::Registry(address) = self.house().source {
+                    let task = spawn_local(follow::follow(self.clone(), address)).abort_handle();
+                    if let Some(before) = self.following.replace(Some(task)) {
+                        before.abort();
                     }
                 }
             }
+            Errand::Spare { worker } => self.pool(worker, Pool::spare),
+            Errand::Stir(Stir::Stall(seconds)) => std::thread::sleep(Duration::from_secs_f64(seconds)),
+            Errand::Stir(Stir::Panic) => panic!("asked for"),
+            Errand::Stir(Stir::Break) => {
+                let gateway = self.clone();
+                spawn_local(async move { gateway.office.tell(None, |_, _| panic!("asked for")) });
+            }
         }
-        let next = self.desk.borrow().next().unwrap_or(f64::INFINITY);
-        if next < self.armed.get() {
-            self.armed.set(next);
-            self.earlier.notify_one();
-        }
     }
 
-    /// Gives a client its final answer.
-    pub fn reply(&self, tag: Tag, reply: Reply) {
-        let answer = self.ask(|desk| desk.what(tag).and_then(|w| w.answer.take()));
-        if let Some(answer) = answer {
+    /// Keeps what the shell has of a call; gives its slot.
+    pub fn keep(
+        &self,
+        line: Arc<Line>,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> (usize, oneshot::Receiver<Reply>) {
+        let (sender, receiver) = oneshot::channel();
+        let cancels = self.house().policy.cancels;
+        let waiting = Waiting { answer: Some(sender), line, headers, body, shots: Vec::new(), cancels };
+        (self.slots.borrow_mut().insert(waiting), receiver)
+    }
+
+    pub fn let_go(&self, slot: usize) {
+        // Borrowed where a panic unwinds through it: then the whole shell goes.
+        let waiting = self.slots.try_borrow_mut().ok().and_then(|mut slots| slots.try_remove(slot));
+        drop(waiting);
+    }
+
+    /// Nothing new is taken from here on.
+    pub fn stop(&self) {
+        self.stopping.send_if_modified(|stopping| !std::mem::replace(stopping, true));
+    }
+
+    pub fn stopping(&self) -> watch::Receiver<bool> {
+        self.stopping.subscribe()
+    }
+
+    /// Gives a client its final answer. A slot that went to another call meanwhile has another line.
+    pub fn reply(&self, slot: usize, line: &Arc<Line>, reply: Reply) {
+        let mut slots = self.slots.borrow_mut();
+        let waiting = slots.get_mut(slot).filter(|w| Arc::ptr_eq(&w.line, line));
+        if let Some(answer) = waiting.and_then(|w| w.answer.take()) {
             // A client that left in this very moment has nobody to take it.
             let _ = answer.send(reply);
         }
     }
 
+    /// The same by the number of the call.
+    pub fn reply_to(&self, tag: Tag, slot: usize, reply: Reply) {
+        let line = self.slots.borrow().get(slot).filter(|w| w.line.owes(tag)).map(|w| w.line.clone());
+        if let Some(line) = line {
+            self.reply(slot, &line, reply);
+        }
+    }
+
     /// Counts bytes as in hand; none where the bound on all together is reached.
     pub fn hold(&self, bytes: usize) -> Option<Held> {
-        let all = self.held.get() + bytes;
-        (all <= self.bounds().held).then(|| {
-            self.held.set(all);
-            Held { bytes, all: self.held.clone() }
-        })
+        self.office.held.take(bytes).then(|| Held { bytes, office: self.office.clone() })
     }
 
-    /// Lets the desk's timers fire, and closes connections that nobody uses. Runs for as long as the gateway.
-    pub async fn keep_time(self: Rc<Self>) {
-        /// Seconds between two looks for idle connections: short against the time they may be idle.
-        const LOOK: f64 = 1.0;
-        /// Seconds after a standstill within which all that came meanwhile is read.
+    /// This thread runs; false where another has taken its seat.
+    pub async fn beat(&self) -> bool {
+        /// After a standstill, within which all that came meanwhile is read.
         const READ: Duration = Duration::from_millis(5);
-        let mut look = LOOK;
-        loop {
-            let next = self.desk.borrow().next().unwrap_or(f64::INFINITY).min(self.now() + PULSE);
-            self.armed.set(next);
-            let wait = Duration::from_secs_f64((next - self.now()).max(0.0));
-            tokio::select! {
-                () = tokio::time::sleep(wait) => {}
-                () = self.earlier.notified() => {}
-            }
-            let still = self.now() - self.seen.get();
-            if still > STILL {
-                tracing::warn!(seconds = still, "the process stood still");
-                self.stood.set((self.seen.get(), self.now()));
-                tokio::time::sleep(READ).await;
-            }
-            self.seen.set(self.now());
-            self.moves.notify_waiters();
-            self.tell(|desk, now| desk.turn(now));
-            if self.now() >= look {
-                look = self.now() + LOOK;
-                let since = self.now() - self.bounds().idle;
-                self.pools.borrow_mut().iter_mut().for_each(|p| p.close_idle(since));
-            }
+        let still = self.now() - self.seen.get();
+        if still > STILL {
+            tracing::warn!(seconds = still, seat = self.seat, "this thread stood still");
+            self.stood.set((self.seen.get(), self.now()));
+            // Where another core has answered meanwhile, nobody waits any more.
+            self.slots
+                .borrow_mut()
+                .iter_mut()
+                .filter(|(_, w)| w.line.claim.spoken())
+                .for_each(|(_, w)| w.answer = None);
+            tokio::time::sleep(READ).await;
         }
+        self.seen.set(self.now());
+        let lives = self.office.seats[self.seat].pulse.beat(self.life, self.now());
+        self.moves.notify_waiters();
+        lives
+    }
+
+    /// How long this thread stood still when it last did, and until when.
+    pub fn stood(&self) -> (f64, f64) {
+        self.stood.get()
+    }
+
+    pub fn close_idle(&self) {
+        let since = self.now() - self.bounds().idle;
+        self.pools.borrow_mut().iter_mut().for_each(|p| p.close_idle(since));
     }
 
     /// A kept connection to a worker.
-    pub fn kept(&self, worker: usize) -> Option<Connection> {
-        let (_, process) = self.desk.borrow().address(worker);
-        self.pool(worker, |pool| pool.take(process))
+    pub fn kept(&self, worker: usize, way: Way) -> Option<Connection> {
+        self.pool(worker, |pool| pool.take(way.process))
     }
 
-    /// A new connection to a worker; none where it has all that it may have.
-    pub async fn connect(&self, worker: usize) -> Option<std::io::Result<Connection>> {
-        let (address, process) = self.desk.borrow().address(worker);
-        let place = self.pool(worker, |pool| pool.reserve(self.bounds().per_worker))?;
-        Some(pool::connect(place, address, process).await)
+    /// A new connection to a worker; none where it has all that it may have, and no core has one to spare.
+    pub async fn connect(&self, worker: usize, way: Way) -> Option<std::io::Result<Connection>> {
+        /// What another core takes to close an idle connection, with room for a busy one.
+        const SPARE: Duration = Duration::from_millis(20);
+        let room = self.office.room(way.address);
+        let place = match room.reserve() {
+            Some(place) => place,
+            None => {
+                for seat in (0..self.office.seats.len()).filter(|s| *s != self.seat) {
+                    self.office.send(seat, Errand::Spare { worker });
+                }
+                let _ = tokio::time::timeout(SPARE, room.freed.notified()).await;
+                room.reserve()?
+            }
+        };
+        Some(pool::connect(place, way).await)
     }
 
     pub fn give_back(&self, worker: usize, connection: Connection) {
--- a/crates/gateway/src/shot.rs
+++ b/crates/gateway/src/shot.rs
@@ -4,11 +4,11 @@
 
 use crate::desk::{End, Tag};
 use crate::gather::Gathered;
-use crate::pool::{Body, Connection};
+use crate::pool::{Body, Connection, Way};
 use crate::shell::{Gateway, Held, Reply};
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Request, Response};
+use http::{Method, Response};
 use http_body::Body as _;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -35,13 +35,14 @@
 async fn exchange(
     gateway: &Gateway,
     worker: usize,
-    mut request: Request<Body>,
+    way: Way,
+    mut request: http::Request<Body>,
     mut may: impl FnMut() -> bool,
 ) -> Result<(Response<Incoming>, Connection), Broken> {
     loop {
-        let (mut connection, new) = match gateway.kept(worker) {
+        let (mut connection, new) = match gateway.kept(worker, way) {
             Some(connection) => (connection, false),
-            None => match gateway.connect(worker).await {
+            None => match gateway.connect(worker, way).await {
                 Some(Ok(connection)) => (connection, true),
                 Some(Err(_)) => return Err(Broken::Unreached),
                 None => return Err(Broken::Unsent),
@@ -58,8 +59,11 @@
             gateway.give_back(worker, connection);
             return Err(Broken::KeptBack);
         }
+        connection.leave.give();
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Ok((response, connection)),
+            // This thread stood still between the verdict and the write.
+            Err(_) if connection.leave.refused() => return Err(Broken::Unsent),
             Err(mut error) => match error.take_message() {
                 // Given back whole: not a byte of it was written.
                 Some(unwritten) if !new => request = unwritten,
@@ -70,15 +74,14 @@
     }
 }
 
-fn request(method: Method, path: String, headers: HeaderMap, body: Bytes) -> Option<Request<Body>> {
-    let mut request = Request::builder().method(method).uri(path).body(Full::new(body)).ok()?;
+fn request(method: Method, path: String, headers: HeaderMap, body: Bytes) -> Option<http::Request<Body>> {
+    let mut request = http::Request::builder().method(method).uri(path).body(Full::new(body)).ok()?;
     *request.headers_mut() = headers;
     Some(request)
 }
 
-fn host(gateway: &Gateway, worker: usize) -> HeaderValue {
-    let (address, _) = gateway.ask(|desk| desk.address(worker));
-    HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static("worker"))
+fn host(way: Way) -> HeaderValue {
+    HeaderValue::from_str(&way.address.to_string()).unwrap_or(HeaderValue::from_static("worker"))
 }
 
 /// Whether a header field speaks of one connection only (RFC 9110, 7.6.1), is made anew for each, or is said by us
@@ -178,24 +181,32 @@
     Ok((whole, held))
 }
 
-/// One shot of an activation.
-pub async fn activation(gateway: Rc<Gateway>, tag: Tag, shot: usize, worker: usize) {
-    let now = gateway.now();
-    let parts = gateway.ask(|desk| {
-        let left = desk.left_for(now, tag, shot)?;
-        let function = desk.function(tag)?;
-        desk.what(tag).map(|w| (function, left, w.headers.clone(), w.body.clone()))
-    });
-    // None where it was called off before this task's first step.
-    let Some((function, left, mut headers, body)) = parts else { return };
-    headers.insert(header::HOST, host(&gateway, worker));
+/// What a shot is made of, beside its worker.
+pub struct Request {
+    pub function: Arc<str>,
+    /// Seconds that it has.
+    pub left: f64,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// One shot of an activation: the call, the slot in which the shell keeps it, and the shot's number.
+pub async fn activation(
+    gateway: Rc<Gateway>,
+    (tag, slot, shot): (Tag, usize, usize),
+    worker: usize,
+    way: Way,
+    parts: Request,
+) {
+    let Request { function, left, mut headers, body } = parts;
+    headers.insert(header::HOST, host(way));
     headers.insert(&wire::SHOT, HeaderValue::from(shot as u64));
     if let Ok(left) = HeaderValue::from_str(&format!("{left:.3}")) {
         headers.insert(&wire::LEFT, left);
     }
     let Some(request) = request(Method::POST, wire::infer(&function), headers, body) else { return };
     let may = || gateway.tell(|desk, now| desk.begin(now, tag, shot));
-    let (response, connection) = match exchange(&gateway, worker, request, may).await {
+    let (response, connection) = match exchange(&gateway, worker, way, request, may).await {
         Ok(answer) => answer,
         Err(broken) => {
             let outcome = match broken {
@@ -215,7 +226,7 @@
             gateway.give_back(worker, connection);
             pass_on(&mut parts.headers);
             let reply = Reply::Handled(parts, body, held);
-            settle(&gateway, tag, shot, end, reply);
+            settle(&gateway, (tag, slot, shot), end, reply);
         }
         Err(Short::Cut) => {
             let end = End { outcome: Outcome::Cut, ..end };
@@ -224,26 +235,15 @@
         // It would be too large from any other worker as well.
         Err(Short::TooLarge) => {
             let end = End { outcome: Outcome::Failed, settles: true, ..end };
-            settle(&gateway, tag, shot, end, Reply::TooLarge);
+            settle(&gateway, (tag, slot, shot), end, Reply::TooLarge);
         }
     }
 }
 
 /// Ends a shot; what it brought goes to the client if the desk says that it is the answer.
-fn settle(gateway: &Rc<Gateway>, tag: Tag, shot: usize, end: End, reply: Reply) {
-    // The sender is taken first: the desk lets go of the call in the same breath.
-    let answer = gateway.tell(|desk, now| {
-        let taken = desk.what(tag).and_then(|w| w.answer.take());
-        if desk.end(now, tag, shot, end) {
-            return taken;
-        }
-        if let (Some(waiting), Some(sender)) = (desk.what(tag), taken) {
-            waiting.answer = Some(sender);
-        }
-        None
-    });
-    if let Some(answer) = answer {
-        let _ = answer.send(reply);
+fn settle(gateway: &Rc<Gateway>, (tag, slot, shot): (Tag, usize, usize), end: End, reply: Reply) {
+    if gateway.tell(|desk, now| desk.end(now, tag, shot, end)) {
+        gateway.reply_to(tag, slot, reply);
     }
 }
 
@@ -251,18 +251,19 @@
 async fn ask(
     gateway: &Gateway,
     worker: usize,
+    way: Way,
     method: Method,
     path: String,
     copies: Option<u8>,
     may: impl FnMut() -> bool,
 ) -> Result<http::response::Parts, Broken> {
     let mut headers = HeaderMap::new();
-    headers.insert(header::HOST, host(gateway, worker));
+    headers.insert(header::HOST, host(way));
     if let Some(copies) = copies {
         headers.insert(&wire::COPIES, HeaderValue::from(u16::from(copies)));
     }
     let request = request(method, path, headers, Bytes::new()).ok_or(Broken::Unsent)?;
-    let (response, connection) = exchange(gateway, worker, request, may).await?;
+    let (response, connection) = exchange(gateway, worker, way, request, may).await?;
     let (parts, body) = response.into_parts();
     read(gateway, body).await.map_err(|_| Broken::Cut)?;
     gateway.give_back(worker, connection);
@@ -270,10 +271,10 @@
 }
 
 /// An order to hold instances.
-pub async fn hold(gateway: Rc<Gateway>, order: Tag, worker: usize, function: Arc<str>, copies: u8) {
+pub async fn hold(gateway: Rc<Gateway>, order: Tag, worker: usize, way: Way, function: Arc<str>, copies: u8) {
     let may = || gateway.tell(|desk, now| desk.begin_order(now, order));
-    let wait = Duration::from_secs_f64(gateway.house.policy.order_wait);
-    let asked = ask(&gateway, worker, Method::POST, wire::load(&function), Some(copies), may);
+    let wait = Duration::from_secs_f64(gateway.house().policy.order_wait);
+    let asked = ask(&gateway, worker, way, Method::POST, wire::load(&function), Some(copies), may);
     // The desk ends the order at the same time; here only the connection is let go of.
     let Ok(answer) = tokio::time::timeout(wait, asked).await else { return };
     let (outcome, stand) = match answer {
@@ -294,16 +295,16 @@
 }
 
 /// Has a worker unload idle instances. Nobody waits for the answer.
-pub async fn unload(gateway: Rc<Gateway>, worker: usize, function: Arc<str>) {
+pub async fn unload(gateway: Rc<Gateway>, worker: usize, way: Way, function: Arc<str>) {
     let wait = Duration::from_secs_f64(gateway.bounds().probe);
-    let asked = ask(&gateway, worker, Method::POST, wire::unload(&function), None, || true);
+    let asked = ask(&gateway, worker, way, Method::POST, wire::unload(&function), None, || true);
     let _ = tokio::time::timeout(wait, asked).await;
 }
 
 /// Asks a worker how it is.
-pub async fn probe(gateway: Rc<Gateway>, worker: usize, serial: u64) {
+pub async fn probe(gateway: Rc<Gateway>, worker: usize, way: Way, serial: u64) {
     let wait = Duration::from_secs_f64(gateway.bounds().probe);
-    let asked = ask(&gateway, worker, Method::GET, wire::READY.to_owned(), None, || true);
+    let asked = ask(&gateway, worker, way, Method::GET, wire::READY.to_owned(), None, || true);
     let Ok(answer) = tokio::time::timeout(wait, asked).await else { return };
     let (outcome, report) = match answer {
         Ok(parts) if parts.status.is_success() => (Outcome::Handled, report(&parts.headers)),
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -167,7 +167,8 @@
         stop.send(()).unwrap();
         tokio::time::sleep(Duration::from_millis(50)).await;
         assert!(TcpStream::connect(at).await.is_err());
-        assert_eq!(outcome(&taken.await.unwrap()), "handled");
+        let answer = taken.await.unwrap();
+        assert_eq!(outcome(&answer), "handled", "{answer}");
         assert_eq!(served.await.unwrap().handled, 1);
     });
 }
