Stories of several cores: drains, rations, cold workers, stalls, panics, stops, crowds

Change: ten stories in tests/cores.rs cause them through sockets, with mischief that stalls or ends a core's thread or breaks the decisions; a test of the leave to write.

--- a/crates/gateway/tests/town/mod.rs
+++ b/crates/gateway/tests/town/mod.rs
@@ -1,5 +1,6 @@
 //! A gateway on loopback in the test's own thread, workers that the test scripts, and clients that speak plain
 //! bytes.
+#![allow(dead_code, reason = "each file of stories uses a part of it")]
 
 use milletpath_charter::House;
 use milletpath_gateway::serve;
@@ -58,6 +59,24 @@
     (address, stop, served)
 }
 
+pub type Served = tokio::task::JoinHandle<milletpath_gateway::desk::Tally>;
+
+/// The same, with mischief for its cores.
+pub async fn stirred(
+    house: House,
+) -> (SocketAddr, oneshot::Sender<()>, Served, UnboundedSender<(usize, milletpath_gateway::Stir)>) {
+    let listener = TcpListener::bind(house.listen).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = oneshot::channel::<()>();
+    let (stir, stirs) = tokio::sync::mpsc::unbounded_channel();
+    let stopped = async {
+        if stopped.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    };
+    (address, stop, spawn_local(milletpath_gateway::serve_stirred(house, listener, stopped, stirs)), stir)
+}
+
 /// What a scripted worker does with one request.
 #[derive(Clone, Copy)]
 pub enum Does {
