--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -467,6 +467,15 @@
         Some(tag)
     }
 
+    /// The open calls of which the shell keeps such things.
+    pub fn tags(&self, such: impl Fn(&T) -> bool) -> Vec<Tag> {
+        let open = self.books.calls.iter().enumerate();
+        let open = open.filter_map(|(index, c)| c.as_ref().map(|c| (index, c)));
+        open.filter(|(_, c)| c.open && such(&c.what))
+            .map(|(index, c)| Tag { index, serial: c.serial })
+            .collect()
+    }
+
     /// What the shell keeps of a call.
     pub fn what(&mut self, tag: Tag) -> Option<&mut T> {
         self.books.call(tag).map(|c| &mut c.what)
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -3,7 +3,7 @@
 
 use crate::core;
 use crate::desk::{End, Tally};
-use crate::office::{Errand, Office, Stir, Ticket};
+use crate::office::{Errand, Office, Own, Stir, Ticket};
 use crate::serve::answer_of;
 use crate::shell::{Gateway, PULSE};
 use milletpath_charter::{House, Source};
@@ -220,7 +220,12 @@
     fn vacate(&self, seat: usize, core: &mut Filled, now: f64) {
         let place = &self.office.seats[seat];
         core.life = place.pulse.succeed(core.life, now).unwrap_or(core.life);
-        std::mem::take(&mut *place.lines()).values().for_each(|line| line.close());
+        for (line, begun) in self.office.abandon(seat) {
+            line.last_word(answer_of(Own::lost(begun)));
+        }
+        // A last word is still read by its client: only the rest is closed both ways.
+        let lines = std::mem::take(&mut *place.lines());
+        lines.values().filter(|line| !line.claim.spoken()).for_each(|line| line.close());
         core.watch.lost(now);
     }
 
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -31,6 +31,13 @@
     Terminated { late: bool },
 }
 
+impl Own {
+    /// For a call that nobody will carry on, by whether something of it may have run.
+    pub fn lost(begun: bool) -> Self {
+        if begun { Self::Terminated { late: false } } else { Self::Bounced(None) }
+    }
+}
+
 /// A client connection's part of the bound on all; given back when dropped.
 pub struct Ticket(pub Arc<Office>);
 
@@ -247,7 +254,7 @@
             inside.desk.list(now, true, &list);
         }
         for (place, begun) in open {
-            let own = if begun { Own::Terminated { late: false } } else { Own::Bounced(None) };
+            let own = Own::lost(begun);
             self.post(place.seat, Errand::Answer { slot: place.slot, own, line: place.line });
             self.seats[place.seat].bell.notify_one();
         }
@@ -375,6 +382,18 @@
         self.tell(seat, |desk, now| desk.list(now, whole, entries));
     }
 
+    /// Ends the calls of a core that is lost; gives their lines, and whether something of them may have run.
+    pub fn abandon(&self, seat: usize) -> Vec<(Arc<Line>, bool)> {
+        self.tell(None, |desk, now| {
+            let tags = desk.tags(|place| place.seat == seat);
+            let end = |tag| {
+                let line = desk.what(tag)?.line.clone();
+                Some((line, desk.left(now, tag)))
+            };
+            tags.into_iter().filter_map(end).collect()
+        })
+    }
+
     /// Sets the keeper's clock for what is due next, at most `most`.
     pub fn arm(&self, most: f64) -> f64 {
         let mut inside = self.enter();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -112,8 +112,7 @@
         if !self.answered {
             let left = |tag| office.tell(None, |desk, now| desk.left(now, tag));
             let begun = self.tag.is_some_and(left);
-            let last = if begun { Own::Terminated { late: false } } else { Own::Bounced(None) };
-            self.line.last_word(answer_of(last));
+            self.line.last_word(answer_of(Own::lost(begun)));
         }
         if let Some(slot) = self.slot {
             self.gateway.let_go(slot);
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -134,8 +134,11 @@
         result
     }
 
-    /// Carries out what lies in the mailbox.
+    /// Carries out what lies in the mailbox, unless that is another's by now.
     pub fn collect(self: &Rc<Self>) {
+        if self.office.seats[self.seat].pulse.life() != self.life {
+            return;
+        }
         for errand in self.office.seats[self.seat].mail.take() {
             self.carry_out(errand);
         }
--- a/crates/gateway/tests/cores.rs
+++ b/crates/gateway/tests/cores.rs
@@ -262,6 +262,22 @@
     });
 }
 
+/// A core does not come back, and its client waits for longer than that: told when another takes the seat.
+#[test]
+fn a_client_that_waits_for_longer_than_a_lost_core() {
+    story(async {
+        let (worker, mut heads) = town::worker(Does::Nothing).await;
+        let long = EFFECTFUL.replace("cut_off = 3", "cut_off = 25");
+        let (at, _stop, _served, stir) = stirred(charter(&[worker], &format!("cores = 1\n{long}"))).await;
+        let asked = spawn_local(async move { call(at, "", "").await });
+        assert!(heads.recv().await.is_some());
+        stir.send((0, Stir::Stall(12.0))).unwrap();
+        let answer =
+            tokio::time::timeout(Duration::from_secs(10), asked).await.expect("while it stands still");
+        assert_eq!(outcome(&answer.unwrap()), "terminated");
+    });
+}
+
 /// A panic amid a decision: what was open is answered at once, by whether it may have run, and the next is handled.
 #[test_case(PURE, 8, "terminated"; "all at a worker")]
 #[test_case(PURE, 1, "bounced"; "some waited")]
--- a/crates/milletpath/src/day.rs
+++ b/crates/milletpath/src/day.rs
@@ -12,6 +12,7 @@
     pub seed: Option<u64>,
     pub json: bool,
     pub lag: f64,
+    pub cores: Option<u8>,
     /// Where the records go, one a line.
     pub records: Option<&'a Path>,
 }
@@ -33,6 +34,7 @@
         }
     };
     day.seed = asked.seed.unwrap_or(day.seed);
+    day.cores = asked.cores.map(usize::from).or(day.cores);
     match staged(&day, asked) {
         Ok(played) => {
             print(&day, &played, asked.json);
--- a/crates/milletpath/src/log.rs
+++ b/crates/milletpath/src/log.rs
@@ -12,6 +12,11 @@
 }
 
 pub fn begin(form: Form) {
+    // A panic is a line of the log as everything else: of a core's thread it is survived.
+    std::panic::set_hook(Box::new(|panic| {
+        let thread = std::thread::current().name().unwrap_or("unnamed").to_owned();
+        tracing::error!(thread, "{panic}");
+    }));
     let filter = EnvFilter::try_from_env("MILLETPATH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     match form {
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -28,6 +28,12 @@
         /// The charter to go by; without it, one built in, with stand-in workers inside
         #[arg(long, value_name = "FILE")]
         charter: Option<PathBuf>,
+        /// Threads that carry calls, whatever the charter says
+        #[arg(long, value_parser = clap::value_parser!(u8).range(1..=63))]
+        cores: Option<u8>,
+        /// Take mischief for cores on standard input, for scripted days
+        #[arg(long, hide = true)]
+        stir: bool,
     },
     /// Read and check a charter; tells all mistakes at once
     Check {
@@ -52,6 +58,9 @@
         /// Seconds by which this machine's stand-ins may lag behind what was written
         #[arg(long, default_value_t = 0.05)]
         lag: f64,
+        /// Cores of each gateway, whatever the day says
+        #[arg(long, value_parser = clap::value_parser!(u8).range(1..=63))]
+        cores: Option<u8>,
         /// Also write what passed on the sockets, one record a line
         #[arg(long, value_name = "FILE")]
         records: Option<PathBuf>,
@@ -62,7 +71,7 @@
     let line = Line::parse();
     log::begin(line.log);
     match line.wanted {
-        Wanted::Serve { charter } => serve::serve(charter.as_deref()),
+        Wanted::Serve { charter, cores, stir } => serve::serve(charter.as_deref(), cores, stir),
         Wanted::Check { charter } => match read(&charter) {
             Ok(_) => {
                 println!("{}: sound", charter.display());
@@ -71,8 +80,8 @@
             Err(code) => code,
         },
         Wanted::Workers { charter } => workers::workers(&charter),
-        Wanted::Day { file, seed, json, lag, records } => {
-            day::day(&day::Asked { file: &file, seed, json, lag, records: records.as_deref() })
+        Wanted::Day { file, seed, json, lag, cores, records } => {
+            day::day(&day::Asked { file: &file, seed, json, lag, cores, records: records.as_deref() })
         }
     }
 }
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -1,14 +1,21 @@
 //! `milletpath serve`.
 
+use milletpath_charter::House;
+use milletpath_gateway::Stir;
 use std::path::Path;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::UnboundedSender;
 
-pub fn serve(charter: Option<&Path>) -> ExitCode {
+pub fn serve(charter: Option<&Path>, cores: Option<u8>, stir: bool) -> ExitCode {
     let house = match charter.map(crate::read).transpose() {
         Ok(house) => house,
         Err(code) => return code,
     };
+    let run = async |mut house: House, inside| {
+        house.bounds.cores = cores.map_or(house.bounds.cores, usize::from);
+        run(house, inside, stir).await
+    };
     crate::local(async move {
         match house {
             Some(house) => run(house, false).await,
@@ -20,7 +27,7 @@
     })
 }
 
-async fn run(house: milletpath_charter::House, inside: bool) -> ExitCode {
+async fn run(house: House, inside: bool, stir: bool) -> ExitCode {
     let mut bound = milletpath_gateway::listen(house.listen);
     if bound.is_err() && inside {
         // The built-in charter's port is taken: any other will do.
@@ -41,11 +48,32 @@
             println!("try: curl -d hello http://{address}/v1/functions/greet/activations");
         }
     }
-    let tally = milletpath_gateway::serve(house, listener, stop()).await;
+    let (tell, stirs) = tokio::sync::mpsc::unbounded_channel();
+    if stir {
+        std::thread::spawn(move || {
+            std::io::stdin().lines().map_while(Result::ok).for_each(|l| take(&l, &tell))
+        });
+    }
+    let tally = milletpath_gateway::serve_stirred(house, listener, stop(), stirs).await;
     tracing::info!(?tally, "stopped");
     ExitCode::SUCCESS
 }
 
+/// One line of mischief: the core, what befalls it, and for how many seconds.
+fn take(line: &str, tell: &UnboundedSender<(usize, Stir)>) {
+    let mut words = line.split_whitespace();
+    let (core, what, seconds) = (words.next(), words.next(), words.next());
+    let stir = match (what, seconds.and_then(|s| s.parse::<f64>().ok())) {
+        (Some("stall"), Some(seconds)) if (0.0..=60.0).contains(&seconds) => Stir::Stall(seconds),
+        (Some("panic"), _) => Stir::Panic,
+        (Some("break"), _) => Stir::Break,
+        _ => return tracing::warn!(line, "no mischief of that kind"),
+    };
+    if let Some(core) = core.and_then(|c| c.parse().ok()) {
+        let _ = tell.send((core, stir));
+    }
+}
+
 /// SIGTERM, or Ctrl-C on a terminal.
 pub async fn stop() {
     let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
--- a/crates/milletpath/tests/program.rs
+++ b/crates/milletpath/tests/program.rs
@@ -22,6 +22,7 @@
 
 /// Rules and counts only: how well a day goes depends on the machine, whether rules hold does not.
 #[test_case("days/short-day.hcl", 1300; "eight troubles, two gateways")]
+#[test_case("days/cores-day.hcl", 1300; "cores that stall, panic and break")]
 #[test_case("days/cold-worker.hcl", 2000; "four gateways and cold workers")]
 #[test_case("days/lists-day.hcl", 2300; "lists late, lost, stalled and emptied")]
 fn a_day_keeps_the_rules(day: &str, least: u64) {
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -25,8 +25,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, ChildStdin, Command};
 use tokio::task::spawn_local;
 
 /// What came of a day.
@@ -61,6 +61,8 @@
     charter: PathBuf,
     address: SocketAddr,
     child: RefCell<Option<Child>>,
+    /// Where mischief for its cores is told.
+    stirs: RefCell<Option<ChildStdin>>,
 }
 
 struct Town {
@@ -92,13 +94,14 @@
         let charter = stage.folder.join(format!("gateway-{gateway}.hcl"));
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         std::fs::write(&charter, self::charter(day, gateway, any, registry.address(gateway), stage.seed))?;
-        let (child, address) = start(stage.program, &charter).await?;
+        let (mut child, address) = start(stage.program, &charter).await?;
         // Started anew it comes back where clients know it.
         std::fs::write(
             &charter,
             self::charter(day, gateway, address, registry.address(gateway), stage.seed),
         )?;
-        gateways.push(Process { charter, address, child: RefCell::new(Some(child)) });
+        let stirs = RefCell::new(child.stdin.take());
+        gateways.push(Process { charter, address, child: RefCell::new(Some(child)), stirs });
     }
     let front = Arc::new(Front {
         gateways: gateways.iter().map(|g| g.address).collect(),
@@ -186,6 +189,9 @@
         day.gateways,
         seed + gateway as u64
     ));
+    if let Some(cores) = day.cores {
+        line(format!("cores = {cores}"));
+    }
     for p in &day.profiles {
         line(format!("profile \"{}\" {{\n  due = {}\n  cut_off = {}", p.name, p.due, p.cut_off));
         line(format!("  importance = {}", p.importance));
@@ -223,7 +229,8 @@
         .arg("serve")
         .arg("--charter")
         .arg(charter)
-        .stdin(Stdio::null())
+        .arg("--stir")
+        .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(log)
         .kill_on_drop(true)
@@ -308,6 +315,21 @@
             What::StoreStops => self.hall.store.borrow_mut().stop(self.hall.now(), lasts),
             What::GatewayStall => self.stall(&trouble).await,
             What::GatewayKill => self.kill(&trouble).await,
+            What::CoreStall => {
+                let end = self.hall.now() + lasts;
+                while self.hall.now() < end {
+                    self.stir(&trouble, &format!("stall {size}")).await;
+                    sleep(size).await;
+                    self.stirred();
+                    sleep(size).await;
+                }
+            }
+            What::CorePanic | What::DeskBreak => {
+                let word = if trouble.what == What::CorePanic { "panic" } else { "break" };
+                self.stir(&trouble, word).await;
+                sleep(lasts).await;
+                self.stirred();
+            }
             What::ListLate => self.mislead(lasts, Manner { late: size, ..Manner::default() }).await,
             What::ListStalled => self.mislead(lasts, Manner { stalled: true, ..Manner::default() }).await,
             What::ListLost => self.mislead(lasts, Manner { loses: true, ..Manner::default() }).await,
@@ -401,6 +423,27 @@
         }
     }
 
+    /// Tells each gateway of some mischief for one of its cores.
+    async fn stir(&self, trouble: &Trouble, what: &str) {
+        let cores =
+            self.day.cores.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, |n| n.get()));
+        for gateway in 0..self.gateways.len() {
+            let core = self.chance.borrow_mut().random_range(0..cores);
+            let stirs = self.gateways[gateway].stirs.take();
+            let Some(mut stirs) = stirs else { continue };
+            // What its other cores do is judged by service; of this one's calls none can say whether it was read.
+            self.hall.note(Saw::Still { gateway });
+            if let Err(e) = stirs.write_all(format!("{core} {what}\n").as_bytes()).await {
+                tracing::error!(gateway, trouble = trouble.name, "can't be stirred: {e}");
+            }
+            self.gateways[gateway].stirs.replace(Some(stirs));
+        }
+    }
+
+    fn stirred(&self) {
+        (0..self.gateways.len()).for_each(|gateway| self.hall.note(Saw::Moves { gateway }));
+    }
+
     async fn stall(self: &Rc<Self>, trouble: &Trouble) {
         let struck = self.some(self.gateways.len(), trouble.part);
         let end = self.hall.now() + trouble.lasts;
@@ -431,7 +474,8 @@
             self.front.alive[gateway].store(false, Ordering::Relaxed);
             sleep(trouble.lasts - notice).await;
             match start(&self.program, &process.charter).await {
-                Ok((child, _)) => {
+                Ok((mut child, _)) => {
+                    process.stirs.replace(child.stdin.take());
                     process.child.replace(Some(child));
                     self.hall.note(Saw::Back { gateway });
                     self.front.alive[gateway].store(true, Ordering::Relaxed);
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -13,6 +13,8 @@
     pub seed: u64,
     pub seconds: f64,
     pub gateways: usize,
+    /// Cores of each; as many as the machine has where nothing is said.
+    pub cores: Option<usize>,
     pub workers: usize,
     pub make: Make,
     pub shelf: Shelf,
@@ -134,6 +136,12 @@
     GatewayStall,
     /// Gateway processes are killed outright and started anew.
     GatewayKill,
+    /// A core of each gateway stands still for so many seconds (size), again and again.
+    CoreStall,
+    /// A core of each gateway ends by a panic.
+    CorePanic,
+    /// The decisions of each gateway panic.
+    DeskBreak,
     /// Lists come so many seconds (size) late.
     ListLate,
     ListStalled,
@@ -144,7 +152,7 @@
 }
 
 /// The script's words, with what `part` and `size` are when nothing is said.
-const WORDS: [(&str, What, f64, f64); 27] = [
+const WORDS: [(&str, What, f64, f64); 30] = [
     ("death", What::Death, 0.2, 1.0),
     ("rolling", What::Rolling, 0.5, 1.0),
     ("drain", What::Drain, 0.2, 1.0),
@@ -167,6 +175,9 @@
     ("resets", What::Resets, 0.2, 0.3),
     ("gateway-stall", What::GatewayStall, 0.5, 0.5),
     ("gateway-kill", What::GatewayKill, 0.5, 1.0),
+    ("core-stall", What::CoreStall, 1.0, 0.5),
+    ("core-panic", What::CorePanic, 1.0, 1.0),
+    ("desk-break", What::DeskBreak, 1.0, 1.0),
     ("list-late", What::ListLate, 1.0, 3.0),
     ("list-stalled", What::ListStalled, 1.0, 1.0),
     ("list-lost", What::ListLost, 1.0, 1.0),
@@ -261,6 +272,7 @@
         seed: top.figure("seed", "chance", 0.0..=9e15).unwrap_or(1.0) as u64,
         seconds: of(Some(top), "seconds", "seconds", LONG, 30.0),
         gateways: count(Some(top), "gateways", 2),
+        cores: top.count("cores", "cores", 1..=63),
         workers: count(fleet, "workers", 10),
         make,
         shelf,
