A call that lies unread when its core is lost is bounced, and one answered for is never run

Change: a lost core's connections are read off and answered by whoever closes them; a claim that is closed refuses to take a call up, shown by loom; a claim rests once the answer is written, so that kept connections count as idle. Measured: a story of a call left unread at a panic.

--- a/crates/cores/src/claim.rs
+++ b/crates/cores/src/claim.rs
@@ -32,11 +32,22 @@
         }
     }
 
+    /// All of the answer is written; nothing is owed until the next call.
+    pub fn rest(&self) {
+        let _ = self.0.compare_exchange(ANSWERING, IDLE, Ordering::AcqRel, Ordering::Acquire);
+    }
+
     /// Another wants to say the last word; only where an answer is owed and nothing of it written.
     pub fn speak(&self) -> bool {
         self.0.compare_exchange(OWED, SPOKEN, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
 
+    /// Its core is lost. True where nothing was owed as far as that core had read: then whoever closes the
+    /// connection may say a last word to what lies there unread.
+    pub fn close(&self) -> bool {
+        self.0.compare_exchange(IDLE, SPOKEN, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
     /// Whether the last word has been said.
     pub fn spoken(&self) -> bool {
         self.0.load(Ordering::Acquire) == SPOKEN
--- a/crates/cores/tests/interleavings.rs
+++ b/crates/cores/tests/interleavings.rs
@@ -113,6 +113,21 @@
     });
 }
 
+/// A connection is closed for a lost core in the very moment in which that core takes up a call: either the call is
+/// not taken, or what lies unread is left alone.
+#[test]
+fn a_call_is_taken_up_or_turned_away() {
+    loom::model(|| {
+        let claim = Arc::new(Claim::default());
+        let theirs = claim.clone();
+        let other = thread::spawn(move || theirs.close());
+        let taken = claim.owe();
+        let closed = other.join().unwrap();
+        assert!(taken != closed);
+        assert!(!taken || (claim.write() && !claim.speak()));
+    });
+}
+
 /// A core given up on beats once more while another takes its place: one successor, and the old one learns of it.
 #[test]
 fn a_life_has_one_successor() {
--- a/crates/cores/tests/models.rs
+++ b/crates/cores/tests/models.rs
@@ -42,26 +42,36 @@
     }
 
     /// Whatever is asked of a claim and in which order: nothing is written after the last word, and that is said only
-    /// between a call and the first byte of its answer.
+    /// between a call and the first byte of its answer, or where nothing is owed.
     #[test]
-    fn a_claim_lets_one_speak(steps in proptest::collection::vec(0u8..3, 0..40)) {
-        let (claim, mut owed, mut spoken) = (Claim::default(), false, false);
+    fn a_claim_lets_one_speak(steps in proptest::collection::vec(0u8..5, 0..40)) {
+        #[derive(Clone, Copy, PartialEq)]
+        enum Is { Idle, Owed, Answering, Spoken }
+        let (claim, mut is) = (Claim::default(), Is::Idle);
         for step in steps {
             match step {
                 0 => {
-                    prop_assert_eq!(claim.owe(), !spoken);
-                    owed = !spoken;
+                    prop_assert_eq!(claim.owe(), is != Is::Spoken);
+                    is = if is == Is::Spoken { is } else { Is::Owed };
                 }
                 1 => {
-                    prop_assert_eq!(claim.write(), !spoken);
-                    owed = false;
+                    prop_assert_eq!(claim.write(), is != Is::Spoken);
+                    is = if is == Is::Owed { Is::Answering } else { is };
+                }
+                2 => {
+                    claim.rest();
+                    is = if is == Is::Answering { Is::Idle } else { is };
+                }
+                3 => {
+                    prop_assert_eq!(claim.speak(), is == Is::Owed);
+                    is = if is == Is::Owed { Is::Spoken } else { is };
                 }
                 _ => {
-                    prop_assert_eq!(claim.speak(), owed);
-                    spoken |= owed;
-                    owed = false;
+                    prop_assert_eq!(claim.close(), is == Is::Idle);
+                    is = if is == Is::Idle { Is::Spoken } else { is };
                 }
             }
+            prop_assert_eq!(claim.spoken(), is == Is::Spoken);
         }
     }
 }
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -223,9 +223,13 @@
         for (line, begun) in self.office.abandon(seat) {
             line.last_word(answer_of(Own::lost(begun)));
         }
-        // A last word is still read by its client: only the rest is closed both ways.
-        let lines = std::mem::take(&mut *place.lines());
-        lines.values().filter(|line| !line.claim.spoken()).for_each(|line| line.close());
+        for line in std::mem::take(&mut *place.lines()).values() {
+            line.farewell(answer_of(Own::lost(false)));
+            // A last word is still read by its client; what is left was amid its answer.
+            if !line.claim.spoken() {
+                line.close();
+            }
+        }
         core.watch.lost(now);
     }
 
--- a/crates/gateway/src/line.rs
+++ b/crates/gateway/src/line.rs
@@ -8,11 +8,11 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use milletpath_cores::claim::Claim;
 use socket2::SockRef;
-use std::io;
+use std::io::{self, Read as _};
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
 
@@ -24,11 +24,20 @@
     calls: AtomicU64,
     /// The serial number of the call in hand; 0 for none.
     serial: AtomicU64,
+    /// The core has an answer that it writes or is about to.
+    ready: AtomicBool,
 }
 
 impl Line {
     pub fn new(stream: TcpStream, since: f64) -> Self {
-        Self { stream, claim: Claim::default(), since, calls: AtomicU64::new(0), serial: AtomicU64::new(0) }
+        Self {
+            stream,
+            claim: Claim::default(),
+            since,
+            calls: AtomicU64::new(0),
+            serial: AtomicU64::new(0),
+            ready: AtomicBool::new(false),
+        }
     }
 
     /// Counts a call; tells how many a second came on this connection.
@@ -49,12 +58,44 @@
         self.serial.load(Ordering::Relaxed) == tag.serial
     }
 
+    /// The answer to the call in hand is there; what is written from here on is that.
+    pub fn ready(&self) {
+        self.ready.store(true, Ordering::Relaxed);
+    }
+
+    /// Its core is lost with nothing in hand here. A call that lies unread is answered, as nobody will read it; it
+    /// would else be lost without a word when the connection is closed.
+    pub fn farewell(&self, answer: Response<Written>) {
+        /// Bytes taken off at most: what is left makes the kernel reset the connection, which may outrun the answer.
+        const MOST: usize = 1 << 20;
+        if !self.claim.close() {
+            return;
+        }
+        let (mut piece, mut taken) = ([0; 8192], 0);
+        let socket = SockRef::from(&self.stream);
+        while taken < MOST
+            && let Ok(read @ 1..) = (&*socket).read(&mut piece)
+        {
+            taken += read;
+        }
+        if taken > 0 {
+            self.say(answer);
+        } else {
+            self.close();
+        }
+    }
+
     /// Gives the final answer in place of the core that owes it, and ends the connection; false where that core
     /// has begun to answer, or owes nothing.
     pub fn last_word(&self, answer: Response<Written>) -> bool {
-        if !self.claim.speak() {
-            return false;
+        let may = self.claim.speak();
+        if may {
+            self.say(answer);
         }
+        may
+    }
+
+    fn say(&self, answer: Response<Written>) {
         let (parts, body) = answer.into_parts();
         let mut text =
             format!("HTTP/1.1 {}\r\nconnection: close\r\ncontent-length: {}\r\n", parts.status, body.len());
@@ -66,7 +107,6 @@
         // It fits into the socket's buffer, in which no answer waits. A client that left has nobody to take it.
         let _ = SockRef::from(&self.stream).send(&bytes);
         let _ = SockRef::from(&self.stream).shutdown(Shutdown::Write);
-        true
     }
 
     /// Ends the connection both ways.
@@ -94,6 +134,9 @@
         let most = PIECE.min(buf.remaining());
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
+            if self.0.claim.spoken() {
+                return Poll::Ready(Err(spoken()));
+            }
             match self.0.stream.try_read(&mut piece[..most]) {
                 Ok(read) => {
                     buf.put_slice(&piece[..read]);
@@ -114,7 +157,9 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            if !self.0.claim.write() {
+            let ready = self.0.ready.load(Ordering::Relaxed);
+            // An interim answer is not the final one: what is written without that changes nothing.
+            if if ready { !self.0.claim.write() } else { self.0.claim.spoken() } {
                 return Poll::Ready(Err(spoken()));
             }
             ready!(self.0.stream.poll_write_ready(cx))?;
@@ -131,7 +176,11 @@
         self.write(cx, |stream| stream.try_write(buf))
     }
 
+    /// Asked when all that was there to write is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.ready.swap(false, Ordering::Relaxed) {
+            self.0.claim.rest();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -108,7 +108,8 @@
     Break,
 }
 
-/// One core as the others see it.
+/// One core as the others see it; on cache lines of its own, as each writes on its seat with every call.
+#[repr(align(128))]
 pub struct Seat {
     pub mail: Mailbox<Errand>,
     pub bell: Notify,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioTimer;
 use milletpath_policy::host::Effect;
 use milletpath_protocol::{Fault, invoke, problem};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
@@ -32,6 +33,9 @@
 struct Guest {
     gateway: Rc<Gateway>,
     number: u64,
+    line: Arc<Line>,
+    /// It came to its end; else it is dropped with its core.
+    ended: Cell<bool>,
     _ticket: Ticket,
 }
 
@@ -40,6 +44,9 @@
         let office = &self.gateway.office;
         let seat = &office.seats[self.gateway.seat];
         seat.lines().remove(&self.number);
+        if !self.ended.get() {
+            self.line.farewell(answer_of(Own::lost(false)));
+        }
         if seat.open.fetch_sub(1, Ordering::AcqRel) == 1 && office.stopping.load(Ordering::Acquire) {
             seat.bell.notify_one();
         }
@@ -55,14 +62,15 @@
     let _ = stream.set_nodelay(true);
     let line = Arc::new(Line::new(stream, gateway.now()));
     let seat = &gateway.office.seats[gateway.seat];
-    let guest = Guest { gateway: gateway.clone(), number: gateway.office.number(), _ticket: ticket };
+    let (number, ended) = (gateway.office.number(), Cell::new(false));
+    let guest = Guest { gateway: gateway.clone(), number, line: line.clone(), ended, _ticket: ticket };
     seat.open.fetch_add(1, Ordering::AcqRel);
     seat.lines().insert(guest.number, line.clone());
     spawn_local(connection(gateway.clone(), line, guest));
 }
 
 /// One client connection, for as long as it lasts.
-async fn connection(gateway: Rc<Gateway>, line: Arc<Line>, _guest: Guest) {
+async fn connection(gateway: Rc<Gateway>, line: Arc<Line>, guest: Guest) {
     /// Bytes of header fields, and their number: several times what browsers and tools send.
     const HEAD: usize = 64 << 10;
     const FIELDS: usize = 128;
@@ -91,6 +99,7 @@
             connection.await
         }
     };
+    guest.ended.set(true);
     if let Err(e) = ended {
         tracing::debug!("a client's connection ended: {e}");
     }
@@ -224,7 +233,10 @@
     let seat = &gateway.office.seats[gateway.seat];
     seat.calls.fetch_add(1, Ordering::Relaxed);
     let rate = line.count(gateway.now());
-    line.claim.owe();
+    if !line.claim.owe() {
+        // Another has closed this line meanwhile and told its client that nothing ran: so nothing may.
+        return bounced("bounced", "This connection is closed", None);
+    }
     let owed = Owed { gateway: gateway.clone(), line, tag: None, slot: None, answered: false };
     let mut response = handle(&gateway, owed, request, stopping).await;
     if seat.sends_away(rate) {
@@ -241,6 +253,7 @@
 ) -> Response<Written> {
     let response = take(gateway, &mut owed, request, stopping).await;
     owed.answered = true;
+    owed.line.ready();
     response
 }
 
--- a/crates/gateway/tests/cores.rs
+++ b/crates/gateway/tests/cores.rs
@@ -262,6 +262,28 @@
     });
 }
 
+/// A call lies unread on a kept connection when its core dies: it is bounced, not dropped without a word.
+#[test]
+fn a_call_that_lies_unread_when_its_core_dies() {
+    story(async {
+        let (worker, mut heads) = town::worker(OK).await;
+        let (at, _stop, _served, stir) = stirred(charter(&[worker], "cores = 1\n")).await;
+        let text = "POST /v1/functions/greet/activations HTTP/1.1\r\nhost: g\r\ncontent-length: 0\r\n\r\n";
+        let mut stream = TcpStream::connect(at).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut first = [0; 4096];
+        assert!(stream.read(&mut first).await.unwrap() > 0);
+        assert_eq!(drained(&mut heads), 1);
+        stir.send((0, Stir::Stall(0.4))).unwrap();
+        stir.send((0, Stir::Panic)).unwrap();
+        pause(0.1).await;
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut rest = String::new();
+        stream.read_to_string(&mut rest).await.unwrap();
+        assert_eq!((outcome(&rest), drained(&mut heads)), ("bounced", 0), "{rest}");
+    });
+}
+
 /// A core does not come back, and its client waits for longer than that: told when another takes the seat.
 #[test]
 fn a_client_that_waits_for_longer_than_a_lost_core() {
--- a/days/bad-cores.hcl
+++ b/days/bad-cores.hcl
@@ -197,7 +197,7 @@
   size  = 0.5
 }
 
-trouble "core-stall-for-long" {
+trouble "core-stall-at-length" {
   at    = 20
   lasts = 3
   size  = 3
