--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -17,7 +17,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
@@ -42,7 +42,8 @@
     serve_stirred(house, listener, stop, quiet).await
 }
 
-/// As [`serve`], with mischief for tests and days: what comes on the channel befalls the core of that number.
+/// As [`serve`], with mischief for tests and days: what comes on the channel befalls the core of that number; the one
+/// behind the last is the keeper.
 pub async fn serve_stirred(
     house: House,
     listener: TcpListener,
@@ -52,7 +53,7 @@
     let keeper = Rc::new(Keeper::new(house));
     let office = keeper.office.clone();
     tracing::info!(cores = office.cores(), "serving");
-    let time = spawn_local(keeper.clone().keep_time());
+    let mut time = spawn_local(keeper.clone().keep_time());
     let mut stop = pin!(stop);
     let mut stirred = true;
     loop {
@@ -60,8 +61,13 @@
         tokio::select! {
             biased;
             () = &mut stop => break,
+            // It ends by a panic alone, and nothing goes on without it.
+            _ = &mut time => {
+                tracing::error!("the keeper's round broke; it begins anew");
+                time = spawn_local(keeper.clone().keep_time());
+            }
             stir = stirs.recv(), if stirred => match stir {
-                Some((seat, stir)) if seat < office.cores() => office.send(seat, Errand::Stir(stir)),
+                Some((seat, stir)) if seat <= office.cores() => office.send(seat, Errand::Stir(stir)),
                 Some((seat, _)) => tracing::warn!(seat, "there is no such core to stir"),
                 None => stirred = false,
             },
@@ -84,12 +90,16 @@
     let longest = office.house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max) + 1.0;
     let _ = tokio::time::timeout(Duration::from_secs_f64(longest), async {
         while office.guests.used() > 0 {
-            office.fewer.notified().await;
+            tokio::select! {
+                () = office.fewer.notified() => {}
+                _ = &mut time => time = spawn_local(keeper.clone().keep_time()),
+            }
         }
     })
     .await;
     keeper.end().await;
     time.abort();
+    keeper.account();
     office.tally()
 }
 
@@ -231,6 +241,22 @@
             }
         }
         core.watch.lost(now);
+        self.office.lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// What the cores did, for the log.
+    fn account(&self) {
+        let of = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let office = &self.office;
+        let calls: Vec<_> = office.seats[..office.cores()].iter().map(|seat| of(&seat.calls)).collect();
+        let (lost, broken, stood_in) = (of(&office.lost), of(&office.broken), of(&office.stood_in));
+        tracing::info!(
+            ?calls,
+            lost,
+            broken,
+            stood_in,
+            "requests by core; cores lost; decisions broken; stood in for"
+        );
     }
 
     /// Does a still core's errands where they can be done by another: final answers are given on its clients'
@@ -245,6 +271,7 @@
                 match errand {
                     Errand::Answer { own, line, .. } => {
                         if line.last_word(answer_of(own)) {
+                            self.office.stood_in.fetch_add(1, Ordering::Relaxed);
                             tracing::info!(seat, ?own, "answered for a core that stands still");
                         }
                     }
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -166,8 +166,10 @@
     inside: Mutex<Inside>,
     /// One for each core, and the last for the keeper.
     pub seats: Vec<Seat>,
-    /// Desks that broke.
+    /// Desks that broke, cores that were lost, and calls answered for cores that stood still.
     pub broken: AtomicU64,
+    pub lost: AtomicU64,
+    pub stood_in: AtomicU64,
     pub earlier: Notify,
     pub stopping: AtomicBool,
     /// Bytes in hand, and client connections.
@@ -199,6 +201,8 @@
             }),
             seats: (0..=cores).map(|_| Seat::new(letters)).collect(),
             broken: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+            stood_in: AtomicU64::new(0),
             earlier: Notify::new(),
             stopping: AtomicBool::new(false),
             held: Budget::new(house.bounds.held),
--- a/crates/gateway/tests/cores.rs
+++ b/crates/gateway/tests/cores.rs
@@ -211,6 +211,21 @@
     });
 }
 
+/// Pinned cores, and more of them than the machine has processors.
+#[test]
+fn pinned_cores_serve() {
+    story(async {
+        let (worker, _heads) = town::worker(OK).await;
+        let (at, stop, served, _stir) = stirred(charter(&[worker], "cores = 63\npin = true\n")).await;
+        let clients: Vec<_> = (0..70).map(|_| spawn_local(calls(at, 2))).collect();
+        for client in clients {
+            assert_eq!(client.await.unwrap().0, ["handled", "handled"]);
+        }
+        stop.send(()).unwrap();
+        assert_eq!(served.await.unwrap().handled, 140);
+    });
+}
+
 /// A core stands still with calls in hand: their clients are answered meanwhile, once, and the connection ends.
 #[test_case(PURE, "bounced"; "pure")]
 #[test_case(EFFECTFUL, "terminated"; "effectful, and at a worker")]
@@ -324,6 +339,26 @@
     });
 }
 
+/// The keeper's round breaks, once in itself and once in the decisions' hands: calls go on, and time limits are kept.
+#[test]
+fn the_keepers_round_breaks() {
+    story(async {
+        let (worker, _heads) = town::worker(OK).await;
+        let (silent, _silent_heads) = town::worker(Does::Nothing).await;
+        let (at, _stop, _served, stir) = stirred(charter(&[worker], "cores = 2\n")).await;
+        stir.send((2, Stir::Panic)).unwrap();
+        pause(0.5).await;
+        assert_eq!(outcome(&call(at, "", "").await), "handled");
+        stir.send((2, Stir::Break)).unwrap();
+        pause(0.5).await;
+        assert_eq!(outcome(&call(at, "", "").await), "handled");
+        let (at, _stop, _served, stir) =
+            stirred(charter(&[silent], &format!("cores = 2\n{EFFECTFUL}"))).await;
+        stir.send((2, Stir::Panic)).unwrap();
+        assert_eq!(outcome(&call(at, "milletpath-patience: 0.5\r\n", "").await), "terminated");
+    });
+}
+
 /// Stopped amid a burst on all cores: every client that was taken has one answer, and the counts agree.
 #[test]
 fn a_stop_amid_a_burst() {
--- a/crates/milletpath/benches/cores.rs
+++ b/crates/milletpath/benches/cores.rs
@@ -2,7 +2,8 @@
 //!
 //! `cargo bench -p milletpath --bench cores` prints, for each: calls a second of a closed loop, CPU a call, how much
 //! the busiest core does over the mean; then latencies at 760 calls a second. With one and two cores the gateway has
-//! the first processors to itself and the load the last two; with more all share what there is.
+//! the first processors to itself and the load the last two; with more all share what there is. `-- --earlier PROGRAM`
+//! adds an earlier build, on the first processor.
 
 mod load;
 
@@ -43,15 +44,22 @@
     assert!(all >= 4, "four processors are needed: two for the load");
     on(all - 2..all);
     let workers: Vec<SocketAddr> = workers(2).into_iter().chain(workers(2)).collect();
-    let gateways: Vec<Under> = CORES
+    let mut gateways: Vec<Under> = CORES
         .iter()
         .map(|&cores| {
             on(0..if cores <= 2 { cores } else { all });
             gateway(&workers, cores)
         })
         .collect();
+    let mut names: Vec<String> = CORES.iter().map(|c| format!("{c} cores")).collect();
+    let mut args = std::env::args().skip_while(|a| a != "--earlier").skip(1);
+    if let Some(program) = args.next() {
+        on(0..1);
+        gateways.push(load::gateway_of(&program, &workers, ""));
+        names.push("earlier".into());
+    }
     on(all - 2..all);
-    let mut found = vec![Vec::new(); CORES.len()];
+    let mut found = vec![Vec::new(); gateways.len()];
     for _ in 0..ROUNDS {
         for (under, found) in gateways.iter().zip(&mut found) {
             if under.0.id() > 0 && found.is_empty() {
@@ -79,20 +87,19 @@
         LOADERS * CONNECTIONS
     );
     let one = middle(found[0].iter().map(|f| f.0).collect());
-    for (cores, found) in CORES.iter().zip(&found) {
+    for (name, found) in names.iter().zip(&found) {
         let [rate, cost, busiest] =
             [|f: &(f64, f64, f64)| f.0, |f: &(f64, f64, f64)| f.1, |f: &(f64, f64, f64)| f.2]
                 .map(|of| middle(found.iter().map(of).collect()));
-        let shared = if *cores > 2 { ", shared with the load" } else { "" };
         println!(
-            "{cores} cores{shared}: {rate:>7.0} calls/s ({:.2}), {cost:.1} us CPU a call, busiest core {busiest:.2} of \
+            "{name}: {rate:>7.0} calls/s ({:.2}), {cost:.1} us CPU a call, busiest core {busiest:.2} of \
              the mean",
             rate / one
         );
     }
     let addresses: Vec<SocketAddr> = gateways.iter().map(|g| g.1).collect();
     // One at a time at the full rate, turn about in short pieces.
-    let mut latencies: Vec<Option<hdrhistogram::Histogram<u64>>> = vec![None; CORES.len()];
+    let mut latencies: Vec<Option<hdrhistogram::Histogram<u64>>> = vec![None; gateways.len()];
     for _ in 0..ROUNDS {
         for (at, all) in addresses.iter().zip(&mut latencies) {
             let piece = open_loop(&[*at], 3.0).remove(0);
@@ -102,13 +109,8 @@
             }
         }
     }
-    for (cores, h) in CORES.iter().zip(latencies.iter().flatten()) {
+    for (name, h) in names.iter().zip(latencies.iter().flatten()) {
         let at = |q| h.value_at_quantile(q) as f64 / 1e3;
-        println!(
-            "{cores} cores at 760/s: p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms",
-            at(0.5),
-            at(0.99),
-            at(0.999)
-        );
+        println!("{name} at 760/s: p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms", at(0.5), at(0.99), at(0.999));
     }
 }
--- a/crates/milletpath/benches/load/mod.rs
+++ b/crates/milletpath/benches/load/mod.rs
@@ -169,18 +169,24 @@
 }
 
 pub fn gateway(workers: &[SocketAddr], cores: usize) -> Under {
-    let path = std::env::temp_dir().join(format!("milletpath-bench-{}.hcl", std::process::id()));
+    gateway_of(env!("CARGO_BIN_EXE_milletpath"), workers, &format!("cores = {cores}\n"))
+}
+
+/// Another build of the program, whose charter may know other keys.
+pub fn gateway_of(program: &str, workers: &[SocketAddr], keys: &str) -> Under {
+    let name = format!("milletpath-bench-{}-{}.hcl", std::process::id(), keys.trim().replace([' ', '='], ""));
+    let path = std::env::temp_dir().join(name);
     let lines: String = workers
         .iter()
         .enumerate()
         .map(|(n, a)| format!("  worker \"w{n}\" {{ address = \"{a}\" }}\n"))
         .collect();
     let text = format!(
-        "listen = \"127.0.0.1:0\"\ncores = {cores}\nprofile \"p\" {{\n  due = 1\n  effect = \"pure\"\n}}\nfunctions {{ lanes = 64 }}\n\
+        "listen = \"127.0.0.1:0\"\n{keys}profile \"p\" {{\n  due = 1\n  effect = \"pure\"\n}}\nfunctions {{ lanes = 64 }}\n\
          workers {{\n{lines}}}\n"
     );
     std::fs::write(&path, text).expect("a charter");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_milletpath"));
+    let mut command = Command::new(program);
     command.arg("serve").arg("--charter").arg(&path);
     Under::start(command)
 }
--- a/crates/milletpath/src/day.rs
+++ b/crates/milletpath/src/day.rs
@@ -100,7 +100,7 @@
             .collect();
         let report = serde_json::json!({
             "day": day.name, "seed": day.seed, "whole": counts(&played.whole), "troubles": troubles,
-            "fetches": played.fetches, "refusals": played.refusals, "broken": broken,
+            "fetches": played.fetches, "warm": played.warm, "refusals": played.refusals, "broken": broken,
         });
         println!("{report}");
         return;
@@ -117,7 +117,10 @@
     for (trouble, counts) in &played.by_trouble {
         println!("{}", line(&day.troubles[*trouble].name, counts));
     }
-    println!("fetches from the store: {}, turned away there: {}", played.fetches, played.refusals);
+    println!(
+        "fetches from the store: {}, turned away there: {}; calls that found an instance: {:.3}",
+        played.fetches, played.refusals, played.warm
+    );
     match played.broken.len() {
         0 => println!("rules: all five kept"),
         n => println!("rules: broken in {n} places"),
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -36,6 +36,8 @@
     pub whole: Counts,
     pub by_trouble: BTreeMap<usize, Counts>,
     pub fetches: u64,
+    /// Part of the calls done that found an instance standing.
+    pub warm: f64,
     pub refusals: u64,
 }
 
@@ -161,7 +163,9 @@
     let (whole, by_trouble) = witness::count(&records, &account);
     let broken = witness::check(&records, &terms);
     let (fetches, refusals) = (hall.store.borrow().fetches, hall.store.borrow().refusals);
-    Ok(Played { records, broken, whole, by_trouble, fetches, refusals })
+    let (warm, done) = hall.warm.get();
+    let warm = warm as f64 / done.max(1) as f64;
+    Ok(Played { records, broken, whole, by_trouble, fetches, warm, refusals })
 }
 
 fn entry(number: usize, started: Option<f64>) -> Entry {
--- a/crates/standin/src/hall.rs
+++ b/crates/standin/src/hall.rs
@@ -5,7 +5,7 @@
 use milletpath_witness::{Record, Saw};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Instant;
@@ -25,6 +25,8 @@
     began: Instant,
     notes: RefCell<Vec<Record>>,
     pub store: RefCell<Store>,
+    /// Calls done by an instance that stood there when they came, and all that were done.
+    pub warm: Cell<(u64, u64)>,
     packs: RefCell<BTreeMap<String, (u32, Pack)>>,
     usual: Pack,
     pub tells: Tells,
@@ -41,6 +43,7 @@
             began,
             notes: RefCell::default(),
             store: RefCell::new(Store::new(shelf)),
+            warm: Cell::default(),
             packs: RefCell::default(),
             usual,
             tells,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -159,7 +159,11 @@
                         self.hall.note(Saw::Ran { call: told.call, worker: self.number });
                     }
                 }
-                Say::Done { job, found, company } => self.end(job, Ended::Done(found, company)),
+                Say::Done { job, found, company } => {
+                    let (warm, all) = self.hall.warm.get();
+                    self.hall.warm.set((warm + u64::from(found == wire::Found::Loaded), all + 1));
+                    self.end(job, Ended::Done(found, company));
+                }
                 Say::Refused { job, why, failed_load } => self.end(job, Ended::Refused(why, failed_load)),
                 Say::Fetch { load, seconds, .. } => {
                     let takes = self.hall.store.borrow_mut().fetch(self.hall.now(), seconds);
