A core that is kept waiting for a moment keeps its shots; only its due answers are given

Cause: a core not seen for 0.15 s had its shots called off at once; on a crowded machine that is a thread that waits for a processor, and calls were bounced that it would have sent in time. Change: until 1 s only answers that fell due are given for it. Measured: the stories of calls and cores pass twice on one processor alone (taskset -c 0).

--- a/crates/cores/src/watch.rs
+++ b/crates/cores/src/watch.rs
@@ -4,6 +4,10 @@
 /// A thread not seen for so long stood still: several pulses, as a busy machine keeps one waiting now and then.
 pub const STILL: f64 = 0.15;
 
+/// Seconds after which its errands are done by others: a crowded machine keeps a thread waiting for less, and what
+/// it would still send in time is better left to it.
+pub const LONG: f64 = 1.0;
+
 /// Seconds after which a core that stands still is given up on: longer than any pause of the machine from which it
 /// may come back with its connections, and short against the minutes that people take.
 pub const GIVEN_UP: f64 = 5.0;
@@ -22,6 +26,8 @@
     /// It runs.
     Nothing,
     /// Answer its calls as they fall due.
+    Answer,
+    /// That, and do the rest of its errands or call them off.
     StandIn,
     /// Close its connections and let another core take its place.
     Replace,
@@ -53,6 +59,8 @@
         let still = now - seen.max(self.moved);
         if self.until.is_some() || still <= STILL {
             Do::Nothing
+        } else if still <= LONG {
+            Do::Answer
         } else if still <= GIVEN_UP {
             Do::StandIn
         } else {
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -3,6 +3,7 @@
 
 use crate::core;
 use crate::desk::{End, Tally};
+use crate::line::Line;
 use crate::office::{Errand, Office, Own, Stir, Ticket};
 use crate::serve::answer_of;
 use crate::shell::{Gateway, PULSE};
@@ -210,6 +211,7 @@
             }
             match core.watch.look(now, pulse.seen()) {
                 Do::Nothing => {}
+                Do::Answer => self.answer_for(seat),
                 Do::StandIn => self.stand_in(seat),
                 Do::Replace => {
                     tracing::error!(seat, seen = pulse.seen(), "a core stands still; another takes its seat");
@@ -259,6 +261,25 @@
         );
     }
 
+    /// Gives the final answers that fell due on a still core's connections; the rest waits for it.
+    fn answer_for(&self, seat: usize) {
+        for errand in self.office.seats[seat].mail.take() {
+            if let Errand::Answer { own, line, .. } = errand {
+                self.last_word(&line, own);
+            } else {
+                // Behind what came meanwhile: a shot whose call is over by then is kept back at the desk.
+                self.office.send(seat, errand);
+            }
+        }
+    }
+
+    fn last_word(&self, line: &Line, own: Own) {
+        if line.last_word(answer_of(own)) {
+            self.office.stood_in.fetch_add(1, Ordering::Relaxed);
+            tracing::info!(?own, "answered for a core that stands still");
+        }
+    }
+
     /// Does a still core's errands where they can be done by another: final answers are given on its clients'
     /// connections, its shots count as never sent, its orders and probes are sent from here.
     fn stand_in(&self, seat: usize) {
@@ -269,12 +290,7 @@
             }
             for errand in errands {
                 match errand {
-                    Errand::Answer { own, line, .. } => {
-                        if line.last_word(answer_of(own)) {
-                            self.office.stood_in.fetch_add(1, Ordering::Relaxed);
-                            tracing::info!(seat, ?own, "answered for a core that stands still");
-                        }
-                    }
+                    Errand::Answer { own, line, .. } => self.last_word(&line, own),
                     Errand::Shoot { tag, shot, .. } => {
                         self.gateway.tell(|desk, now| desk.end(now, tag, shot, End::plain(Outcome::Unsent)));
                     }
