--- a/crates/milletpath/src/day.rs
+++ b/crates/milletpath/src/day.rs
@@ -81,6 +81,7 @@
 fn print(day: &Day, played: &Played, json: bool) {
     /// Broken places that are told in full.
     const MOST: usize = 20;
+    let latencies = milletpath_witness::latencies(&played.records, [0.5, 0.99, 0.999]);
     if json {
         let counts = |c: &Counts| {
             serde_json::json!({
@@ -100,7 +101,7 @@
             .collect();
         let report = serde_json::json!({
             "day": day.name, "seed": day.seed, "whole": counts(&played.whole), "troubles": troubles,
-            "fetches": played.fetches, "warm": played.warm, "refusals": played.refusals, "broken": broken,
+            "fetches": played.fetches, "warm": played.warm, "refusals": played.refusals, "broken": broken, "latencies": latencies,
         });
         println!("{report}");
         return;
@@ -117,6 +118,9 @@
     for (trouble, counts) in &played.by_trouble {
         println!("{}", line(&day.troubles[*trouble].name, counts));
     }
+    if let Some([p50, p99, p999]) = latencies {
+        println!("handled tries took: p50 {p50:.3} s, p99 {p99:.3} s, p99.9 {p999:.3} s");
+    }
     println!(
         "fetches from the store: {}, turned away there: {}; calls that found an instance: {:.3}",
         played.fetches, played.refusals, played.warm
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -5,7 +5,7 @@
 mod service;
 
 pub use rules::{Broken, Terms, check};
-pub use service::{Account, Counts, count};
+pub use service::{Account, Counts, count, latencies};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/witness/src/service.rs
+++ b/crates/witness/src/service.rs
@@ -37,6 +37,26 @@
     }
 }
 
+/// Seconds from a try to its handled answer, at each of the parts (0.5 is the median); none where nothing was handled.
+pub fn latencies<const N: usize>(records: &[Record], parts: [f64; N]) -> Option<[f64; N]> {
+    let mut asked = BTreeMap::new();
+    let mut took = Vec::new();
+    for record in records {
+        match record.saw {
+            Saw::Asked { call, attempt, .. } => {
+                asked.insert((call, attempt), record.at);
+            }
+            Saw::Ended { call, attempt, how: Ended::Handled, .. } => {
+                took.extend(asked.remove(&(call, attempt)).map(|at| record.at - at));
+            }
+            _ => {}
+        }
+    }
+    took.sort_by(f64::total_cmp);
+    let last = took.len().checked_sub(1)?;
+    Some(parts.map(|part| took[(part * last as f64).round() as usize]))
+}
+
 /// The whole day, and the calls asked for under each trouble.
 pub fn count(records: &[Record], account: &Account) -> (Counts, BTreeMap<usize, Counts>) {
     struct Call {
--- a/crates/witness/tests/rejects.rs
+++ b/crates/witness/tests/rejects.rs
@@ -1,6 +1,6 @@
 //! A correct record, and for each rule records that must be rejected: the correct one, broken in one place.
 
-use milletpath_witness::{Account, Effect, Ended, Record, Saw, Terms, check, count};
+use milletpath_witness::{Account, Effect, Ended, Record, Saw, Terms, check, count, latencies};
 use test_case::test_case;
 
 const TERMS: Terms = Terms {
@@ -120,3 +120,16 @@
     let (whole, _) = count(&records, &account);
     assert_eq!((whole.asked, whole.unanswered), (4.0 + 6.0 * 0.5, 10));
 }
+
+/// Of a call that was tried twice the handled try counts, from when it was sent.
+#[test]
+fn latencies_are_of_handled_tries() {
+    let at = |at, saw| Record { at, saw };
+    let again = Saw::Asked { call: 1, attempt: 1, gateway: 0, patience: 3.0 };
+    let handled = Saw::Ended { call: 1, attempt: 1, gateway: 0, how: Ended::Handled };
+    let mut records =
+        vec![at(0.0, asked(1, 0)), at(0.5, ended(1, Ended::Bounced)), at(1.0, again), at(1.25, handled)];
+    assert_eq!(latencies(&records, [0.0, 1.0]), Some([0.25, 0.25]));
+    records.truncate(2);
+    assert_eq!(latencies(&records, [0.5]), None);
+}
