--- a/crates/gateway/tests/cores.rs
+++ b/crates/gateway/tests/cores.rs
@@ -211,6 +211,20 @@
     });
 }
 
+/// A worker may have one connection, and it lies idle with one core: the other core gets its place, call after call.
+#[test]
+fn an_idle_connection_is_spared_for_another_core() {
+    story(async {
+        let (worker, _heads) = town::worker(OK).await;
+        let house = charter(&[worker], "cores = 2\nlimits {\nper_worker = 1\n}\n");
+        let (at, ..) = stirred(house).await;
+        for _ in 0..6 {
+            // Dealt in turn: each to the other core.
+            assert_eq!(calls(at, 1).await.0, ["handled"]);
+        }
+    });
+}
+
 /// Pinned cores, and more of them than the machine has processors.
 #[test]
 fn pinned_cores_serve() {
--- a/crates/milletpath/benches/calls.rs
+++ b/crates/milletpath/benches/calls.rs
@@ -2,7 +2,7 @@
 //! worker, and the worker asked directly. Processes of their own, instant workers, interleaved in one run.
 //!
 //! `cargo bench -p milletpath --bench calls` prints calls a second, CPU a call, and what the gateway adds at 760
-//! calls a second.
+//! calls a second, with one core and with four; `-- --earlier PROGRAM` adds an earlier build.
 
 mod load;
 
@@ -99,8 +99,15 @@
     let ratio = |pairs: &[Vec<f64>; 2]| middle(pairs[0].iter().zip(&pairs[1]).map(|(a, b)| a / b).collect());
     println!("calls/s, gateway / relay: {:.2} (median of {ROUNDS})", ratio(&rates));
     println!("CPU a call, relay / gateway: {:.2} (median of {ROUNDS})", 1.0 / ratio(&costs));
-    let found = open_loop(&[workers[1], gateway.1, relay.1], 20.0);
-    for (name, h) in ["direct", "gateway", "relay"].into_iter().zip(&found) {
+    let wide = load::gateway(&workers, 4);
+    let mut asked =
+        vec![("direct", workers[1]), ("gateway", gateway.1), ("relay", relay.1), ("4 cores", wide.1)];
+    let earlier = std::env::args().skip_while(|a| a != "--earlier").nth(1);
+    let earlier = earlier.map(|program| load::gateway_of(&program, &workers, ""));
+    asked.extend(earlier.as_ref().map(|e| ("earlier", e.1)));
+    let (names, addresses): (Vec<_>, Vec<_>) = asked.into_iter().unzip();
+    let found = open_loop(&addresses, 8.0 * addresses.len() as f64);
+    for (name, h) in names.into_iter().zip(&found) {
         let at = |q| h.value_at_quantile(q) as f64 / 1e3;
         println!("760/s {name:<8} p50 {:.3} ms, p99 {:.3} ms, p99.9 {:.3} ms", at(0.5), at(0.99), at(0.999));
     }
