The ration of orders is kept when sending, and its account outlives a broken desk

Cause: with eight processes on a crowded machine the witness counted 88 orders in ten seconds for 87.3 allowed: the decision kept the ration, but an order waits for its connection, and two that were ten seconds apart came closer.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -4,6 +4,7 @@
 //! leave acts behind: take them with [`Desk::act`] until there are none.
 
 use crate::indices::Indices;
+use crate::ration::Ration;
 use crate::roll::Roll;
 use crate::wheel::{Ticket, Wheel};
 use milletpath_charter::{Bounds, Functions, House, Kind};
@@ -172,8 +173,7 @@
     serial: u64,
     bounds: Bounds,
     order_wait: f64,
-    /// Until when no order is sent: see [`Desk::anew`].
-    embargo: f64,
+    ration: Option<Ration>,
     tally: Tally,
 }
 
@@ -325,12 +325,12 @@
     /// A desk in the place of one that broke, empty of all but its counts; `epoch` and the clock go on. What the
     /// other still had open is given out, and whether something of it may have run: it is owed an answer.
     ///
-    /// The ration's window is waited out before any order goes out, as nothing is known of those in it.
+    /// The account of the ration goes on as well: orders that were sent still count.
     pub fn anew(house: &House, epoch: f64, now: f64, broken: Self) -> (Self, Vec<(T, bool)>) {
-        let Books { calls, serial, roll, mut tally, .. } = broken.books;
+        let Books { calls, serial, roll, mut tally, ration, .. } = broken.books;
         // Past any number that was given out amid what broke.
         let mut desk = Self::from(house, epoch, now, serial + 1, roll.life() + 1);
-        desk.books.embargo = now + house.policy.ration.map_or(0.0, |(window, ..)| window);
+        desk.books.ration = ration;
         let open: Vec<_> =
             calls.into_iter().flatten().filter(|c| c.open).map(|c| (c.what, c.begun)).collect();
         let begun = open.iter().filter(|(_, begun)| *begun).count() as u64;
@@ -359,7 +359,7 @@
             serial,
             bounds: house.bounds.clone(),
             order_wait: house.policy.order_wait,
-            embargo: 0.0,
+            ration: house.policy.ration.map(Ration::new),
             tally: Tally::default(),
         };
         let router = Router::new(house.policy.clone(), now, &mut books);
@@ -436,6 +436,9 @@
         books.serial += 1;
         books.open += 1;
         books.tally.taken += 1;
+        if let Some(ration) = &mut books.ration {
+            ration.take(now);
+        }
         let patience = come.patience.min(self.profiles[come.profile].cut_off);
         let function = books.functions.take(come.function);
         let call = Call {
@@ -553,12 +556,13 @@
         settles
     }
 
-    /// Whether an order may be sent now, by what the list says at this moment. If not, it ends here.
+    /// Whether an order may be sent now, by what the list and the ration say at this moment. If not, it ends here.
     pub fn begin_order(&mut self, now: f64, order: Tag) -> bool {
         self.books.now = now;
         let known = self.books.orders.get(order.index).and_then(Option::as_ref);
         let Some(worker) = known.filter(|o| o.serial == order.serial).map(|o| o.worker) else { return false };
-        let ready = self.books.roll.ready(worker) && now >= self.books.embargo;
+        let ration = self.books.ration.as_mut();
+        let ready = self.books.roll.ready(worker) && ration.is_none_or(|r| r.send(now));
         if !ready {
             self.books.tally.kept_back += 1;
             self.order_ended(now, order, Outcome::Unsent, 0);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod office;
 mod paced;
 mod pool;
+mod ration;
 mod serve;
 mod shell;
 mod shot;
