A broken desk is replaced once, in its own place; a wrapper that did nothing more is gone

Read over once more: the office built an empty desk only to put another in its place, and a function of serve.rs wrapped one call. Behaviour is the same.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -322,22 +322,23 @@
         Self::from(house, epoch, 0.0, 0, 0)
     }
 
-    /// A desk in the place of one that broke, empty of all but its counts; `epoch` and the clock go on. What the
+    /// Takes the place of itself after it broke, empty of all but its counts; `epoch` and the clock go on. What the
     /// other still had open is given out, and whether something of it may have run: it is owed an answer.
     ///
     /// The account of the ration goes on as well: orders that were sent still count.
-    pub fn anew(house: &House, epoch: f64, now: f64, broken: Self) -> (Self, Vec<(T, bool)>) {
-        let Books { calls, serial, roll, mut tally, ration, .. } = broken.books;
+    pub fn begin_anew(&mut self, house: &House, epoch: f64, now: f64) -> Vec<(T, bool)> {
+        let (serial, life) = (self.books.serial, self.books.roll.life());
         // Past any number that was given out amid what broke.
-        let mut desk = Self::from(house, epoch, now, serial + 1, roll.life() + 1);
-        desk.books.ration = ration;
+        let desk = Self::from(house, epoch, now, serial + 1, life + 1);
+        let Books { calls, mut tally, ration, .. } = std::mem::replace(self, desk).books;
+        self.books.ration = ration;
         let open: Vec<_> =
             calls.into_iter().flatten().filter(|c| c.open).map(|c| (c.what, c.begun)).collect();
         let begun = open.iter().filter(|(_, begun)| *begun).count() as u64;
         tally.terminated += begun;
         tally.bounced += open.len() as u64 - begun;
-        desk.books.tally = tally;
-        (desk, open)
+        self.books.tally = tally;
+        open
     }
 
     fn from(house: &House, epoch: f64, now: f64, serial: u64, life: u64) -> Self {
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -245,10 +245,7 @@
 
     fn begin_anew(&self, inside: &mut Inside) {
         let now = self.now();
-        let empty = Desk::new(&self.house, self.epoch);
-        let broken = std::mem::replace(&mut inside.desk, empty);
-        let (desk, open) = Desk::anew(&self.house, self.epoch, now, broken);
-        inside.desk = desk;
+        let open = inside.desk.begin_anew(&self.house, self.epoch, now);
         self.broken.fetch_add(1, Ordering::Relaxed);
         tracing::error!(
             calls = open.len(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -237,26 +237,16 @@
         // Another has closed this line meanwhile and told its client that nothing ran: so nothing may.
         return bounced("bounced", "This connection is closed", None);
     }
-    let owed = Owed { gateway: gateway.clone(), line, tag: None, slot: None, answered: false };
-    let mut response = handle(&gateway, owed, request, stopping).await;
+    let mut owed = Owed { gateway: gateway.clone(), line, tag: None, slot: None, answered: false };
+    let mut response = take(&gateway, &mut owed, request, stopping).await;
+    owed.answered = true;
+    owed.line.ready();
     if seat.sends_away(rate) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
 }
 
-async fn handle(
-    gateway: &Rc<Gateway>,
-    mut owed: Owed,
-    request: Request<Incoming>,
-    stopping: bool,
-) -> Response<Written> {
-    let response = take(gateway, &mut owed, request, stopping).await;
-    owed.answered = true;
-    owed.line.ready();
-    response
-}
-
 async fn take(
     gateway: &Rc<Gateway>,
     owed: &mut Owed,
