The router serves on the platform: its protocol as packages around the same desk

The settings have one reader for drill and platform (crates/terms); a call may bring its function's figures (Come::instance).

--- a/crates/drill/src/instance.rs
+++ b/crates/drill/src/instance.rs
@@ -1,9 +1,9 @@
 //! One router with the ids it goes by on the wire. Nothing here is shared between instances.
 
 use crate::frame::{Batch, Cells, Malformed, Reply};
-use crate::terms;
 use milletpath_policy::host::{Answer, Arrival, Found, Host, Listing, Outcome, Report, State};
 use milletpath_policy::policy::Router;
+use milletpath_terms as terms;
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -157,11 +157,12 @@
         settings: &[u8],
         reply: &mut Reply,
     ) -> Result<Self, String> {
-        let charter = terms::charter(settings, seed)?;
+        let settings = terms::read(settings)?;
+        let charter = terms::charter(&settings, seed)?;
         let mut names = Names {
             number: number.to_le_bytes(),
             origin: clock,
-            report: terms::report_names(settings),
+            report: terms::report_names(&settings),
             activations: Ids::new(),
             functions: Ids::new(),
             workers: Ids::new(),
@@ -299,15 +300,7 @@
     }
     let mut report = Report::default();
     for (n, name) in names.iter().take(count).enumerate() {
-        let value = Some(e.f32(at + 1 + 4 * n)).filter(|x| x.is_finite());
-        match name.as_str() {
-            "rif" => report.held = value,
-            "q" => report.waiting = value,
-            "busy" => report.busy = value,
-            "x0" => report.memory = value,
-            "x1" => report.loading = value,
-            _ => {}
-        }
+        terms::note(&mut report, name, e.f32(at + 1 + 4 * n));
     }
     Ok((count > 0).then_some(report))
 }
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -3,7 +3,6 @@
 
 mod frame;
 mod instance;
-mod terms;
 
 use frame::{Batch, Malformed, Reply};
 use instance::Instance;
--- a/crates/gateway/benches/cores.rs
+++ b/crates/gateway/benches/cores.rs
@@ -63,7 +63,7 @@
 }
 
 fn come(function: &str) -> Come<'_> {
-    Come { function, profile: 0, client: 9, patience: 3.0, repeat: false }
+    Come { function, profile: 0, client: 9, patience: 3.0, repeat: false, instance: None }
 }
 
 /// One event of a call, told to a desk; what it gives to do next.
--- a/crates/gateway/benches/desk.rs
+++ b/crates/gateway/benches/desk.rs
@@ -69,7 +69,11 @@
         match next {
             Next::Arrive => {
                 let function = &names[zipf.sample(&mut chance) as usize];
-                desk.arrive(now, Come { function, profile: 0, client: 9, patience: 3.0, repeat: false }, ());
+                desk.arrive(
+                    now,
+                    Come { function, profile: 0, client: 9, patience: 3.0, repeat: false, instance: None },
+                    (),
+                );
             }
             Next::Ended(tag, shot, worker) => {
                 held[worker] -= 1;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -314,6 +314,8 @@
     /// Seconds until the client gives up.
     pub patience: f64,
     pub repeat: bool,
+    /// The function's figures where the call itself brings them; else those of the charter.
+    pub instance: Option<(f64, f64, Option<f64>)>,
 }
 
 impl<T> Desk<T> {
@@ -453,7 +455,10 @@
             what,
         };
         let index = books.place(call);
-        let instance = self.functions.of(come.function);
+        let (lanes, memory, load) = come.instance.unwrap_or_else(|| {
+            let of = self.functions.of(come.function);
+            (of.lanes, of.memory, of.load)
+        });
         let arrival = Arrival {
             function,
             name: xxh3_64(come.function.as_bytes()),
@@ -461,9 +466,9 @@
             client: come.client,
             patience,
             repeat: come.repeat,
-            lanes: instance.lanes,
-            memory: instance.memory,
-            load: instance.load,
+            lanes,
+            memory,
+            load,
         };
         let tag = Tag { index, serial: books.serial };
         self.router.arrived(now, index, arrival, &mut self.books);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -303,7 +303,8 @@
         let patience = door.patience - (now - came);
         let Door { profile, client, repeat, .. } = door;
         let place = Place { seat: gateway.seat, slot, line: line.clone() };
-        let tag = desk.arrive(now, Come { function, profile, client, patience, repeat }, place);
+        let tag =
+            desk.arrive(now, Come { function, profile, client, patience, repeat, instance: None }, place);
         tag.inspect(|tag| line.take_up(*tag))
     });
     let Some(tag) = owed.tag else {
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -42,7 +42,7 @@
 }
 
 fn arrive(desk: &mut Desk<u32>, now: f64, patience: f64) -> Tag {
-    let come = Come { function: "f", profile: 0, client: 9, patience, repeat: false };
+    let come = Come { function: "f", profile: 0, client: 9, patience, repeat: false, instance: None };
     desk.arrive(now, come, 0).expect("there is room")
 }
 
@@ -167,7 +167,8 @@
         desk.turn(now);
         acts(&mut desk);
         let function = format!("once-{n}");
-        let come = Come { function: &function, profile: 0, client: 9, patience: 1.0, repeat: false };
+        let come =
+            Come { function: &function, profile: 0, client: 9, patience: 1.0, repeat: false, instance: None };
         let tag = desk.arrive(now, come, 0).unwrap();
         for (tag, shot, _) in shots(&acts(&mut desk)) {
             desk.begin(now, tag, shot);
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -3,6 +3,7 @@
 
 mod day;
 mod log;
+mod platform;
 mod serve;
 mod workers;
 
@@ -45,6 +46,8 @@
         #[arg(long, value_name = "FILE")]
         charter: PathBuf,
     },
+    /// Run the router on the platform, by LB_NAME, LB_LISTEN and LB_CONFIG
+    Platform,
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -80,6 +83,7 @@
             Err(code) => code,
         },
         Wanted::Workers { charter } => workers::workers(&charter),
+        Wanted::Platform => platform::platform(),
         Wanted::Day { file, seed, json, lag, cores, records } => {
             day::day(&day::Asked { file: &file, seed, json, lag, cores, records: records.as_deref() })
         }
--- /dev/null
+++ b/crates/platform/src/told.rs
@@ -0,0 +1,95 @@
+//! The file that a router starts from, and reads again when told to: who it is, its limits, the bulletin, the list so
+//! far, and the settings. What is read becomes a [`House`] and the few figures beside it.
+
+use crate::events::{self, Line};
+use milletpath_charter::{Bounds, Functions, House, Kind, Source};
+use milletpath_protocol::Fault;
+use milletpath_protocol::registry::Entry;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// What a router starts from.
+#[derive(Debug)]
+pub struct Told {
+    pub house: House,
+    pub bulletin: SocketAddr,
+    /// The number of the last event told, and the lists so far: whether each is whole, and its entries.
+    pub last: u64,
+    pub lists: Vec<(bool, Vec<Entry>)>,
+    /// Descriptors that the router may hold.
+    pub descriptors: usize,
+    /// Shots that one connection carries at a time.
+    pub lanes: usize,
+    /// Whether the settings promise reports of load.
+    pub reports: bool,
+}
+
+fn address(value: &Value, key: &str) -> Result<SocketAddr, Fault> {
+    let address = value[key].as_str().and_then(|a| a.parse().ok());
+    address.ok_or_else(|| Fault::new(key, "is missing or no address with a port"))
+}
+
+/// Where the bulletin is now: all that a router takes from the file when it is read again.
+pub fn bulletin(text: &[u8]) -> Result<SocketAddr, Fault> {
+    let value: Value = serde_json::from_slice(text).map_err(|e| Fault::new("file", e.to_string()))?;
+    address(&value, "bulletin")
+}
+
+pub fn read(text: &[u8]) -> Result<Told, Fault> {
+    /// For want of a stated one: the least that the platform grants.
+    const DESCRIPTORS: u64 = 256;
+    /// Past 20,000 activations in hand memory would be the end before descriptors are.
+    const OPEN: usize = 20_000;
+    let value: Value = serde_json::from_slice(text).map_err(|e| Fault::new("file", e.to_string()))?;
+    let settings = &value["settings"];
+    let seed = value["seed"].as_str().and_then(|s| u64::from_str_radix(s, 16).ok());
+    let seed = seed.ok_or_else(|| Fault::new("seed", "is missing or no hex digits"))?;
+    let wrong = |e: String| Fault::new("settings", e);
+    let policy = milletpath_terms::charter(settings, seed).map_err(wrong)?;
+    let known = &value["known"];
+    let last = known["no"].as_u64().ok_or_else(|| Fault::new("known.no", "is no whole number"))?;
+    let mut lists = Vec::new();
+    for item in known["items"].as_array().into_iter().flatten() {
+        if let Line::Event { whole, entries, .. } = events::event(item)? {
+            lists.push((whole, entries));
+        }
+    }
+    let profiles = milletpath_terms::profiles(settings).map_err(wrong)?;
+    let profiles = profiles.into_iter().map(|(name, cut_off, importance)| Kind { name, cut_off, importance });
+    let limit = |name| milletpath_terms::limit(settings, name).map_err(wrong);
+    let bounds = Bounds {
+        cores: 1,
+        pin: false,
+        open: milletpath_terms::count(settings, "OpenCap", OPEN).min(OPEN),
+        held: usize::MAX,
+        body: crate::lines::BODY,
+        answer: crate::frames::ANSWER,
+        connections: usize::MAX,
+        per_worker: usize::MAX,
+        head: f64::INFINITY,
+        stall: f64::INFINITY,
+        connect: limit("ConnectTimeout")?,
+        idle: limit("Keepalive")?,
+        // A probe that takes longer than a connection may is as good as lost.
+        probe: limit("ConnectTimeout")?,
+        grace: milletpath_terms::grace(settings).map_err(wrong)?,
+    };
+    Ok(Told {
+        bulletin: address(&value, "bulletin")?,
+        last,
+        lists,
+        descriptors: value["limits"]["sockets"].as_u64().unwrap_or(DESCRIPTORS) as usize,
+        lanes: milletpath_terms::count(settings, "StreamsPerConn", 1),
+        reports: !milletpath_terms::report_names(settings).is_empty(),
+        house: House {
+            listen: address(&value, "listen")?,
+            policy,
+            profiles: profiles.collect(),
+            clients: milletpath_terms::clients(settings),
+            functions: Functions::default(),
+            kinds: milletpath_terms::kinds(settings),
+            source: Source::List(Vec::new()),
+            bounds,
+        },
+    })
+}
--- /dev/null
+++ b/crates/station/src/bulletin.rs
@@ -0,0 +1,82 @@
+//! Follows the bulletin: each event once and in order, whatever breaks. A gap, a line that can't be read, a break or
+//! a silence longer than its heartbeat explains leads to asking again for all after the last event.
+
+use crate::station::Shared;
+use milletpath_platform::events::{self, Line};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// The bulletin says something every second; past this it has fallen silent. Well within the 4 s after which what
+/// it would have told counts as told.
+const SILENCE: Duration = Duration::from_millis(1800);
+/// For a connection to be made.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between two tries, doubled up to the longest.
+const PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
+
+/// Follows for the router's life, from the event after `last`; `address` changes when the file names another.
+pub async fn follow(station: Shared, mut address: watch::Receiver<SocketAddr>, mut last: u64) {
+    let [shortest, longest] = PAUSES;
+    let mut pause = shortest;
+    loop {
+        let at = *address.borrow_and_update();
+        let before = last;
+        let why = tokio::select! {
+            why = stream(&station, at, &mut last) => why,
+            _ = address.changed() => {
+                pause = shortest;
+                continue;
+            }
+        };
+        tracing::info!(address = %at, last, "the bulletin is asked again: {why}");
+        pause = if last > before { shortest } else { (2 * pause).min(longest) };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            _ = address.changed() => {}
+        }
+    }
+}
+
+async fn stream(station: &Shared, address: SocketAddr, last: &mut u64) -> String {
+    let mut stream = match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(e)) => return format!("no connection: {e}"),
+        Err(_) => return "no connection in time".into(),
+    };
+    if let Err(e) = stream.write_all(events::after(*last).as_bytes()).await {
+        return format!("it could not be asked: {e}");
+    }
+    let mut rest = Vec::new();
+    loop {
+        match tokio::time::timeout(SILENCE, stream.read_buf(&mut rest)).await {
+            Ok(Ok(0)) => return "it ended".into(),
+            Ok(Ok(_)) => {}
+            Ok(Err(e)) => return format!("it broke: {e}"),
+            Err(_) => return "it fell silent".into(),
+        }
+        while let Some(end) = rest.iter().position(|&b| b == b'\n') {
+            let line: Vec<u8> = rest.drain(..=end).collect();
+            tracing::trace!("bulletin: {}", String::from_utf8_lossy(&line).trim());
+            match events::read(line.trim_ascii()) {
+                // Told before.
+                Ok(Line::Event { number, .. }) if number <= *last => {}
+                Ok(Line::Event { number, whole, entries }) if whole || number == *last + 1 => {
+                    *last = number;
+                    let mut s = station.borrow_mut();
+                    let now = s.now();
+                    s.desk.list(now, whole, &entries);
+                    s.carry_out();
+                }
+                Ok(Line::Last(number)) if number <= *last => {}
+                Ok(_) => return format!("events after {last} are missing"),
+                Err(fault) => return format!("a line that can't be read, {fault}"),
+            }
+        }
+        if rest.len() > events::LONGEST {
+            return "a line without end".into();
+        }
+    }
+}
--- /dev/null
+++ b/crates/station/src/door.rs
@@ -0,0 +1,348 @@
+//! Clients: connections are taken in, lines read within their bound and checked before the desk hears of them,
+//! answers written whole. Who says what can't be used gets an error and is closed, and nothing of his goes on.
+
+use crate::numbers::Numbers;
+use crate::station::{Asker, Shared, Station};
+use milletpath_gateway::desk::{Come, Tag};
+use milletpath_platform::lines::{self, Ask, Said};
+use milletpath_protocol::Fault;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Calls that may be open on one connection.
+const OPEN: usize = 32;
+/// Bytes of answers that wait for a slow reader.
+const WAITING: usize = 1 << 20;
+/// Seconds by which an answer leaves before its client's time is up: what a crowded machine takes from the client's
+/// write to our read, and back.
+const MARGIN: f64 = 0.015;
+/// Bytes of buffers that a quiet connection keeps.
+const KEPT: usize = 4 << 10;
+
+pub struct Client {
+    pub serial: u64,
+    stream: Rc<TcpStream>,
+    wake: Rc<Notify>,
+    /// A line that has begun, and since when.
+    rest: Vec<u8>,
+    pub out: Vec<u8>,
+    sent: usize,
+    pub open: Vec<(u64, Tag)>,
+    numbers: Numbers,
+    /// Whether it ever sent a whole line that could be used, and when something passed last.
+    said: bool,
+    since: f64,
+    /// It said what can't be used: it gets what is written and is closed.
+    condemned: bool,
+}
+
+pub async fn accept(station: Shared, listener: TcpListener) {
+    /// Pause after a failure to accept: for want of descriptors it would fail again at once.
+    const PAUSE: Duration = Duration::from_millis(20);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let mut s = station.borrow_mut();
+                s.welcome(stream);
+                s.carry_out();
+            }
+            Err(e) => {
+                tracing::warn!("a connection could not be taken in: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn attend(station: Shared, key: usize, stream: Rc<TcpStream>, wake: Rc<Notify>) {
+    loop {
+        let (reads, writes) = {
+            let s = station.borrow();
+            match s.clients.get(key).filter(|c| Rc::ptr_eq(&c.stream, &stream)) {
+                Some(c) => (!c.condemned, c.sent < c.out.len()),
+                None => return,
+            }
+        };
+        tokio::select! {
+            _ = stream.readable(), if reads => station.borrow_mut().client_reads(key),
+            _ = stream.writable(), if writes => station.borrow_mut().client_writes(key),
+            () = wake.notified() => {}
+        }
+    }
+}
+
+impl Station {
+    fn welcome(&mut self, stream: TcpStream) {
+        if self.clients.len() >= self.keeping.clients {
+            let all = self.clients.iter().map(|(k, c)| (k, c.said, !c.open.is_empty(), c.since));
+            match self.keeping.evict(all) {
+                Some(key) => self.part(key),
+                // All are owed answers: this one is closed, which promises nothing and owes nothing.
+                None => return,
+            }
+        }
+        let _ = stream.set_nodelay(true);
+        self.serial += 1;
+        let (stream, wake) = (Rc::new(stream), Rc::new(Notify::new()));
+        let client = Client {
+            serial: self.serial,
+            stream: stream.clone(),
+            wake: wake.clone(),
+            rest: Vec::new(),
+            out: Vec::new(),
+            sent: 0,
+            open: Vec::new(),
+            numbers: Numbers::default(),
+            said: false,
+            since: self.now(),
+            condemned: false,
+        };
+        let key = self.clients.insert(client);
+        if let Some(station) = self.me.upgrade() {
+            spawn_local(attend(station, key, stream, wake));
+        }
+    }
+
+    /// Ends a connection; what its client still waited for is called off.
+    fn part(&mut self, key: usize) {
+        let Some(client) = self.clients.try_remove(key) else { return };
+        client.wake.notify_one();
+        self.withdraw(client.open);
+    }
+
+    fn withdraw(&mut self, open: Vec<(u64, Tag)>) {
+        let now = self.now();
+        for (_, tag) in open {
+            if let Some(asker) = self.desk.what(tag) {
+                let id = asker.id;
+                self.ids.remove(&id);
+                self.desk.left(now, tag);
+            }
+        }
+    }
+
+    fn client_reads(&mut self, key: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let Some(client) = self.clients.get(key) else { return };
+        match client.stream.try_read(&mut scratch) {
+            Ok(0) => self.part(key),
+            Ok(n) => self.hear(key, &scratch[..n]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => self.part(key),
+        }
+        self.scratch = scratch;
+        self.carry_out();
+    }
+
+    /// Bytes of a client. All lines among them are checked before the first is acted on: what comes with a line
+    /// that can't be used is not acted on either.
+    fn hear(&mut self, key: usize, mut bytes: &[u8]) {
+        let now = self.now();
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let mut rest = std::mem::take(&mut client.rest);
+        if rest.is_empty() {
+            client.since = now;
+        }
+        let mut said: Vec<Said> = Vec::new();
+        let mut fault = None;
+        while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
+            let (line, more) = bytes.split_at(end);
+            bytes = &more[1..];
+            let read = if rest.is_empty() {
+                self.check(key, line, &mut said)
+            } else {
+                let room = (lines::LONGEST + 1).saturating_sub(rest.len());
+                rest.extend_from_slice(&line[..line.len().min(room)]);
+                let read = self.check(key, &rest, &mut said);
+                rest.clear();
+                read
+            };
+            if let Err(wrong) = read {
+                fault = Some(wrong);
+                break;
+            }
+        }
+        if fault.is_none() && rest.len() + bytes.len() > lines::LONGEST {
+            fault = Some((None, Fault::new("line", "is too long")));
+        }
+        if let Some((number, fault)) = fault {
+            let numbers = said.iter().filter_map(|s| match s {
+                Said::Call(ask) => Some(ask.number),
+                _ => None,
+            });
+            return self.condemn(key, numbers.collect(), number, &fault);
+        }
+        rest.extend_from_slice(bytes);
+        if rest.is_empty() && rest.capacity() > KEPT {
+            rest = Vec::new();
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.rest = rest;
+        client.said |= !said.is_empty();
+        if !said.is_empty() {
+            client.since = now;
+        }
+        for one in said {
+            match one {
+                Said::Call(ask) => self.ask(key, *ask),
+                Said::GiveUp { id, number } => self.give_up(key, id, number),
+                Said::Probe { number } => {
+                    let fit = self.desk.listed() && !self.leave.begun();
+                    if let Some(client) = self.clients.get_mut(key) {
+                        lines::fit(&mut client.out, number, fit);
+                        self.client_writes(key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads one line and checks it against what is known of its connection and of all.
+    fn check(&mut self, key: usize, line: &[u8], said: &mut Vec<Said>) -> Result<(), (Option<u64>, Fault)> {
+        let line = line.trim_ascii();
+        if line.is_empty() {
+            return Ok(());
+        }
+        tracing::trace!(key, "client: {}", String::from_utf8_lossy(line));
+        let read = lines::read(line)?;
+        let Some(client) = self.clients.get_mut(key) else { return Ok(()) };
+        match &read {
+            Said::Call(ask) => {
+                let wrong = |place: &str, wrong: &str| Err((Some(ask.number), Fault::new(place, wrong)));
+                let calls = || said.iter().filter_map(|s| if let Said::Call(a) = s { Some(a) } else { None });
+                if !client.numbers.take(ask.number) {
+                    return wrong("id", "was used before on this connection");
+                }
+                if client.open.len() + calls().count() >= OPEN {
+                    return wrong("id", "is one open call too many");
+                }
+                if self.ids.contains(&ask.id) || calls().any(|other| other.id == ask.id) {
+                    return wrong("i", "is open already");
+                }
+                if !self.profiles.contains(&ask.profile) {
+                    return wrong("method", "is unknown");
+                }
+                if !(self.groups.is_empty() || self.groups.contains(&ask.client)) {
+                    return wrong("t", "is unknown");
+                }
+            }
+            // Withdrawn before it was acted on: it never comes to the desk.
+            Said::GiveUp { id, number } => {
+                let withdrawn = |a: &Ask| Some(a.id) == *id || Some(a.number) == *number;
+                said.retain(|s| !matches!(s, Said::Call(a) if withdrawn(a)));
+            }
+            Said::Probe { number } => {
+                if !client.numbers.take(*number) {
+                    return Err((Some(*number), Fault::new("id", "was used before on this connection")));
+                }
+            }
+        }
+        said.push(read);
+        Ok(())
+    }
+
+    fn ask(&mut self, key: usize, ask: Ask) {
+        let now = self.now();
+        let Ask { number, id, profile, client, function, patience, repeat, memory, lanes, load, body } = ask;
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
+        let profile = place(&self.profiles, &profile);
+        let come = Come {
+            function: &function,
+            profile,
+            client: place(&self.groups, &client),
+            patience: (patience - MARGIN).max(0.0),
+            repeat,
+            instance: Some((lanes, memory, load)),
+        };
+        let Some(serial) = self.clients.get(key).map(|c| c.serial) else { return };
+        let asker = Asker { client: (key, serial), number, id, profile, body, at: Vec::new() };
+        let tag = self.desk.arrive(now, come, asker);
+        let Some(client) = self.clients.get_mut(key) else { return };
+        match tag {
+            Some(tag) => {
+                client.open.push((number, tag));
+                self.ids.insert(id);
+            }
+            None => {
+                lines::bounced(&mut client.out, number, None);
+                self.client_writes(key);
+            }
+        }
+    }
+
+    fn give_up(&mut self, key: usize, id: Option<u64>, number: Option<u64>) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let desk = &mut self.desk;
+        let mut named = |n: u64, tag: Tag| match id {
+            Some(id) => desk.what(tag).is_some_and(|a| a.id == id),
+            None => Some(n) == number,
+        };
+        let (gone, open) = std::mem::take(&mut client.open).into_iter().partition(|&(n, tag)| named(n, tag));
+        client.open = open;
+        self.withdraw(gone);
+    }
+
+    /// A client said what can't be used: each of its calls is answered with an error, and it is closed.
+    fn condemn(&mut self, key: usize, mut numbers: Vec<u64>, number: Option<u64>, fault: &Fault) {
+        tracing::debug!(key, %fault, "a client said what can't be used");
+        let Some(client) = self.clients.get_mut(key) else { return };
+        let open = std::mem::take(&mut client.open);
+        numbers.extend(open.iter().map(|(n, _)| *n).filter(|n| Some(*n) != number));
+        client.condemned = true;
+        numbers.dedup();
+        for n in numbers.into_iter().filter(|n| Some(*n) != number) {
+            lines::faulty(&mut client.out, Some(n), &Fault::new("connection", "is closed for another line"));
+        }
+        lines::faulty(&mut client.out, number, fault);
+        self.withdraw(open);
+        self.client_writes(key);
+    }
+
+    /// Writes what is there for a client, as far as it takes it.
+    pub fn client_writes(&mut self, key: usize) {
+        let now = self.now();
+        let Some(client) = self.clients.get_mut(key) else { return };
+        while client.sent < client.out.len() {
+            match client.stream.try_write(&client.out[client.sent..]) {
+                Ok(n) => {
+                    client.sent += n;
+                    client.since = now;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    client.wake.notify_one();
+                    if client.out.len() - client.sent > WAITING {
+                        self.part(key);
+                    }
+                    return;
+                }
+                Err(_) => return self.part(key),
+            }
+        }
+        client.sent = 0;
+        client.out.clear();
+        if client.out.capacity() > KEPT {
+            client.out = Vec::new();
+        }
+        if client.condemned {
+            self.part(key);
+        }
+    }
+
+    pub fn tidy_clients(&mut self, now: f64) {
+        let over = |c: &Client| {
+            let unsaid = !c.said || !c.rest.is_empty() || c.sent < c.out.len();
+            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since)
+        };
+        let over: Vec<_> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
+        over.into_iter().for_each(|key| self.part(key));
+    }
+
+    /// Answers that are owed or not written yet.
+    pub fn owed(&self) -> usize {
+        self.desk.open() + self.clients.iter().filter(|(_, c)| c.sent < c.out.len()).count()
+    }
+}
--- /dev/null
+++ b/crates/station/src/link.rs
@@ -0,0 +1,439 @@
+//! Links to workers: connections that carry many shots, orders and probes at a time. A frame waits here until its
+//! first byte can go; only then the desk is asked whether it still may, so that what is withdrawn before was never
+//! sent. What can't be read ends its connection and all that was open on it.
+
+use crate::station::{Shared, Station, own_id};
+use milletpath_gateway::desk::{End, Tag};
+use milletpath_platform::{frames, lines};
+use milletpath_policy::host::Outcome;
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Bytes of frames that are made before the socket takes them: all begun ones that may wait there.
+const AHEAD: usize = 16 << 10;
+/// Bytes of buffers that a quiet connection keeps.
+const KEPT: usize = 4 << 10;
+
+/// What waits for its first byte to go.
+enum Load {
+    Shot(Tag, usize),
+    Hold(Tag, Arc<str>, u8),
+    Unload(Arc<str>),
+    Probe(u64),
+    GiveUp(u64),
+}
+
+/// What was sent and is not answered yet.
+#[derive(Clone, Copy)]
+enum Sent {
+    Shot(Tag, usize),
+    Order(Tag),
+    Probe(u64),
+}
+
+struct Open {
+    id: u64,
+    what: Sent,
+    /// The bytes of this link up to its last.
+    whole: u64,
+}
+
+pub struct Link {
+    worker: usize,
+    process: u64,
+    stream: Option<Rc<TcpStream>>,
+    wake: Rc<Notify>,
+    buf: Vec<u8>,
+    out: Vec<u8>,
+    sent: usize,
+    /// Bytes made and written so far.
+    made: u64,
+    written: u64,
+    waiting: VecDeque<Load>,
+    open: Vec<Open>,
+    used: f64,
+}
+
+impl Link {
+    /// Shots that wait or are out.
+    fn shots(&self) -> usize {
+        let waiting = self.waiting.iter().filter(|l| matches!(l, Load::Shot(..)));
+        waiting.count() + self.open.iter().filter(|o| matches!(o.what, Sent::Shot(..))).count()
+    }
+
+    fn bears(&self, id: u64) -> bool {
+        self.open.iter().any(|o| o.id == id)
+    }
+}
+
+async fn hold_link(station: Shared, key: usize, wake: Rc<Notify>, connect: f64) {
+    let (address, _) = {
+        let s = station.borrow();
+        match s.links.get(key).filter(|l| Rc::ptr_eq(&l.wake, &wake)) {
+            Some(link) => s.desk.address(link.worker),
+            None => return,
+        }
+    };
+    let connecting = async {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_nodelay(true)?;
+        socket.connect(address).await
+    };
+    let connected = tokio::time::timeout(Duration::from_secs_f64(connect), connecting).await;
+    let stream = match connected {
+        Ok(Ok(stream)) => Rc::new(stream),
+        other => {
+            let why = match other {
+                Ok(Err(e)) => e.to_string(),
+                _ => "no connection in time".into(),
+            };
+            let mut s = station.borrow_mut();
+            if s.links.get(key).is_some_and(|l| Rc::ptr_eq(&l.wake, &wake)) {
+                s.unreached(key, &why);
+                s.carry_out();
+            }
+            return;
+        }
+    };
+    {
+        let mut s = station.borrow_mut();
+        match s.links.get_mut(key).filter(|l| Rc::ptr_eq(&l.wake, &wake)) {
+            Some(link) => link.stream = Some(stream.clone()),
+            None => return,
+        }
+        s.link_writes(key);
+        s.carry_out();
+    }
+    loop {
+        let writes = match station.borrow().links.get(key).filter(|l| Rc::ptr_eq(&l.wake, &wake)) {
+            Some(link) => link.sent < link.out.len(),
+            None => return,
+        };
+        tokio::select! {
+            _ = stream.readable() => station.borrow_mut().link_reads(key),
+            _ = stream.writable(), if writes => {
+                let mut s = station.borrow_mut();
+                s.link_writes(key);
+                s.carry_out();
+            }
+            () = wake.notified() => {}
+        }
+    }
+}
+
+impl Station {
+    /// The link on which one more frame for a worker goes; a new one where that is wanted.
+    fn link(&mut self, worker: usize, id: Option<u64>) -> usize {
+        let (_, process) = self.desk.address(worker);
+        let known = self.reach.get(&worker).cloned().unwrap_or_default();
+        // What went to an earlier process of the name is not for this one; and two shots of an activation bear the
+        // same id, by which their answers could not be told apart.
+        let fits = |key: &&usize| {
+            self.links[**key].process == process && id.is_none_or(|id| !self.links[**key].bears(id))
+        };
+        let fit: Vec<usize> = known.iter().filter(fits).copied().collect();
+        let picked = self.keeping.pick(fit.iter().map(|&k| self.links[k].shots()), self.links.len());
+        if let Some(at) = picked {
+            return fit[at];
+        }
+        let wake = Rc::new(Notify::new());
+        let link = Link {
+            worker,
+            process,
+            stream: None,
+            wake: wake.clone(),
+            buf: Vec::new(),
+            out: Vec::new(),
+            sent: 0,
+            made: 0,
+            written: 0,
+            waiting: VecDeque::new(),
+            open: Vec::new(),
+            used: self.now(),
+        };
+        let key = self.links.insert(link);
+        self.reach.entry(worker).or_default().push(key);
+        if let Some(station) = self.me.upgrade() {
+            spawn_local(hold_link(station, key, wake, self.connect));
+        }
+        key
+    }
+
+    fn load(&mut self, key: usize, load: Load) {
+        let now = self.now();
+        let link = &mut self.links[key];
+        link.used = now;
+        link.waiting.push_back(load);
+        self.link_writes(key);
+    }
+
+    pub fn shoot(&mut self, tag: Tag, shot: usize, worker: usize) {
+        let Some(id) = self.desk.what(tag).map(|a| a.id) else { return };
+        let key = self.link(worker, Some(id));
+        if let Some(asker) = self.desk.what(tag) {
+            asker.at.resize(asker.at.len().max(shot + 1), usize::MAX);
+            asker.at[shot] = key;
+        }
+        self.load(key, Load::Shot(tag, shot));
+    }
+
+    pub fn hold(&mut self, order: Tag, worker: usize, function: Arc<str>, copies: u8) {
+        let key = self.link(worker, None);
+        self.load(key, Load::Hold(order, function, copies));
+    }
+
+    pub fn unload(&mut self, worker: usize, function: &Arc<str>) {
+        let key = self.link(worker, None);
+        self.load(key, Load::Unload(function.clone()));
+    }
+
+    pub fn probe(&mut self, worker: usize, serial: u64) {
+        let key = self.link(worker, None);
+        self.load(key, Load::Probe(serial));
+    }
+
+    /// A shot's end is booked: it is withdrawn if nothing of it has gone, and given up at the worker otherwise.
+    pub fn drop_shot(&mut self, tag: Tag, shot: usize) {
+        let Some(key) = self.desk.what(tag).and_then(|a| a.at.get(shot).copied()) else { return };
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.waiting.retain(|l| !matches!(l, Load::Shot(t, s) if *t == tag && *s == shot));
+        let at = link.open.iter().position(|o| matches!(o.what, Sent::Shot(t, s) if t == tag && s == shot));
+        let Some(open) = at.map(|at| link.open.swap_remove(at)) else { return };
+        if self.cancels {
+            self.load(key, Load::GiveUp(open.id));
+        }
+    }
+
+    /// Writes what waits for a worker, as far as the socket takes it.
+    pub fn link_writes(&mut self, key: usize) {
+        loop {
+            let now = self.now();
+            let Some(link) = self.links.get_mut(key) else { return };
+            let Some(stream) = link.stream.clone() else { return };
+            if link.sent < link.out.len() {
+                match stream.try_write(&link.out[link.sent..]) {
+                    Ok(n) => {
+                        link.sent += n;
+                        link.written += n as u64;
+                        link.used = now;
+                    }
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => return link.wake.notify_one(),
+                    Err(e) => return self.broken(key, &e.to_string()),
+                }
+                continue;
+            }
+            link.sent = 0;
+            link.out.clear();
+            if link.out.capacity() > KEPT {
+                link.out = Vec::new();
+            }
+            if link.waiting.is_empty() {
+                return;
+            }
+            while let Some(load) = self.links.get_mut(key).and_then(|l| l.waiting.pop_front()) {
+                self.make(key, load, now);
+                if self.links.get(key).is_none_or(|l| l.out.len() >= AHEAD) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Makes the frame of something whose turn has come, if it still may go.
+    fn make(&mut self, key: usize, load: Load, now: f64) {
+        let mut out = std::mem::take(&mut self.links[key].out);
+        let from = out.len();
+        let open = match load {
+            Load::Shot(tag, shot) => self.make_shot(&mut out, tag, shot, now),
+            Load::Hold(order, function, copies) => self.desk.begin_order(now, order).then(|| {
+                let id = self.own_id();
+                frames::hold(&mut out, id, &function, copies);
+                (id, Sent::Order(order))
+            }),
+            Load::Unload(function) => {
+                if let Some(id) = milletpath_platform::hex(&function) {
+                    frames::unload(&mut out, id);
+                }
+                None
+            }
+            Load::Probe(serial) => {
+                let id = self.own_id();
+                frames::probe(&mut out, id, self.reports);
+                Some((id, Sent::Probe(serial)))
+            }
+            Load::GiveUp(id) => {
+                frames::give_up(&mut out, id);
+                None
+            }
+        };
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.made += (out.len() - from) as u64;
+        link.out = out;
+        if let Some((id, what)) = open {
+            let whole = link.made;
+            link.open.push(Open { id, what, whole });
+        }
+    }
+
+    fn own_id(&mut self) -> u64 {
+        self.serial += 1;
+        own_id(self.serial)
+    }
+
+    fn make_shot(&mut self, out: &mut Vec<u8>, tag: Tag, shot: usize, now: f64) -> Option<(u64, Sent)> {
+        let left = self.desk.left_for(now, tag, shot)?;
+        if !self.desk.begin(now, tag, shot) {
+            return None;
+        }
+        let function = self.desk.function(tag)?;
+        let asker = self.desk.what(tag)?;
+        frames::shot(out, asker.id, &self.profiles[asker.profile], &function, left, &asker.body);
+        Some((asker.id, Sent::Shot(tag, shot)))
+    }
+
+    fn link_reads(&mut self, key: usize) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        let Some(link) = self.links.get_mut(key) else { return };
+        let read = link.stream.as_ref().map(|s| s.try_read(&mut scratch));
+        match read {
+            Some(Ok(0)) => self.broken(key, "it was closed"),
+            Some(Ok(n)) => self.heard(key, &scratch[..n]),
+            Some(Err(e)) if e.kind() == ErrorKind::WouldBlock => {}
+            Some(Err(e)) => self.broken(key, &e.to_string()),
+            None => {}
+        }
+        self.scratch = scratch;
+        self.carry_out();
+    }
+
+    fn heard(&mut self, key: usize, bytes: &[u8]) {
+        let now = self.now();
+        let Some(link) = self.links.get_mut(key) else { return };
+        let mut buf = std::mem::take(&mut link.buf);
+        let mut rest = if buf.is_empty() {
+            bytes
+        } else {
+            buf.extend_from_slice(bytes);
+            &buf
+        };
+        let fault = loop {
+            match frames::read(rest) {
+                Ok(Some((answer, took))) => {
+                    rest = &rest[took..];
+                    if let Err(wrong) = self.answered(key, answer, now) {
+                        break Some(wrong.to_owned());
+                    }
+                }
+                Ok(None) => break None,
+                Err(fault) => break Some(fault.to_string()),
+            }
+        };
+        if let Some(wrong) = fault {
+            return self.broken(key, &wrong);
+        }
+        let rest = rest.to_vec();
+        if let Some(link) = self.links.get_mut(key) {
+            link.used = now;
+            link.buf = rest;
+        }
+    }
+
+    /// One sound answer. An unknown id is passed over: a second copy, or the answer to what was given up.
+    fn answered(&mut self, key: usize, answer: frames::Answer<'_>, now: f64) -> Result<(), &'static str> {
+        let Some(link) = self.links.get_mut(key) else { return Ok(()) };
+        let Some(at) = link.open.iter().position(|o| o.id == answer.id) else { return Ok(()) };
+        if answer.probe != matches!(link.open[at].what, Sent::Probe(_)) {
+            return Err("an answer of another kind than what was asked");
+        }
+        let worker = link.worker;
+        match link.open.swap_remove(at).what {
+            Sent::Shot(tag, shot) => {
+                let end = End {
+                    outcome: answer.outcome,
+                    found: None,
+                    company: answer.company,
+                    report: answer.report,
+                    settles: false,
+                };
+                if self.desk.end(now, tag, shot, end) {
+                    self.answer(tag, |out, number| lines::handled(out, number, answer.body));
+                }
+            }
+            Sent::Order(order) => self.desk.order_ended(now, order, answer.outcome, answer.copies),
+            Sent::Probe(serial) => self.desk.probed(now, worker, serial, answer.outcome, answer.report),
+        }
+        Ok(())
+    }
+
+    fn remove(&mut self, key: usize) -> Option<Link> {
+        let link = self.links.try_remove(key)?;
+        link.wake.notify_one();
+        if let Some(keys) = self.reach.get_mut(&link.worker) {
+            keys.retain(|&k| k != key);
+            if keys.is_empty() {
+                self.reach.remove(&link.worker);
+            }
+        }
+        Some(link)
+    }
+
+    /// A connection was not made: nothing of what waited for it ran.
+    fn unreached(&mut self, key: usize, why: &str) {
+        let Some(link) = self.remove(key) else { return };
+        tracing::debug!(worker = link.worker, why, "a worker is not reached");
+        let now = self.now();
+        for load in link.waiting {
+            match load {
+                Load::Shot(tag, shot) => {
+                    self.desk.end(now, tag, shot, End::plain(Outcome::Unreached));
+                }
+                Load::Hold(order, ..) => self.desk.order_ended(now, order, Outcome::Unreached, 0),
+                Load::Probe(serial) => {
+                    self.desk.probed(now, link.worker, serial, Outcome::Unreached, None);
+                }
+                Load::Unload(_) | Load::GiveUp(_) => {}
+            }
+        }
+    }
+
+    /// A connection broke or is of no more use: what was written whole may have run; the rest did not, and what
+    /// waited goes on another.
+    fn broken(&mut self, key: usize, why: &str) {
+        let Some(link) = self.remove(key) else { return };
+        tracing::debug!(worker = link.worker, why, open = link.open.len(), "a connection to a worker ended");
+        let now = self.now();
+        for open in link.open {
+            let outcome = if link.written >= open.whole { Outcome::Cut } else { Outcome::Unreached };
+            match open.what {
+                Sent::Shot(tag, shot) => {
+                    self.desk.end(now, tag, shot, End::plain(outcome));
+                }
+                Sent::Order(order) => self.desk.order_ended(now, order, outcome, 0),
+                Sent::Probe(serial) => self.desk.probed(now, link.worker, serial, outcome, None),
+            }
+        }
+        for load in link.waiting {
+            match load {
+                Load::Shot(tag, shot) => self.shoot(tag, shot, link.worker),
+                Load::Hold(order, function, copies) => self.hold(order, link.worker, function, copies),
+                Load::Unload(function) => self.unload(link.worker, &function),
+                Load::Probe(serial) => self.probe(link.worker, serial),
+                Load::GiveUp(_) => {}
+            }
+        }
+    }
+
+    pub fn tidy_links(&mut self, now: f64) {
+        let idle = |l: &Link| l.open.is_empty() && l.waiting.is_empty() && self.keeping.idle(now, l.used);
+        let idle: Vec<_> = self.links.iter().filter(|(_, l)| idle(l)).map(|(key, _)| key).collect();
+        for key in idle {
+            self.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/station/src/station.rs
@@ -0,0 +1,271 @@
+//! All that the router on the platform has: the desk, the clients, the links to workers. Sockets are read and
+//! written here without waiting; the tasks around it only wait until a socket or a time is ready.
+
+use crate::door::Client;
+use crate::keeping::Keeping;
+use crate::leave::Leave;
+use crate::link::Link;
+use milletpath_gateway::desk::{Act, Desk, Tag};
+use milletpath_platform::told::{self, Told};
+use milletpath_platform::{frames, lines};
+use slab::Slab;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+
+/// Bytes that are read at a time from one socket: its fair turn.
+pub const TURN: usize = 64 << 10;
+
+/// Who asked for an activation.
+pub struct Asker {
+    /// The client's place and serial number, and the number of its line.
+    pub client: (usize, u64),
+    pub number: u64,
+    pub id: u64,
+    pub profile: usize,
+    pub body: Vec<u8>,
+    /// The links that its shots went to.
+    pub at: Vec<usize>,
+}
+
+pub type Shared = Rc<RefCell<Station>>;
+
+pub struct Station {
+    pub me: Weak<RefCell<Station>>,
+    pub desk: Desk<Asker>,
+    pub profiles: Vec<String>,
+    pub groups: Vec<String>,
+    pub clients: Slab<Client>,
+    pub links: Slab<Link>,
+    /// The links to each worker.
+    pub reach: BTreeMap<usize, Vec<usize>>,
+    /// Activations in hand, by their ids.
+    pub ids: BTreeSet<u64>,
+    pub keeping: Keeping,
+    pub leave: Leave,
+    pub connect: f64,
+    pub reports: bool,
+    pub cancels: bool,
+    pub scratch: Vec<u8>,
+    pub serial: u64,
+    begun: Instant,
+    /// The time for which the time keeper is set, and how it hears of an earlier one.
+    armed: f64,
+    pub alarm: Rc<Notify>,
+}
+
+impl Station {
+    fn new(told: &Told) -> Shared {
+        let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        let begun = Instant::now();
+        let house = &told.house;
+        let mut desk = Desk::new(house, epoch);
+        for (whole, entries) in &told.lists {
+            desk.list(0.0, *whole, entries);
+        }
+        Rc::new_cyclic(|me| {
+            RefCell::new(Self {
+                me: me.clone(),
+                desk,
+                profiles: house.profiles.iter().map(|p| p.name.clone()).collect(),
+                groups: house.clients.clone(),
+                clients: Slab::new(),
+                links: Slab::new(),
+                reach: BTreeMap::new(),
+                ids: BTreeSet::new(),
+                keeping: Keeping::new(told.descriptors, told.lanes, house.bounds.idle),
+                leave: Leave::default(),
+                connect: house.bounds.connect,
+                reports: told.reports,
+                cancels: house.policy.cancels,
+                scratch: vec![0; TURN],
+                serial: 0,
+                begun,
+                armed: f64::INFINITY,
+                alarm: Rc::new(Notify::new()),
+            })
+        })
+    }
+
+    pub fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64()
+    }
+
+    /// Does what the desk wants done, until it wants no more.
+    pub fn carry_out(&mut self) {
+        while let Some(act) = self.desk.act() {
+            match act {
+                Act::Shoot { tag, shot, worker } => self.shoot(tag, shot, worker),
+                Act::Drop { tag, shot } => self.drop_shot(tag, shot),
+                Act::Bounce { tag, come_back } => {
+                    self.answer(tag, |out, number| lines::bounced(out, number, come_back));
+                }
+                Act::Terminate { tag, .. } => self.answer(tag, lines::terminated),
+                Act::Hold { order, worker, function, copies } => self.hold(order, worker, function, copies),
+                Act::Unload { worker, function } => self.unload(worker, &function),
+                Act::Probe { worker, serial } => self.probe(worker, serial),
+                // The bulletin is followed in any case.
+                Act::Follow => {}
+            }
+        }
+        if self.desk.next().is_some_and(|at| at < self.armed) {
+            self.alarm.notify_one();
+        }
+    }
+
+    /// Gives the client its final answer.
+    pub fn answer(&mut self, tag: Tag, write: impl FnOnce(&mut Vec<u8>, u64)) {
+        let Some(asker) = self.desk.what(tag) else { return };
+        let ((key, serial), number) = (asker.client, asker.number);
+        self.ids.remove(&asker.id);
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.serial == serial) else { return };
+        client.open.retain(|&(n, _)| n != number);
+        write(&mut client.out, number);
+        self.client_writes(key);
+    }
+
+    /// Time has passed.
+    fn turn(&mut self) {
+        let now = self.now();
+        self.desk.turn(now);
+        self.carry_out();
+    }
+
+    /// Closes what has been idle or silent for too long.
+    fn tidy(&mut self) {
+        let now = self.now();
+        self.tidy_clients(now);
+        self.tidy_links(now);
+        self.carry_out();
+    }
+}
+
+async fn keep_time(station: Shared) {
+    loop {
+        let (next, alarm) = {
+            let mut s = station.borrow_mut();
+            s.turn();
+            let next = s.desk.next();
+            s.armed = next.unwrap_or(f64::INFINITY);
+            (next.map(|at| s.begun + Duration::from_secs_f64(at.max(0.0))), s.alarm.clone())
+        };
+        match next {
+            Some(at) => tokio::select! {
+                () = tokio::time::sleep_until(at.into()) => {}
+                () = alarm.notified() => {}
+            },
+            None => alarm.notified().await,
+        }
+    }
+}
+
+async fn keep_tidy(station: Shared) {
+    /// Seconds between two looks: short against the times that are kept.
+    const LOOK: Duration = Duration::from_millis(200);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        station.borrow_mut().tidy();
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    /// Connections that the machine may accept before we do.
+    const BACKLOG: u32 = 1024;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Runs the router until it is asked to end. `file` is what it starts from, `address` where it listens instead of
+/// where the file says.
+pub async fn run(file: &Path, address: Option<SocketAddr>) -> ExitCode {
+    // Before all else: a signal at any time after this ends nothing by itself.
+    let signals = signal(SignalKind::hangup()).and_then(|h| signal(SignalKind::terminate()).map(|t| (h, t)));
+    let (mut hangup, mut terminate) = match signals {
+        Ok(signals) => signals,
+        Err(e) => {
+            tracing::error!("signals can't be heard: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let read = std::fs::read(file).map_err(|e| e.to_string());
+    let told = match read.and_then(|text| told::read(&text).map_err(|e| e.to_string())) {
+        Ok(told) => told,
+        Err(e) => {
+            tracing::error!("{}: {e}; LB_CONFIG must name the platform's file", file.display());
+            return ExitCode::from(2);
+        }
+    };
+    let address = address.unwrap_or(told.house.listen);
+    let listener = match listen(address) {
+        Ok(listener) => listener,
+        Err(e) => {
+            tracing::error!("can't listen on {address}: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let station = Station::new(&told);
+    station.borrow_mut().carry_out();
+    tracing::info!(%address, descriptors = told.descriptors, last = told.last, "the router listens");
+    let (moved, bulletin) = watch::channel(told.bulletin);
+    spawn_local(crate::bulletin::follow(station.clone(), bulletin, told.last));
+    spawn_local(keep_time(station.clone()));
+    spawn_local(keep_tidy(station.clone()));
+    spawn_local(crate::door::accept(station.clone(), listener));
+    loop {
+        /// Seconds between two looks whether a leaving router may end.
+        const LOOK: Duration = Duration::from_millis(20);
+        let leaving = station.borrow().leave.begun();
+        tokio::select! {
+            _ = hangup.recv() => {
+                spawn_local(read_again(file.to_owned(), moved.clone()));
+            }
+            _ = terminate.recv() => {
+                tracing::info!("asked to end: what still comes is taken, what was taken is answered");
+                let mut s = station.borrow_mut();
+                let now = s.now();
+                s.leave.begin(now);
+            }
+            () = tokio::time::sleep(LOOK), if leaving => {
+                let s = station.borrow();
+                if s.leave.over(s.now(), s.owed()) {
+                    tracing::info!("nothing is owed any more; the router ends");
+                    return ExitCode::SUCCESS;
+                }
+            }
+        }
+    }
+}
+
+/// Reads the file again, whole or not at all; one that is caught half-replaced is tried again shortly.
+async fn read_again(file: std::path::PathBuf, moved: watch::Sender<SocketAddr>) {
+    const TRIES: u32 = 20;
+    const PAUSE: Duration = Duration::from_millis(50);
+    for _ in 0..TRIES {
+        let read = std::fs::read(&file).map_err(|e| e.to_string());
+        match read.and_then(|text| told::bulletin(&text).map_err(|e| e.to_string())) {
+            Ok(bulletin) => {
+                tracing::info!(%bulletin, "the file was read again");
+                moved.send_replace(bulletin);
+                return;
+            }
+            Err(e) => tracing::warn!("{}: {e}; what it said before stands", file.display()),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// The frames of a probe and its kin bear ids of our own, which no client is likely to have chosen.
+pub fn own_id(serial: u64) -> u64 {
+    // An odd multiplier spreads them over all numbers, so that none follows from another by chance.
+    serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ frames::LONGEST as u64
+}
