--- a/crates/platform/src/events.rs
+++ b/crates/platform/src/events.rs
@@ -34,6 +34,10 @@
 pub fn event(value: &Value) -> Result<Line, Fault> {
     let number = value["no"].as_u64().ok_or_else(|| Fault::new("no", "is no whole number"))?;
     let roster = &value["roster"];
+    // Taken for an event, a heartbeat ahead of ours would hide the one that is missing.
+    if value.as_object().is_some_and(|o| o.len() == 1) {
+        return Ok(Line::Last(number));
+    }
     if roster.is_null() {
         // An event of another matter: nothing in it concerns the list.
         return Ok(Line::Event { number, whole: false, entries: Vec::new() });
--- /dev/null
+++ b/crates/platform/tests/codecs.rs
@@ -0,0 +1,126 @@
+//! Codecs of the platform: what is sound comes through whole, what is not is named, and nothing is set aside for what
+//! is claimed. Wild bytes by the thousand never do more than that.
+
+use milletpath_platform::events::{self, Line};
+use milletpath_platform::frames;
+use milletpath_platform::lines::{self, Said};
+use milletpath_policy::host::Outcome;
+use proptest::prelude::*;
+use test_case::test_case;
+
+/// A frame as a worker writes it.
+fn worker(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
+    let mut to = vec![127, code];
+    to.extend((fields.len() as u16).to_be_bytes());
+    to.extend((body.len() as u32).to_be_bytes());
+    to.extend(id.to_be_bytes());
+    let held = [fields.as_bytes(), body].concat();
+    to.extend(&held);
+    to.extend(crc32fast::hash(&held).to_be_bytes());
+    to
+}
+
+fn call(change: &str) -> String {
+    let call = r#"{"jsonrpc":"2.0","id":7,"method":"p","params":{"i":"9b1f03aa5c7e2d41","d":1500,"t":"acme","r":1,"o":"7f3a9c21e0b4d655","info":"memory_mb:512;lanes:2;load_ms:640","content":"aGk="}}"#;
+    let (from, to) = change.split_once("=>").unwrap_or(("", ""));
+    call.replacen(from, to, 1)
+}
+
+#[test]
+fn a_call_is_read_with_all_that_it_says() {
+    let Ok(Said::Call(ask)) = lines::read(call("").as_bytes()) else { panic!("it is sound") };
+    assert_eq!((ask.number, ask.id, ask.profile.as_str()), (7, 0x9b1f_03aa_5c7e_2d41, "p"));
+    assert_eq!((ask.client.as_str(), ask.function.as_str()), ("acme", "7f3a9c21e0b4d655"));
+    assert_eq!((ask.patience, ask.repeat, &ask.body[..]), (1.5, true, &b"hi"[..]));
+    assert_eq!((ask.memory, ask.lanes, ask.load), (512.0, 2.0, Some(0.64)));
+}
+
+#[test_case(r#""id":7=>"id":0"#, "id"; "no number")]
+#[test_case(r#""id":7=>"id":"7""#, "id"; "a number as text")]
+#[test_case("9b1f=>9B1F", "i"; "an id in capitals")]
+#[test_case("9b1f=>9b1", "i"; "a short id")]
+#[test_case("7f3a=>zzzz", "o"; "a function that is no number")]
+#[test_case("1500=>-1", "d"; "a negative time")]
+#[test_case("1500=>1e300", "d"; "an endless time")]
+#[test_case("lanes:2=>lanes:NaN", "info.lanes"; "a figure that is none")]
+#[test_case("512=>1e99", "info.memory_mb"; "a figure past sense")]
+#[test_case("aGk==>a", "content"; "no base64")]
+#[test_case(r#""r":1=>"r":[]"#, "r"; "a mark that is none")]
+#[test_case("2.0=>1.0", "jsonrpc"; "another protocol")]
+#[test_case("{=>", "line"; "no json")]
+fn a_call_that_is_unsound_is_told_where(change: &str, place: &str) {
+    let Err((_, fault)) = lines::read(call(change).as_bytes()) else { panic!("it is unsound") };
+    assert_eq!(fault.place, place);
+}
+
+#[test_case(lines::BODY, true; "at the bound")]
+#[test_case(lines::BODY + 1, false; "one past it")]
+fn bodies_are_bounded(length: usize, fits: bool) {
+    use base64::Engine;
+    let body = base64::engine::general_purpose::STANDARD.encode(vec![b'x'; length]);
+    assert_eq!(lines::read(call(&format!("aGk==>{body}")).as_bytes()).is_ok(), fits);
+}
+
+#[test]
+fn nesting_costs_no_stack() {
+    assert!(lines::read(&b"[".repeat(lines::LONGEST)).is_err());
+}
+
+/// An answer that claims 3 GB and keeps coming is known by its head.
+#[test_case(&[127, 200, 0, 0, 0xc0, 0, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8]; "three gigabytes")]
+#[test_case(&[127, 200, 0xff, 0xff, 0, 0, 0, 0, 1, 2, 3, 4, 5, 6, 7, 8]; "long fields")]
+#[test_case(&[126]; "a router's mark")]
+#[test_case(&[127, 1]; "an unknown code")]
+fn what_can_not_be_read_is_not_waited_for(bytes: &[u8]) {
+    assert!(frames::read(bytes).is_err());
+}
+
+#[test]
+fn senseless_figures_are_left_out() {
+    let bytes = worker(200, 5, "same=-3,use=q:NaN;x0:0.5;x1:-1,later=1", b"");
+    let (answer, _) = frames::read(&bytes).expect("sound").expect("whole");
+    let report = answer.report.expect("a report");
+    assert_eq!((answer.company, report.waiting, report.memory, report.loading), (0.0, None, Some(0.5), None));
+}
+
+#[test_case("17", Some(Line::Last(17)); "a number alone")]
+#[test_case(r#"{"no":17}"#, Some(Line::Last(17)); "a number in an object")]
+#[test_case(r#"{"no":41,"roster":{"members":[{"id":"a","phase":"gone"}]}}"#, None; "an unknown state")]
+#[test_case(r#"{"no":41,"roster":{"members":[{"id":"a","phase":"active"}]}}"#, None; "no address")]
+#[test_case(r#"{"no":41,"roster":"#, None; "half an event")]
+fn lines_of_the_bulletin(line: &str, read: Option<Line>) {
+    assert_eq!(events::read(line.as_bytes()).ok(), read);
+}
+
+proptest! {
+    #[test]
+    fn answers_come_through_whole_or_not_at_all(
+        id: u64, same in 0u8..30, body in prop::collection::vec(any::<u8>(), 0..200), flip: prop::sample::Index,
+    ) {
+        let bytes = worker(200, id, &format!("same={same}"), &body);
+        for end in 0..bytes.len() {
+            prop_assert!(matches!(frames::read(&bytes[..end]), Ok(None)));
+        }
+        let twice = [&bytes[..], &bytes[..]].concat();
+        let (answer, took) = frames::read(&twice).unwrap().unwrap();
+        prop_assert_eq!((answer.id, answer.outcome, answer.body, took), (id, Outcome::Handled, &body[..], bytes.len()));
+        prop_assert_eq!(answer.company, f64::from(same));
+        // What was spoilt past the head is never believed.
+        let at = 16 + flip.index(bytes.len() - 16);
+        let mut spoilt = bytes.clone();
+        spoilt[at] ^= 1;
+        prop_assert!(frames::read(&spoilt).is_err());
+    }
+
+    #[test]
+    fn wild_bytes_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..300), mark: bool) {
+        let mut bytes = bytes;
+        if let Some(first) = bytes.first_mut().filter(|_| mark) {
+            *first = 127;
+        }
+        let _ = frames::read(&bytes);
+        let _ = events::read(&bytes);
+        let _ = milletpath_platform::told::read(&bytes);
+        prop_assert!(lines::read(&bytes).is_err());
+    }
+}
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -6,7 +6,9 @@
 use milletpath_gateway::desk::{Come, Tag};
 use milletpath_platform::lines::{self, Ask, Said};
 use milletpath_protocol::Fault;
+use socket2::SockRef;
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -40,6 +42,15 @@
     condemned: bool,
 }
 
+impl Client {
+    /// Whether nothing of its lies unread: a call that did would be lost with the connection.
+    fn quiet(&self) -> bool {
+        let mut one = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*self.stream).peek(&mut one);
+        !matches!(peeked, Ok(1..))
+    }
+}
+
 pub async fn accept(station: Shared, listener: TcpListener) {
     /// Pause after a failure to accept: for want of descriptors it would fail again at once.
     const PAUSE: Duration = Duration::from_millis(20);
@@ -78,9 +89,12 @@
 impl Station {
     fn welcome(&mut self, stream: TcpStream) {
         if self.clients.len() >= self.keeping.clients {
-            let all = self.clients.iter().map(|(k, c)| (k, c.said, !c.open.is_empty(), c.since));
-            match self.keeping.evict(all) {
-                Some(key) => self.part(key),
+            let now = self.now();
+            let all = self.clients.iter().filter(|(_, c)| c.open.is_empty());
+            let all = all.map(|(k, c)| (k, c.said, now - c.since));
+            let leaves = self.keeping.evict(all).find(|key| self.clients[*key].quiet());
+            match leaves {
+                Some(key) => self.part(key, "room for another"),
                 // All are owed answers: this one is closed, which promises nothing and owes nothing.
                 None => return,
             }
@@ -108,8 +122,9 @@
     }
 
     /// Ends a connection; what its client still waited for is called off.
-    fn part(&mut self, key: usize) {
+    fn part(&mut self, key: usize, why: &str) {
         let Some(client) = self.clients.try_remove(key) else { return };
+        tracing::debug!(key, why, open = client.open.len(), said = client.said, "a client's connection ends");
         client.wake.notify_one();
         self.withdraw(client.open);
     }
@@ -129,10 +144,10 @@
         let mut scratch = std::mem::take(&mut self.scratch);
         let Some(client) = self.clients.get(key) else { return };
         match client.stream.try_read(&mut scratch) {
-            Ok(0) => self.part(key),
+            Ok(0) => self.part(key, "the client closed it"),
             Ok(n) => self.hear(key, &scratch[..n]),
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => self.part(key),
+            Err(e) => self.part(key, &e.to_string()),
         }
         self.scratch = scratch;
         self.carry_out();
@@ -259,7 +274,8 @@
             instance: Some((lanes, memory, load)),
         };
         let Some(serial) = self.clients.get(key).map(|c| c.serial) else { return };
-        let asker = Asker { client: (key, serial), number, id, profile, body, at: Vec::new() };
+        let asker =
+            Asker { client: (key, serial), number, id, profile, body, came: now, begun: now, at: Vec::new() };
         let tag = self.desk.arrive(now, come, asker);
         let Some(client) = self.clients.get_mut(key) else { return };
         match tag {
@@ -315,11 +331,11 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     client.wake.notify_one();
                     if client.out.len() - client.sent > WAITING {
-                        self.part(key);
+                        self.part(key, "it reads too slowly");
                     }
                     return;
                 }
-                Err(_) => return self.part(key),
+                Err(e) => return self.part(key, &e.to_string()),
             }
         }
         client.sent = 0;
@@ -328,17 +344,17 @@
             client.out = Vec::new();
         }
         if client.condemned {
-            self.part(key);
+            self.part(key, "it said what can't be used");
         }
     }
 
     pub fn tidy_clients(&mut self, now: f64) {
         let over = |c: &Client| {
             let unsaid = !c.said || !c.rest.is_empty() || c.sent < c.out.len();
-            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since)
+            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since) && c.quiet()
         };
         let over: Vec<_> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
-        over.into_iter().for_each(|key| self.part(key));
+        over.into_iter().for_each(|key| self.part(key, "silent for too long"));
     }
 
     /// Answers that are owed or not written yet.
--- a/crates/station/src/keeping.rs
+++ b/crates/station/src/keeping.rs
@@ -10,6 +10,8 @@
 const CROWD: usize = 4;
 /// Seconds that a client may be connected without a whole word: the platform wants such closed within 3 s.
 const SILENT: f64 = 2.0;
+/// Seconds after which a client that has not spoken is taken for a silent one, where room is wanted.
+const FRESH: f64 = 0.3;
 /// Part of the stated idle time after which a connection to a worker is closed: before the worker does.
 const IDLE: f64 = 0.8;
 
@@ -35,13 +37,18 @@
         least.filter(|&(_, open)| open < CROWD.min(self.lanes) || !more).map(|(at, _)| at)
     }
 
-    /// Which client makes room for another, by whether each said something, whether an answer is owed to it, and
-    /// since when nothing passed: those that never spoke before others, and the longest idle.
-    pub fn evict(&self, clients: impl Iterator<Item = (usize, bool, bool, f64)>) -> Option<usize> {
-        let idle = clients.filter(|(_, _, owed, _)| !owed);
-        let first =
-            idle.min_by(|a, b| (a.1, a.3).partial_cmp(&(b.1, b.3)).unwrap_or(std::cmp::Ordering::Equal));
-        first.map(|(key, ..)| key)
+    /// Which clients make room for another, the first first, by whether each ever said something and for how long
+    /// nothing passed: those that keep silent, then the longest idle. One that has only just come is about to
+    /// speak: closed, its call would be lost.
+    pub fn evict(&self, clients: impl Iterator<Item = (usize, bool, f64)>) -> impl Iterator<Item = usize> {
+        let rank = |said: bool, idle: f64| match (said, idle < FRESH) {
+            (false, false) => 0,
+            (true, false) => 1,
+            (_, true) => 2,
+        };
+        let mut all: Vec<_> = clients.map(|(key, said, idle)| (rank(said, idle), idle, key)).collect();
+        all.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        all.into_iter().map(|(.., key)| key)
     }
 
     /// Whether a client that has never sent a whole word is closed, or one in the midst of another.
@@ -53,3 +60,25 @@
         now - used >= self.idle
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A client had connected a moment ago and its first call was on the way, when room was made for another.
+    #[test]
+    fn one_that_has_just_come_is_not_sent_away_for_the_next() {
+        let keeping = Keeping::new(256, 32, 30.0);
+        let clients = [(7, false, 0.01), (3, true, 5.0), (4, true, 9.0), (5, false, 1.0), (6, true, 0.1)];
+        assert_eq!(keeping.evict(clients.into_iter()).collect::<Vec<_>>(), [5, 4, 3, 6, 7]);
+    }
+
+    #[test]
+    fn a_crowded_connection_gets_company_while_there_is_room() {
+        let keeping = Keeping::new(256, 32, 30.0);
+        assert_eq!(keeping.pick([3, 2].into_iter(), 9), Some(1));
+        assert_eq!(keeping.pick([4, 4].into_iter(), 9), None);
+        assert_eq!(keeping.pick([9, 8].into_iter(), keeping.links), Some(1));
+        assert!(keeping.clients + keeping.links + RESERVE <= 256);
+    }
+}
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -202,7 +202,12 @@
     pub fn drop_shot(&mut self, tag: Tag, shot: usize) {
         let Some(key) = self.desk.what(tag).and_then(|a| a.at.get(shot).copied()) else { return };
         let Some(link) = self.links.get_mut(key) else { return };
+        let waited = link.waiting.len();
         link.waiting.retain(|l| !matches!(l, Load::Shot(t, s) if *t == tag && *s == shot));
+        if link.waiting.len() < waited {
+            let (worker, up) = (link.worker, link.stream.is_some());
+            tracing::debug!(worker, up, waited, unwritten = link.out.len(), "a shot was never begun");
+        }
         let at = link.open.iter().position(|o| matches!(o.what, Sent::Shot(t, s) if t == tag && s == shot));
         let Some(open) = at.map(|at| link.open.swap_remove(at)) else { return };
         if self.cancels {
@@ -293,6 +298,7 @@
         }
         let function = self.desk.function(tag)?;
         let asker = self.desk.what(tag)?;
+        asker.begun = now;
         frames::shot(out, asker.id, &self.profiles[asker.profile], &function, left, &asker.body);
         Some((asker.id, Sent::Shot(tag, shot)))
     }
@@ -352,8 +358,17 @@
             return Err("an answer of another kind than what was asked");
         }
         let worker = link.worker;
+        if answer.outcome != Outcome::Handled {
+            tracing::debug!(worker, outcome = ?answer.outcome, "a worker did not handle");
+        }
         match link.open.swap_remove(at).what {
             Sent::Shot(tag, shot) => {
+                let function = self.desk.function(tag);
+                if let Some(a) = self.desk.what(tag) {
+                    let function = function.as_deref().unwrap_or_default();
+                    let (waited, there, shots) = (a.begun - a.came, now - a.begun, a.at.len());
+                    tracing::debug!(worker, function, id = a.id, waited, there, shots, company = answer.company, outcome = ?answer.outcome, "answered");
+                }
                 let end = End {
                     outcome: answer.outcome,
                     found: None,
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -32,6 +32,9 @@
     pub id: u64,
     pub profile: usize,
     pub body: Vec<u8>,
+    /// When it came in, and when its last shot was begun.
+    pub came: f64,
+    pub begun: f64,
     /// The links that its shots went to.
     pub at: Vec<usize>,
 }
@@ -213,6 +216,8 @@
             return ExitCode::FAILURE;
         }
     };
+    tracing::debug!(charter = ?told.house.policy, bounds = ?told.house.bounds, "what the platform states");
+    let address = listener.local_addr().unwrap_or(address);
     let station = Station::new(&told);
     station.borrow_mut().carry_out();
     tracing::info!(%address, descriptors = told.descriptors, last = told.last, "the router listens");
