--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -431,10 +431,13 @@
 
     /// Whether what a worker was sent takes too much of the due time at the rate for its size: our own shots,
     /// and what its report tells; by chance near the bound, as others read it too.
-    fn swamped(&mut self, now: f64, w: usize, due: f64, warm: bool) -> bool {
+    fn swamped(&mut self, now: f64, w: usize, due: f64, left: f64, warm: bool) -> bool {
+        /// Part of its client's time that may pass there on average: less than for the due time would turn away
+        /// all of an impatient client group, which comes again at once, from workers that answer in time.
+        const LEFT: f64 = 0.7;
         /// With less of its cores in use a worker has no queue to speak of.
         const BUSY: f64 = 0.9;
-        let (time, f) = (TIME * due, &self.fleet);
+        let (time, f) = ((TIME * due).min(LEFT * left), &self.fleet);
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * f.size[w];
         let work = if f.held[w] { self.latency.min(time) } else { 0.0 };
         let growth = (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
@@ -448,6 +451,8 @@
     fn admit(&mut self, now: f64, id: usize, stuck: bool, host: &mut dyn Host) -> Stage {
         /// Part of the due time that may pass before the first shot.
         const WAIT: f64 = 0.15;
+        /// The same of its client's own time, which may be shorter: what is left must do for a try elsewhere.
+        const OWN: f64 = 0.4;
         if !self.may_go_on(now, id) {
             return Stage::End;
         }
@@ -461,6 +466,7 @@
         let loaded = stands.any(|s| s.copies > 0.0 && s.until > now);
         // Bounced while a retry can still be in time; what waits for a load would wait elsewhere as well.
         let wait = if loaded { WAIT * due } else { due - self.latency };
+        let wait = wait.min(OWN * (a.until - a.taken));
         if now - a.taken > wait { Stage::End } else { Stage::Keep }
     }
 
@@ -537,7 +543,7 @@
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
             let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
             let rests = rests || missed && !coming && now < self.rest.1;
-            if rests || self.swamped(now, w, due.min(left), warm || over_share) {
+            if rests || self.swamped(now, w, due, left, warm || over_share) {
                 pressed |= member;
                 continue;
             }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -266,3 +266,25 @@
     assert!(!forgotten_after(&mut town, 50));
     assert!(forgotten_after(&mut town, 50));
 }
+
+/// A client group that waited 0.25 s a try came again at once with each bounce, four times what it had to ask, while
+/// the workers answered in half that time.
+#[test_case(4.0; "a patient client")]
+#[test_case(0.3; "one of little time, that answers still reach")]
+fn a_worker_that_answers_in_time_is_sent_what_its_client_waits_for(patience: f64) {
+    let mut town = Town::new(charter(pure()), 1);
+    (0..120).for_each(|n| drop(town.serve(n % 10, 0.05)));
+    let before: Vec<_> = (0..4).map(|function| town.arrive(function, 4.0)).collect();
+    assert!(before.iter().all(|&id| town.shots(id).len() == 1));
+    let id = town.arrive(5, patience);
+    assert_eq!(town.shots(id).len(), 1);
+}
+
+/// Kept to the end of its client's own time, which was shorter than the due time, it came too late for a further try.
+#[test]
+fn nobody_is_kept_past_half_of_his_own_time_without_a_shot() {
+    let mut town = Town::new(charter(pure()), 0);
+    let id = town.arrive(0, 0.4);
+    town.pass(0.19);
+    assert!(town.did(&Did::Bounce { id }));
+}
