Failures of a function that none ever handled are no fault of the workers

Checked by outcomes of shots and the module's view: 680 failures, four each of functions that no worker knows, spread over all workers, each then distrusted at 0.3 to 0.4 at a time; the queues and the dead worker were seen rightly (ruled out). Bounced after four shots in 0.2 ms. At fault: answered(), which judged the worker for every failure. Now a failure counts against a worker only where the function was ever handled, and one that none ever handled gets two workers. It could do harm where a worker fails everything right after this router's start: until the first answer.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -110,6 +110,8 @@
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
+    /// Whether a worker ever handled it: until then its failures may be its own.
+    sound: bool,
     /// Activations that are not let go of yet.
     open: usize,
     /// Workers in the order in which the walk from the home meets them, for the ring of that edition.
@@ -703,8 +705,15 @@
         self.fleet.doubt[w] = Fading { sum: doubt + weight * (fault - doubt), at: now };
     }
 
+    /// Whether a function was ever handled.
+    fn sound(&self, key: usize) -> bool {
+        self.functions[key].as_ref().is_none_or(|f| f.sound)
+    }
+
     /// Whether rules and sense allow yet another shot, on some worker.
     fn may_go_on(&self, now: f64, id: usize) -> bool {
+        /// Workers that may have run a function that none ever handled, before it is taken for unsound.
+        const STRANGE: usize = 2;
         let Some(a) = &self.activations[id] else { return false };
         let mut ran = a.shots.iter().filter(|s| !s.never_ran);
         let repeatable = match self.profiles[a.profile].effect {
@@ -712,6 +721,8 @@
             Effect::Effectful => ran.next().is_none(),
             Effect::Receipted { memory, .. } => ran.all(|s| now - s.sent < memory),
         };
+        let strange = a.shots.iter().filter(|s| !s.out && !s.never_ran).count() >= STRANGE;
+        let repeatable = repeatable && (self.sound(a.function) || !strange);
         // No second copies: they crowd the rest more than they save.
         let alone = !a.shots.iter().any(|s| s.out);
         a.open && a.shots.len() < self.shots && now < a.until && repeatable && alone
@@ -836,7 +847,8 @@
                 let warm = now - self.fleet.started[w] >= self.warm_up;
                 self.flow.add(now, RATE_HALF, f64::from(u8::from(warm)));
             }
-            Outcome::Failed => self.judge(now, w, 1.0, 0.3),
+            // Names that no worker knows fail everywhere: judged by them, all workers would be shunned.
+            Outcome::Failed if self.sound(key) => self.judge(now, w, 1.0, 0.3),
             // Overdue while it waited for a load tells of the store; among answers, of a long activation; and
             // after a short time, of a client that left early.
             Outcome::Overdue | Outcome::Withdrawn
@@ -850,7 +862,7 @@
                 self.fleet.heard[w] = now;
                 self.fleet.full[w][usize::from(warm)] = now;
             }
-            Outcome::Overdue | Outcome::Missed | Outcome::Withdrawn | Outcome::Unsent => {}
+            _ => {}
         }
         if answer.outcome == Outcome::Missed && !self.misses || answer.found == Some(Found::LoadFailed) {
             self.load_ended(now, false);
@@ -875,6 +887,8 @@
             } else if answer.outcome.never_ran() || answer.outcome == Outcome::Failed && !warm {
                 stand.coming = 0.0;
             } else if answer.outcome == Outcome::Handled {
+                f.sound = true;
+                let stand = f.stand(w);
                 stand.copies = if stand.until > now { stand.copies } else { 0.0 }.max(1.0);
                 (stand.until, stand.coming) = (now + self.keep, 0.0);
                 if warm && answer.found == Some(Found::BeganLoad) {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -290,3 +290,19 @@
     town.pass(0.19);
     assert!(town.did(&Did::Bounce { id }));
 }
+
+/// Bad clients called functions that no worker knows: each failed at four workers, and soon all were distrusted.
+#[test]
+fn a_function_that_fails_everywhere_is_no_fault_of_the_workers() {
+    let mut town = Town::new(charter(pure()), 6);
+    let home = town.serve(0, 0.1);
+    for function in 1..40 {
+        let id = town.arrive(function, 4.0);
+        while let Some(shot) = town.shots(id).len().checked_sub(1).filter(|_| !town.did(&Did::Bounce { id }))
+        {
+            town.answer(id, shot, Outcome::Failed, 0.001);
+        }
+        assert_eq!(town.shots(id).len(), 2);
+    }
+    assert!((0..20).all(|_| town.serve(0, 0.1) == home));
+}
