No new shot goes to a connection that is silent longer than a new one takes

Need: new shots may not pile up where a machine is gone without a sign. Where something is out on a connection and nothing was heard for as long as a connection may take to be made, the next shot opens another: to a slow worker it comes up, to one that is gone it does not, which the module hears as unreached. Nothing is cut for silence: under load that would run calls twice for nothing.

--- a/crates/station/src/keeping.rs
+++ b/crates/station/src/keeping.rs
@@ -21,20 +21,30 @@
     pub links: usize,
     lanes: usize,
     idle: f64,
+    connect: f64,
 }
 
 impl Keeping {
-    pub fn new(descriptors: usize, lanes: usize, idle: f64) -> Self {
+    pub fn new(descriptors: usize, lanes: usize, idle: f64, connect: f64) -> Self {
         let room = descriptors.saturating_sub(RESERVE).max(2);
         let clients = ((room as f64 * CLIENTS) as usize).max(1);
-        Self { clients, links: (room - clients).max(1), lanes: lanes.max(1), idle: idle * IDLE }
+        Self { clients, links: (room - clients).max(1), lanes: lanes.max(1), idle: idle * IDLE, connect }
     }
 
-    /// Where one more shot for a worker goes, by the shots on each of its connections; none for a new one.
-    pub fn pick(&self, open: impl Iterator<Item = usize>, links: usize) -> Option<usize> {
-        let least = open.enumerate().min_by_key(|&(_, open)| open);
+    /// Where one more shot for a worker goes, by the shots on each of its connections and since when each is unheard;
+    /// none for a new one. Where nothing was heard for as long as a connection may take to be made, a new one tells
+    /// a slow worker from a machine that is gone: that one never comes up, and nothing piles up on the silent one.
+    pub fn pick(
+        &self,
+        now: f64,
+        each: impl Iterator<Item = (usize, Option<f64>)>,
+        links: usize,
+    ) -> Option<usize> {
+        let silent = |since: Option<f64>| since.is_some_and(|since| now - since >= self.connect);
+        let each = each.enumerate().map(|(at, (open, since))| (silent(since), open, at));
         let more = links < self.links;
-        least.filter(|&(_, open)| open < CROWD.min(self.lanes) || !more).map(|(at, _)| at)
+        let least = each.min();
+        least.filter(|&(silent, open, _)| !silent && open < CROWD.min(self.lanes) || !more).map(|(.., at)| at)
     }
 
     /// Which clients make room for another, the first first, by whether each ever said something and for how long
@@ -68,17 +78,28 @@
     /// A client had connected a moment ago and its first call was on the way, when room was made for another.
     #[test]
     fn one_that_has_just_come_is_not_sent_away_for_the_next() {
-        let keeping = Keeping::new(256, 32, 30.0);
+        let keeping = Keeping::new(256, 32, 30.0, 0.25);
         let clients = [(7, false, 0.01), (3, true, 5.0), (4, true, 9.0), (5, false, 1.0), (6, true, 0.1)];
         assert_eq!(keeping.evict(clients.into_iter()).collect::<Vec<_>>(), [5, 4, 3, 6, 7]);
     }
 
     #[test]
     fn a_crowded_connection_gets_company_while_there_is_room() {
-        let keeping = Keeping::new(256, 32, 30.0);
-        assert_eq!(keeping.pick([3, 2].into_iter(), 9), Some(1));
-        assert_eq!(keeping.pick([4, 4].into_iter(), 9), None);
-        assert_eq!(keeping.pick([9, 8].into_iter(), keeping.links), Some(1));
+        let keeping = Keeping::new(256, 32, 30.0, 0.25);
+        let pick =
+            |open: [usize; 2], links| keeping.pick(1.0, open.map(|n| (n, Some(0.9))).into_iter(), links);
+        assert_eq!(pick([3, 2], 9), Some(1));
+        assert_eq!(pick([4, 4], 9), None);
+        assert_eq!(pick([9, 8], keeping.links), Some(1));
         assert!(keeping.clients + keeping.links + RESERVE <= 256);
     }
+    /// A machine vanished without a sign, and each new shot went to the connection that had the fewest.
+    #[test]
+    fn a_silent_connection_gets_no_company_while_there_is_room() {
+        let keeping = Keeping::new(256, 32, 30.0, 0.25);
+        let pick = |links| keeping.pick(1.0, [(1, Some(0.7)), (3, Some(0.8))].into_iter(), links);
+        assert_eq!((pick(9), pick(keeping.links)), (Some(1), Some(1)));
+        assert_eq!(keeping.pick(1.0, [(1, Some(0.7))].into_iter(), 9), None);
+        assert_eq!(keeping.pick(1.0, [(0, None)].into_iter(), 9), Some(0));
+    }
 }
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -42,6 +42,8 @@
     what: Sent,
     /// The bytes of this link up to its last.
     whole: u64,
+    /// When it was made.
+    at: f64,
 }
 
 pub struct Link {
@@ -58,9 +60,17 @@
     waiting: VecDeque<Load>,
     open: Vec<Open>,
     used: f64,
+    /// When its worker was heard last.
+    heard: f64,
 }
 
 impl Link {
+    /// Since when something is out here that nothing was heard after; none where nothing is.
+    fn unheard(&self) -> Option<f64> {
+        let since = self.open.iter().map(|o| o.at).min_by(f64::total_cmp)?;
+        Some(since.max(self.heard))
+    }
+
     /// Shots that wait or are out.
     fn shots(&self) -> usize {
         let waiting = self.waiting.iter().filter(|l| matches!(l, Load::Shot(..)));
@@ -138,7 +148,9 @@
             self.links[**key].process == process && id.is_none_or(|id| !self.links[**key].bears(id))
         };
         let fit: Vec<usize> = known.iter().filter(fits).copied().collect();
-        let picked = self.keeping.pick(fit.iter().map(|&k| self.links[k].shots()), self.links.len());
+        let now = self.now();
+        let each = fit.iter().map(|&k| (self.links[k].shots(), self.links[k].unheard()));
+        let picked = self.keeping.pick(now, each, self.links.len());
         if let Some(at) = picked {
             return fit[at];
         }
@@ -155,7 +167,8 @@
             written: 0,
             waiting: VecDeque::new(),
             open: Vec::new(),
-            used: self.now(),
+            used: now,
+            heard: now,
         };
         let key = self.links.insert(link);
         self.reach.entry(worker).or_default().push(key);
@@ -282,7 +295,7 @@
         link.out = out;
         if let Some((id, what)) = open {
             let whole = link.made;
-            link.open.push(Open { id, what, whole });
+            link.open.push(Open { id, what, whole, at: now });
         }
     }
 
@@ -345,7 +358,7 @@
         }
         let rest = rest.to_vec();
         if let Some(link) = self.links.get_mut(key) {
-            link.used = now;
+            (link.used, link.heard) = (now, now);
             link.buf = rest;
         }
     }
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -84,7 +84,7 @@
                 links: Slab::new(),
                 reach: BTreeMap::new(),
                 ids: BTreeSet::new(),
-                keeping: Keeping::new(told.descriptors, told.lanes, house.bounds.idle),
+                keeping: Keeping::new(told.descriptors, told.lanes, house.bounds.idle, house.bounds.connect),
                 leave: Leave::default(),
                 connect: house.bounds.connect,
                 reports: told.reports,
