Names of workers long gone are forgotten, their indices used again

Once one is gone for twice the longest time that anything of it can be out, its index goes to another name, with another process number, and the module takes nothing over. Seen by a story of 300 replacements (at most 8 indices) and by the desk's random histories, whose check now goes by addresses.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -345,6 +345,9 @@
 
     fn from(house: &House, epoch: f64, now: f64, serial: u64, life: u64) -> Self {
         let seed = house.policy.seed;
+        // By then every shot, order and probe for one that is gone has ended, and is booked.
+        let longest = house.profiles.iter().map(|p| p.cut_off).fold(house.policy.order_wait, f64::max);
+        let forget = 2.0 * (longest + house.bounds.probe);
         let mut books = Books {
             now,
             acts: VecDeque::new(),
@@ -357,7 +360,7 @@
             free_orders: Vec::new(),
             probes: Vec::new(),
             functions: Indices::new(seed),
-            roll: Roll::new(&house.kinds, seed, epoch, life),
+            roll: Roll::new(&house.kinds, seed, epoch, life, forget),
             wheel: Wheel::default(),
             serial,
             bounds: house.bounds.clone(),
--- a/crates/gateway/src/roll.rs
+++ b/crates/gateway/src/roll.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Workers that may ever be named in a gateway's life; a list that goes on inventing names is not followed further.
+/// Workers that may be known at a time; a list that goes on inventing names is not followed further.
 const MOST: usize = 65_536;
 
 pub struct Roll {
@@ -20,6 +20,10 @@
     process: Vec<u64>,
     started: Vec<Option<f64>>,
     state: Vec<State>,
+    /// Since when each is gone.
+    gone: Vec<f64>,
+    /// Seconds after which nothing of one that is gone can be out any more: its index is given to another.
+    forget: f64,
     /// The Unix time at which the desk's clock began.
     epoch: f64,
     edition: u64,
@@ -29,7 +33,7 @@
 }
 
 impl Roll {
-    pub fn new(kinds: &[String], seed: u64, epoch: f64, life: u64) -> Self {
+    pub fn new(kinds: &[String], seed: u64, epoch: f64, life: u64, forget: f64) -> Self {
         Self {
             names: Indices::new(seed),
             zones: Indices::new(seed),
@@ -39,6 +43,8 @@
             process: Vec::new(),
             started: Vec::new(),
             state: Vec::new(),
+            gone: Vec::new(),
+            forget,
             epoch,
             edition: 0,
             life,
@@ -67,8 +73,11 @@
     pub fn take(&mut self, now: f64, whole: bool, entries: &[Entry], mut tell: impl FnMut(Listing)) {
         self.edition += 1;
         if whole {
-            self.state.fill(State::Gone);
+            for worker in 0..self.state.len() {
+                self.enter(now, worker, State::Gone);
+            }
         }
+        self.forget(now);
         for entry in entries {
             let new = self.names.get(&entry.name).is_none();
             if new && self.names.len() >= MOST {
@@ -77,7 +86,14 @@
             }
             let worker = self.names.take(&entry.name);
             let started = entry.started.map(|at| at - self.epoch);
-            let started = if new {
+            let started = if new && worker < self.state.len() {
+                // An index used again: another process, that shares nothing with the one before.
+                self.process[worker] += 1;
+                self.gone[worker] = f64::INFINITY;
+                (self.address[worker], self.started[worker]) = (entry.address, started);
+                started
+            } else if new {
+                self.gone.push(f64::INFINITY);
                 self.address.push(entry.address);
                 self.process.push(self.life << 32 | 1);
                 self.started.push(started);
@@ -86,11 +102,12 @@
             } else {
                 self.change(now, worker, entry.address, started)
             };
-            self.state[worker] = match entry.state {
+            let state = match entry.state {
                 Standing::Ready => State::Ready,
                 Standing::Draining => State::Draining,
                 Standing::Gone => State::Gone,
             };
+            self.enter(now, worker, state);
             // Workers of no stated zone or cell share none: their receipts are known to nobody else.
             let alone = usize::MAX - worker;
             let part =
@@ -108,6 +125,26 @@
         }
     }
 
+    fn enter(&mut self, now: f64, worker: usize, state: State) {
+        if state != State::Gone {
+            self.gone[worker] = f64::INFINITY;
+        } else if self.gone[worker] == f64::INFINITY {
+            self.gone[worker] = now;
+        }
+        self.state[worker] = state;
+    }
+
+    /// Forgets the names of those long gone: where workers are replaced by others all day, they would pile up.
+    fn forget(&mut self, now: f64) {
+        for worker in 0..self.gone.len() {
+            // Given back twice an index would go to two.
+            if self.gone[worker] > f64::NEG_INFINITY && now - self.gone[worker] >= self.forget {
+                self.names.give_back(worker);
+                self.gone[worker] = f64::NEG_INFINITY;
+            }
+        }
+    }
+
     /// A line for a worker that is known. Another address or a later start is another process, cold and empty;
     /// one whose start nobody tells started now at the latest.
     fn change(&mut self, now: f64, worker: usize, address: SocketAddr, started: Option<f64>) -> Option<f64> {
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -81,6 +81,24 @@
     assert_eq!(desk.tally().kept_back, 1);
 }
 
+/// A worker is replaced by another, with a name never seen, all day long: the tables stay as small as the fleet, and
+/// nothing that was believed of the one before holds for who has its index.
+#[test]
+fn a_list_that_turns_over_all_day() {
+    let mut desk = desk(EFFECTS[0], PROBELESS, 1);
+    for n in 1..300_u16 {
+        let now = f64::from(n) * 5.0;
+        desk.list(now, false, &[entry(n - 1, Standing::Gone, None), entry(n, Standing::Ready, None)]);
+        let tag = arrive(&mut desk, now, 2.0);
+        let sent = shots(&acts(&mut desk));
+        let &[(_, shot, worker)] = &sent[..] else { panic!("one shot at {now}: {sent:?}") };
+        assert!(worker < 8, "index {worker} at {now}");
+        assert_eq!(desk.address(worker).0, entry(n, Standing::Ready, None).address);
+        assert!(desk.begin(now, tag, shot) && desk.end(now + 0.1, tag, shot, End::plain(Outcome::Handled)));
+        acts(&mut desk);
+    }
+}
+
 /// A connection that is not made in time proves that nothing ran, whatever the profile.
 #[test]
 fn no_connection_in_time_goes_elsewhere() {
@@ -237,7 +255,9 @@
             match act {
                 Act::Shoot { tag, shot, worker } => {
                     assert!(self.open.contains_key(&tag.serial), "a shot for what is over");
-                    assert_ne!(self.state.get(&worker), Some(&Standing::Gone));
+                    // An index may have passed to another worker; its address tells which.
+                    let number = usize::from(desk.address(worker).0.port() - 9000);
+                    assert_ne!(self.state.get(&number), Some(&Standing::Gone));
                     assert!(!(effectful && self.may_have_run.contains(&tag.serial)), "a second shot");
                     self.out.insert((tag.serial, shot), (tag, shot, false));
                 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -304,7 +304,9 @@
             f.grow(w + 1);
         }
         let started = line.started.unwrap_or(f64::NEG_INFINITY);
-        if started > f.started[w] {
+        // The index of one that is forgotten: nothing of that one holds for this.
+        let other = f.name[w] != line.name;
+        if other || started > f.started[w] {
             // A new process: empty, cold, and not to be blamed for the old one.
             f.started[w] = started;
             (f.doubt[w], f.foreign[w]) = (Fading::default(), None);
