Ids ended lately are not used again on a connection; idle links make room; open list

Need, from going through the issue: a second copy of an answer could be taken for that of the next shot under the same id on the same connection; past the bound of links a new one was opened beside it; 1 MiB for a slow reader was more than memory of 32 MB bears for a crowd of them. A bad start is told in one line, with 2.

--- a/crates/milletpath/src/platform.rs
+++ b/crates/milletpath/src/platform.rs
@@ -16,5 +16,7 @@
             return ExitCode::from(2);
         }
     };
+    let name = std::env::var("LB_NAME").unwrap_or_default();
+    tracing::info!(name, file = %file.display(), "a router starts");
     crate::local(milletpath_station::run(&file, address))
 }
--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -153,6 +153,18 @@
     assert!(client.ask(2, 2).contains(DONE));
 }
 
+/// A start that can't be: one clear line, and 2.
+#[test_case(None, "LB_CONFIG is not set"; "no file named")]
+#[test_case(Some("/nowhere/told"), "/nowhere/told"; "a file that is not there")]
+fn a_bad_start_is_told(file: Option<&str>, why: &str) {
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_milletpath"));
+    command.arg("platform").env_remove("LB_CONFIG").env_remove("LB_LISTEN");
+    command.envs(file.map(|file| ("LB_CONFIG", file)));
+    let output = command.output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains(why));
+}
+
 fn slowly(before: usize, id: u64, to: &mut TcpStream) {
     std::thread::sleep(Duration::from_millis(if before == 0 { 1500 } else { 1 }));
     well(before, id, to);
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -17,8 +17,8 @@
 
 /// Calls that may be open on one connection.
 const OPEN: usize = 32;
-/// Bytes of answers that wait for a slow reader.
-const WAITING: usize = 1 << 20;
+/// Bytes of answers that wait for a slow reader: some of the usual size, and small against the least memory granted.
+const WAITING: usize = 128 << 10;
 /// Seconds by which an answer leaves before its client's time is up: what a crowded machine takes from the client's
 /// write to our read, and back.
 const MARGIN: f64 = 0.015;
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -17,6 +17,8 @@
 
 /// Bytes of frames that are made before the socket takes them: all begun ones that may wait there.
 const AHEAD: usize = 16 << 10;
+/// Ids that are remembered on a connection after their end: a second copy of an answer comes soon or not at all.
+const PAST: usize = 64;
 /// Bytes of buffers that a quiet connection keeps.
 const KEPT: usize = 4 << 10;
 
@@ -59,12 +61,33 @@
     written: u64,
     waiting: VecDeque<Load>,
     open: Vec<Open>,
+    /// What was open last.
+    past: VecDeque<u64>,
     used: f64,
     /// When its worker was heard last.
     heard: f64,
 }
 
 impl Link {
+    fn new(worker: usize, process: u64, now: f64) -> Self {
+        Self {
+            worker,
+            process,
+            stream: None,
+            wake: Rc::new(Notify::new()),
+            buf: Vec::new(),
+            out: Vec::new(),
+            sent: 0,
+            made: 0,
+            written: 0,
+            waiting: VecDeque::new(),
+            open: Vec::new(),
+            past: VecDeque::new(),
+            used: now,
+            heard: now,
+        }
+    }
+
     /// Since when something is out here that nothing was heard after; none where nothing is.
     fn unheard(&self) -> Option<f64> {
         let since = self.open.iter().map(|o| o.at).min_by(f64::total_cmp)?;
@@ -77,8 +100,18 @@
         waiting.count() + self.open.iter().filter(|o| matches!(o.what, Sent::Shot(..))).count()
     }
 
+    /// Whether an answer under this id could be another's: to what is open, or a second copy of the last ones.
     fn bears(&self, id: u64) -> bool {
-        self.open.iter().any(|o| o.id == id)
+        self.open.iter().any(|o| o.id == id) || self.past.contains(&id)
+    }
+
+    fn end(&mut self, at: usize) -> Open {
+        let open = self.open.swap_remove(at);
+        if self.past.len() >= PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(open.id);
+        open
     }
 }
 
@@ -154,22 +187,14 @@
         if let Some(at) = picked {
             return fit[at];
         }
-        let wake = Rc::new(Notify::new());
-        let link = Link {
-            worker,
-            process,
-            stream: None,
-            wake: wake.clone(),
-            buf: Vec::new(),
-            out: Vec::new(),
-            sent: 0,
-            made: 0,
-            written: 0,
-            waiting: VecDeque::new(),
-            open: Vec::new(),
-            used: now,
-            heard: now,
-        };
+        // Past the bound the longest idle connection of another worker makes room.
+        if self.links.len() >= self.keeping.links {
+            let idle = self.links.iter().filter(|(_, l)| l.open.is_empty() && l.waiting.is_empty());
+            let longest = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(key, _)| key);
+            longest.map(|key| self.remove(key));
+        }
+        let link = Link::new(worker, process, now);
+        let wake = link.wake.clone();
         let key = self.links.insert(link);
         self.reach.entry(worker).or_default().push(key);
         if let Some(station) = self.me.upgrade() {
@@ -222,7 +247,7 @@
             tracing::debug!(worker, up, waited, unwritten = link.out.len(), "a shot was never begun");
         }
         let at = link.open.iter().position(|o| matches!(o.what, Sent::Shot(t, s) if t == tag && s == shot));
-        let Some(open) = at.map(|at| link.open.swap_remove(at)) else { return };
+        let Some(open) = at.map(|at| link.end(at)) else { return };
         if self.cancels {
             self.load(key, Load::GiveUp(open.id));
         }
@@ -270,7 +295,7 @@
         let open = match load {
             Load::Shot(tag, shot) => self.make_shot(&mut out, tag, shot, now),
             Load::Hold(order, function, copies) => self.desk.begin_order(now, order).then(|| {
-                let id = self.own_id();
+                let id = self.own_id(key);
                 frames::hold(&mut out, id, &function, copies);
                 (id, Sent::Order(order))
             }),
@@ -281,7 +306,7 @@
                 None
             }
             Load::Probe(serial) => {
-                let id = self.own_id();
+                let id = self.own_id(key);
                 frames::probe(&mut out, id, self.reports);
                 Some((id, Sent::Probe(serial)))
             }
@@ -299,9 +324,14 @@
         }
     }
 
-    fn own_id(&mut self) -> u64 {
-        self.serial += 1;
-        own_id(self.serial)
+    fn own_id(&mut self, key: usize) -> u64 {
+        loop {
+            self.serial += 1;
+            let id = own_id(self.serial);
+            if !self.links[key].bears(id) {
+                return id;
+            }
+        }
     }
 
     fn make_shot(&mut self, out: &mut Vec<u8>, tag: Tag, shot: usize, now: f64) -> Option<(u64, Sent)> {
@@ -374,7 +404,7 @@
         if answer.outcome != Outcome::Handled {
             tracing::debug!(worker, outcome = ?answer.outcome, "a worker did not handle");
         }
-        match link.open.swap_remove(at).what {
+        match link.end(at).what {
             Sent::Shot(tag, shot) => {
                 let function = self.desk.function(tag);
                 if let Some(a) = self.desk.what(tag) {
@@ -465,3 +495,21 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A worker that turned a shot away said so twice; the second copy would have ended the next shot of the same id.
+    #[test]
+    fn an_id_is_not_used_again_where_a_second_copy_may_come() {
+        let mut link = Link::new(0, 1, 0.0);
+        for id in 0..=PAST as u64 {
+            link.open.push(Open { id, what: Sent::Probe(id), whole: 0, at: 0.0 });
+            assert!(link.bears(id));
+            link.end(0);
+            assert!(link.bears(id));
+        }
+        assert!(!link.bears(0) && link.past.len() == PAST);
+    }
+}
