--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -165,6 +165,42 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains(why));
 }
 
+fn hangs(_: usize, _: u64, _: &mut TcpStream) {}
+
+/// Workers take calls and answer none: each call gets its one answer all the same, and no promise but to try again.
+#[test]
+fn workers_that_hang() {
+    let (at, _) = worker(hangs);
+    let router = Router::start(&[at], bulletin(vec![]).0, 256);
+    let mut client = Client::new(&router);
+    client.say(&[call(1, 1), call(2, 2)].concat());
+    let mut heard = [client.hear(), client.hear()];
+    heard.sort();
+    for (line, number) in heard.iter().zip(1..) {
+        assert!(line.contains(&format!("\"id\":{number},")) && line.contains("-32066"), "{line}");
+    }
+}
+
+/// A crowd that is turned away comes again at once, with lines that can't be used; who calls properly is served.
+#[test]
+fn usual_clients_among_a_bad_crowd() {
+    let (at, _) = worker(well);
+    let router = Router::start(&[at], bulletin(vec![]).0, 256);
+    std::thread::scope(|crowd| {
+        for _ in 0..8 {
+            crowd.spawn(|| {
+                for _ in 0..50 {
+                    let mut bad = Client::new(&router);
+                    bad.say(&"{\"jsonrpc\":\"2.0\",\"id\":-1}\n".repeat(20));
+                    assert!(!bad.hear().contains("result"));
+                }
+            });
+        }
+        let mut usual = Client::new(&router);
+        assert!((1..100).all(|n| usual.ask(n, n).contains(DONE)));
+    });
+}
+
 fn slowly(before: usize, id: u64, to: &mut TcpStream) {
     std::thread::sleep(Duration::from_millis(if before == 0 { 1500 } else { 1 }));
     well(before, id, to);
