One way to read a socket, on which the room to read into is never lost

All later reads would have had no room, and every connection would have looked closed. Both were the same code but for the receiver; Station::read is the one piece now, and the look-up comes before it. A story in station.rs fails with the old order.

--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -140,17 +140,12 @@
         }
     }
 
-    fn client_reads(&mut self, key: usize) {
-        let mut scratch = std::mem::take(&mut self.scratch);
-        let Some(client) = self.clients.get(key) else { return };
-        match client.stream.try_read(&mut scratch) {
-            Ok(0) => self.part(key, "the client closed it"),
-            Ok(n) => self.hear(key, &scratch[..n]),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(e) => self.part(key, &e.to_string()),
-        }
-        self.scratch = scratch;
-        self.carry_out();
+    pub fn client_reads(&mut self, key: usize) {
+        let Some(stream) = self.clients.get(key).map(|c| c.stream.clone()) else { return };
+        self.read(&stream, |station, read| match read {
+            Ok(bytes) => station.hear(key, bytes),
+            Err(why) => station.part(key, &why),
+        });
     }
 
     /// Bytes of a client. All lines among them are checked before the first is acted on: what comes with a line
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -346,19 +346,12 @@
         Some((asker.id, Sent::Shot(tag, shot)))
     }
 
-    fn link_reads(&mut self, key: usize) {
-        let mut scratch = std::mem::take(&mut self.scratch);
-        let Some(link) = self.links.get_mut(key) else { return };
-        let read = link.stream.as_ref().map(|s| s.try_read(&mut scratch));
-        match read {
-            Some(Ok(0)) => self.broken(key, "it was closed"),
-            Some(Ok(n)) => self.heard(key, &scratch[..n]),
-            Some(Err(e)) if e.kind() == ErrorKind::WouldBlock => {}
-            Some(Err(e)) => self.broken(key, &e.to_string()),
-            None => {}
-        }
-        self.scratch = scratch;
-        self.carry_out();
+    pub fn link_reads(&mut self, key: usize) {
+        let Some(stream) = self.links.get(key).and_then(|l| l.stream.clone()) else { return };
+        self.read(&stream, |station, read| match read {
+            Ok(bytes) => station.heard(key, bytes),
+            Err(why) => station.broken(key, &why),
+        });
     }
 
     fn heard(&mut self, key: usize, bytes: &[u8]) {
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -11,12 +11,13 @@
 use slab::Slab;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
@@ -135,6 +136,20 @@
         self.client_writes(key);
     }
 
+    /// Reads one fair turn from a socket and passes it on, or why there will be no more. Whoever calls has looked up
+    /// whose socket it is: the room to read into is given back on every way out of here.
+    pub fn read(&mut self, stream: &TcpStream, hear: impl FnOnce(&mut Self, Result<&[u8], String>)) {
+        let mut scratch = std::mem::take(&mut self.scratch);
+        match stream.try_read(&mut scratch) {
+            Ok(0) => hear(self, Err("it was closed".into())),
+            Ok(n) => hear(self, Ok(&scratch[..n])),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => hear(self, Err(e.to_string())),
+        }
+        self.scratch = scratch;
+        self.carry_out();
+    }
+
     /// Time has passed.
     fn turn(&mut self) {
         let now = self.now();
@@ -274,3 +289,23 @@
     // An odd multiplier spreads them over all numbers, so that none follows from another by chance.
     serial.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ frames::LONGEST as u64
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = r#"{"listen":"127.0.0.1:0","seed":"05","bulletin":"127.0.0.1:1","known":{"no":0},"settings":{
+        "Balancers":1,"Classes":[],"Limits":{"MaxAttempts":4,"ConnectTimeout":250000,"Keepalive":30000000},"Tick":1000,
+        "Rules":{"DrainGrace":1,"StartCapacity":0.2,"WarmUp":1,"TipMultiple":2.5,"OverloadFor":1}}}"#;
+
+    /// A connection was closed in the same turn in which its socket had become readable. The room to read into went
+    /// with it, and every socket read after that looked closed.
+    #[test]
+    fn a_socket_that_is_gone_takes_no_room_along() {
+        let station = Station::new(&told::read(FILE.as_bytes()).expect("sound"));
+        let mut station = station.borrow_mut();
+        station.client_reads(7);
+        station.link_reads(7);
+        assert_eq!(station.scratch.len(), TURN);
+    }
+}
