--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod desk;
 pub mod indices;
 pub mod roll;
+pub mod signals;
 pub mod wheel;
 
 mod core;
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -2,9 +2,9 @@
 
 use milletpath_charter::House;
 use milletpath_gateway::Stir;
+use milletpath_gateway::signals::{Heard, SIGINT, SIGTERM};
 use std::path::Path;
 use std::process::ExitCode;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::UnboundedSender;
 
 pub fn serve(charter: Option<&Path>, cores: Option<u8>, stir: bool) -> ExitCode {
@@ -76,13 +76,12 @@
 
 /// SIGTERM, or Ctrl-C on a terminal.
 pub async fn stop() {
-    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+    let (Ok(mut term), Ok(mut int)) = (Heard::new(SIGTERM), Heard::new(SIGINT)) else {
         tracing::error!("signals can't be heard; end the process outright");
         return std::future::pending().await;
     };
     tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+        () = term.next() => {}
+        () = int.next() => {}
     }
 }
--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -222,3 +222,31 @@
     assert!(first.hear().contains(DONE));
     assert!(router.ended().is_some_and(|status| status.success()));
 }
+
+/// The inodes of the sockets that a process holds.
+fn sockets(process: &str) -> Vec<String> {
+    let held = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().flatten();
+    let links = held.filter_map(|fd| std::fs::read_link(fd.path()).ok());
+    let inode = |link: std::path::PathBuf| {
+        Some(link.to_str()?.strip_prefix("socket:[")?.trim_end_matches(']').into())
+    };
+    links.filter_map(inode).collect()
+}
+
+/// Where the platform plays hundreds of routers there are TCP and UDP sockets and no others; signals came over a pair
+/// of Unix sockets.
+#[test]
+fn a_router_holds_no_unix_socket() {
+    let (at, _) = worker(well);
+    let mut router = Router::start(&[at], bulletin(vec![]).0, 256);
+    assert!(Client::new(&router).ask(1, 1).contains(DONE));
+    let own = sockets("self");
+    let held = sockets(&router.child.id().to_string());
+    let unix = std::fs::read_to_string("/proc/self/net/unix").unwrap();
+    let unix: Vec<_> = unix.lines().filter_map(|line| line.split_whitespace().nth(6)).collect();
+    assert!(held.len() >= 2, "a listener and a client at least: {held:?}");
+    let bad: Vec<_> = held.iter().filter(|i| unix.contains(&i.as_str()) && !own.contains(i)).collect();
+    assert!(bad.is_empty(), "{bad:?}");
+    router.signal(Signal::SIGTERM);
+    assert!(router.ended().is_some_and(|how| how.success()));
+}
--- a/crates/milletpath/tests/town/mod.rs
+++ b/crates/milletpath/tests/town/mod.rs
@@ -95,7 +95,7 @@
 }
 
 pub struct Router {
-    child: Child,
+    pub child: Child,
     pub address: SocketAddr,
     pub file: PathBuf,
 }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -17,16 +17,14 @@
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Child, ChildStdin, Command, Stdio};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
-use tokio::process::{Child, ChildStdin, Command};
 use tokio::task::spawn_local;
 
 /// What came of a day.
@@ -58,11 +56,21 @@
     runtime.block_on(tokio::task::LocalSet::new().run_until(town(day, stage)))
 }
 
+/// A gateway's process; dropped, it is killed outright.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// One gateway process and what it takes to start it anew.
 struct Process {
     charter: PathBuf,
     address: SocketAddr,
-    child: RefCell<Option<Child>>,
+    child: RefCell<Option<Running>>,
     /// Where mischief for its cores is told.
     stirs: RefCell<Option<ChildStdin>>,
 }
@@ -102,7 +110,7 @@
             &charter,
             self::charter(day, gateway, address, registry.address(gateway), stage.seed),
         )?;
-        let stirs = RefCell::new(child.stdin.take());
+        let stirs = RefCell::new(child.0.stdin.take());
         gateways.push(Process { charter, address, child: RefCell::new(Some(child)), stirs });
     }
     let front = Arc::new(Front {
@@ -143,9 +151,7 @@
     tokio::time::sleep(Duration::from_secs_f64(0.3 + lag)).await;
     let mut records = asking.join().map_err(|_| io::Error::other("the clients panicked"))??;
     for gateway in &town.gateways {
-        if let Some(mut child) = gateway.child.take() {
-            let _ = child.kill().await;
-        }
+        gateway.child.take();
     }
     records.extend(hall.notes());
     records.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -227,30 +233,27 @@
 }
 
 /// Starts a gateway process; comes back once it tells where it listens.
-async fn start(program: &Path, charter: &Path) -> io::Result<(Child, SocketAddr)> {
+async fn start(program: &Path, charter: &Path) -> io::Result<(Running, SocketAddr)> {
     let log = std::fs::OpenOptions::new().create(true).append(true).open(charter.with_extension("log"))?;
-    let mut child = Command::new(program)
-        .arg("serve")
-        .arg("--charter")
-        .arg(charter)
-        .arg("--stir")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .stderr(log)
-        .kill_on_drop(true)
-        .spawn()?;
-    let stdout = child.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
-    let mut lines = BufReader::new(stdout).lines();
-    while let Some(line) = lines.next_line().await? {
-        if let Some(address) = line.strip_prefix("listening on http://") {
-            let address = address.trim().parse().map_err(io::Error::other)?;
-            return Ok((child, address));
+    let mut command = Command::new(program);
+    command.arg("serve").arg("--charter").arg(charter).arg("--stir");
+    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
+    let mut running = Running(command.spawn()?);
+    let stdout = running.0.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
+    // On a thread of its own: the stand-ins of the others go on meanwhile.
+    let lines = move || -> io::Result<_> {
+        for line in BufReader::new(stdout).lines() {
+            if let Some(address) = line?.strip_prefix("listening on http://") {
+                return address.trim().parse().map(Some).map_err(io::Error::other);
+            }
         }
-    }
-    Err(io::Error::other(format!(
-        "the gateway did not start; see {}",
-        charter.with_extension("log").display()
-    )))
+        Ok(None)
+    };
+    let address = tokio::task::spawn_blocking(lines).await??;
+    let log = charter.with_extension("log");
+    let address = address
+        .ok_or_else(|| io::Error::other(format!("the gateway did not start; see {}", log.display())))?;
+    Ok((running, address))
 }
 
 async fn sleep(seconds: f64) {
@@ -420,8 +423,8 @@
 
     fn signal(&self, gateway: usize, signal: Signal) {
         let child = self.gateways[gateway].child.borrow();
-        if let Some(id) = child.as_ref().and_then(Child::id)
-            && let Err(e) = kill(Pid::from_raw(id as i32), signal)
+        if let Some(running) = child.as_ref()
+            && let Err(e) = kill(Pid::from_raw(running.0.id() as i32), signal)
         {
             tracing::error!(gateway, "{signal} can't be sent: {e}");
         }
@@ -437,7 +440,8 @@
             let Some(mut stirs) = stirs else { continue };
             // What its other cores do is judged by service; of this one's calls none can say whether it was read.
             self.hall.note(Saw::Still { gateway });
-            if let Err(e) = stirs.write_all(format!("{core} {what}\n").as_bytes()).await {
+            // A few bytes: the pipe takes them also from one that stands still.
+            if let Err(e) = stirs.write_all(format!("{core} {what}\n").as_bytes()) {
                 tracing::error!(gateway, trouble = trouble.name, "can't be stirred: {e}");
             }
             self.gateways[gateway].stirs.replace(Some(stirs));
@@ -469,9 +473,7 @@
         for gateway in self.some(self.gateways.len(), trouble.part) {
             let process = &self.gateways[gateway];
             self.hall.note(Saw::Killed { gateway });
-            if let Some(mut child) = process.child.take() {
-                let _ = child.kill().await;
-            }
+            process.child.take();
             // The front layer goes on sending there until it notices.
             let notice = self.day.terms.notice.min(trouble.lasts);
             sleep(notice).await;
@@ -479,7 +481,7 @@
             sleep(trouble.lasts - notice).await;
             match start(&self.program, &process.charter).await {
                 Ok((mut child, _)) => {
-                    process.stirs.replace(child.stdin.take());
+                    process.stirs.replace(child.0.stdin.take());
                     process.child.replace(Some(child));
                     self.hall.note(Saw::Back { gateway });
                     self.front.alive[gateway].store(true, Ordering::Relaxed);
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -6,6 +6,7 @@
 use crate::leave::Leave;
 use crate::link::Link;
 use milletpath_gateway::desk::{Act, Desk, Tag};
+use milletpath_gateway::signals::{Heard, SIGHUP, SIGTERM};
 use milletpath_platform::lines;
 use milletpath_platform::told::{self, Told};
 use slab::Slab;
@@ -18,7 +19,6 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 
@@ -198,7 +198,7 @@
 /// where the file says.
 pub async fn run(file: &Path, address: Option<SocketAddr>) -> ExitCode {
     // Before all else: a signal at any time after this ends nothing by itself.
-    let signals = signal(SignalKind::hangup()).and_then(|h| signal(SignalKind::terminate()).map(|t| (h, t)));
+    let signals = Heard::new(SIGHUP).and_then(|h| Heard::new(SIGTERM).map(|t| (h, t)));
     let (mut hangup, mut terminate) = match signals {
         Ok(signals) => signals,
         Err(e) => {
@@ -237,10 +237,10 @@
         const LOOK: Duration = Duration::from_millis(20);
         let leaving = station.borrow().leave.begun();
         tokio::select! {
-            _ = hangup.recv() => {
+            () = hangup.next() => {
                 spawn_local(read_again(file.to_owned(), moved.clone()));
             }
-            _ = terminate.recv() => {
+            () = terminate.next() => {
                 tracing::info!("asked to end: what still comes is taken, what was taken is answered");
                 let mut s = station.borrow_mut();
                 let now = s.now();
