A call past the bound of those in hand is told when to come back on the platform too

Need: what is given up on is told when to come back, where rules and settings allow it. Read through for bounces without advice: the module advises at each of its bounces; the HTTP gateway advises at its bounds; the station's door (door.rs, ask) wrote a bounce with none where the desk had no room.

Change: the door gives the settings' longest advice there, as HTTP does. A story with OpenCap 1 and a worker that hangs gets "w":1000 at once; without the change it fails.

--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -181,6 +181,21 @@
     }
 }
 
+/// With all room for calls taken the next is bounced at once; it was told nothing of when to come back.
+#[test]
+fn a_call_past_the_bound_is_told_when_to_come_back() {
+    let (at, _) = worker(hangs);
+    let text = town::file(&[at], bulletin(vec![]).0, 256);
+    let router = Router::by(&text.replace("\"MaxAttempts\"", "\"OpenCap\":1,\"MaxAttempts\""));
+    let mut client = Client::new(&router);
+    client.say(&[call(1, 1), call(2, 2)].concat());
+    let heard = client.hear();
+    assert!(
+        heard.contains("\"id\":2,") && heard.contains("-32066") && heard.contains("\"w\":1000"),
+        "{heard}"
+    );
+}
+
 /// A crowd that is turned away comes again at once, with lines that can't be used; who calls properly is served.
 #[test]
 fn usual_clients_among_a_bad_crowd() {
--- a/crates/milletpath/tests/town/mod.rs
+++ b/crates/milletpath/tests/town/mod.rs
@@ -127,11 +127,16 @@
 
 impl Router {
     pub fn start(workers: &[SocketAddr], bulletin: SocketAddr, sockets: usize) -> Self {
+        Self::by(&file(workers, bulletin, sockets))
+    }
+
+    /// One that starts from this file.
+    pub fn by(text: &str) -> Self {
         static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let path =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("told-{}-{count}", std::process::id()));
-        std::fs::write(&path, file(workers, bulletin, sockets)).expect("a file");
+        std::fs::write(&path, text).expect("a file");
         let mut command = Command::new(env!("CARGO_BIN_EXE_milletpath"));
         command.arg("platform").env("LB_CONFIG", &path).env_remove("LB_LISTEN").stderr(Stdio::piped());
         let mut child = command.spawn().expect("the router starts");
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -275,7 +275,7 @@
                 self.ids.insert(id);
             }
             None => {
-                lines::bounced(&mut client.out.bytes, number, None);
+                lines::bounced(&mut client.out.bytes, number, self.come_back);
                 self.client_writes(key);
             }
         }
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -58,6 +58,8 @@
     pub connect: f64,
     pub reports: bool,
     pub cancels: bool,
+    /// The longest advice to come back, for what the desk has no room for.
+    pub come_back: Option<f64>,
     pub scratch: Vec<u8>,
     pub serial: u64,
     begun: Instant,
@@ -90,6 +92,7 @@
                 connect: house.bounds.connect,
                 reports: told.reports,
                 cancels: house.policy.cancels,
+                come_back: house.policy.come_back,
                 scratch: vec![0; TURN],
                 serial: 0,
                 begun,
