--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -231,8 +231,8 @@
 /// Distrust halves in this time, so that a trial shot every few seconds finds out whether a trouble lasts.
 const DOUBT_HALF: f64 = 4.0;
 
-/// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here. The second part
-/// shrinks with the number of routers, as more of a worker's queue is what others send unseen.
+/// Part of the due time that may pass at a worker on average; the rest is for luck and waiting here. The
+/// second part shrinks with the number of routers, as more of a worker's queue is what others send unseen.
 const TIME: [f64; 2] = [0.36, 0.24];
 
 /// While answers are quick the rate is what clients ask, not what it can do: so much more.
@@ -405,8 +405,9 @@
         self.run(now, id, false, host);
     }
 
-    /// Forgets functions that are not asked for any more: all that was believed of them has run out, and their
-    /// demand has faded to that of nothing. Each arrival looks at a few, so that one-off functions can't pile up.
+    /// Forgets functions that are not asked for any more: all that was believed of them has run out, and
+    /// demand has faded to that of nothing. Each arrival looks at a few, so that one-off functions can't pile
+    /// up.
     fn sweep(&mut self, now: f64, host: &mut dyn Host) {
         /// Above 1, so that the round comes about faster than arrivals can add to it.
         const LOOKS: usize = 2;
@@ -437,8 +438,9 @@
     /// Whether what a worker was sent takes too much of the due time at the rate for its size: our own shots,
     /// and what its report tells; by chance near the bound, as others read it too.
     fn swamped(&mut self, now: f64, w: usize, due: f64, left: f64, warm: bool) -> bool {
-        /// Part of its client's time that may pass there on average: less than for the due time would turn away
-        /// all of an impatient client group, which comes again at once, from workers that answer in time.
+        /// Part of its client's time that may pass there on average: less than for the due time would turn
+        /// all of an impatient client group, which comes again at once, away from workers that answer in
+        /// time.
         const LEFT: f64 = 0.7;
         /// With less of its cores in use a worker has no queue to speak of.
         const BUSY: f64 = 0.9;
