One piece starts a gateway process, one ends what a lost connection owes

Looked at and left: both shells read the charter's longest advice for a full house (one figure, two doors); the shape twins of keeping.rs, lines.rs and station.rs are lists of constants and fields that share no logic; the roll's mark for an index given back doubles a guard of Indices, but is a check and stays.

--- a/crates/milletpath/benches/calls.rs
+++ b/crates/milletpath/benches/calls.rs
@@ -14,7 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use load::{Under, closed, gateway, local, open_loop, workers};
+use load::{closed, cpu, gateway, local, open_loop, workers};
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -83,13 +83,13 @@
     let gateway = gateway(&workers, 1);
     let mut command = Command::new(std::env::current_exe().expect("this program"));
     command.arg("--relay").arg(workers[0].to_string());
-    let relay = Under::start(command);
+    let relay = load::start(command);
     let (mut rates, mut costs) = ([Vec::new(), Vec::new()], [Vec::new(), Vec::new()]);
     for round in 0..ROUNDS {
         for (n, under) in [&gateway, &relay].into_iter().enumerate() {
-            let before = under.cpu();
-            let rate = closed(under.1, CONNECTIONS, SECONDS);
-            let cost = (under.cpu() - before) * 1e6 / (rate * SECONDS);
+            let before = cpu(under);
+            let rate = closed(under.address, CONNECTIONS, SECONDS);
+            let cost = (cpu(under) - before) * 1e6 / (rate * SECONDS);
             let name = ["gateway", "relay"][n];
             println!("round {round} {name:<8} {rate:>8.0} calls/s {cost:>7.1} us CPU a call");
             rates[n].push(rate);
@@ -100,11 +100,15 @@
     println!("calls/s, gateway / relay: {:.2} (median of {ROUNDS})", ratio(&rates));
     println!("CPU a call, relay / gateway: {:.2} (median of {ROUNDS})", 1.0 / ratio(&costs));
     let wide = load::gateway(&workers, 4);
-    let mut asked =
-        vec![("direct", workers[1]), ("gateway", gateway.1), ("relay", relay.1), ("4 cores", wide.1)];
+    let mut asked = vec![
+        ("direct", workers[1]),
+        ("gateway", gateway.address),
+        ("relay", relay.address),
+        ("4 cores", wide.address),
+    ];
     let earlier = std::env::args().skip_while(|a| a != "--earlier").nth(1);
     let earlier = earlier.map(|program| load::gateway_of(&program, &workers, ""));
-    asked.extend(earlier.as_ref().map(|e| ("earlier", e.1)));
+    asked.extend(earlier.as_ref().map(|e| ("earlier", e.address)));
     let (names, addresses): (Vec<_>, Vec<_>) = asked.into_iter().unzip();
     let found = open_loop(&addresses, 8.0 * addresses.len() as f64);
     for (name, h) in names.into_iter().zip(&found) {
--- a/crates/milletpath/benches/cores.rs
+++ b/crates/milletpath/benches/cores.rs
@@ -7,7 +7,8 @@
 
 mod load;
 
-use load::{Under, closed, gateway, open_loop, workers};
+use load::{closed, cpu, gateway, open_loop, workers};
+use milletpath_standin::running::Running;
 use nix::sched::{CpuSet, sched_setaffinity};
 use nix::unistd::Pid;
 use std::net::SocketAddr;
@@ -27,8 +28,8 @@
 }
 
 /// CPU used by each core's thread, in hundredths of a second.
-fn by_core(under: &Under) -> Vec<f64> {
-    let tasks = std::fs::read_dir(format!("/proc/{}/task", under.0.id())).expect("its threads");
+fn by_core(under: &Running) -> Vec<f64> {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", under.child.id())).expect("its threads");
     let ticks = |path: std::path::PathBuf| {
         let text = std::fs::read_to_string(path.join("stat")).ok()?;
         let (name, rest) = text.split_once('(')?.1.rsplit_once(')')?;
@@ -44,7 +45,7 @@
     assert!(all >= 4, "four processors are needed: two for the load");
     on(all - 2..all);
     let workers: Vec<SocketAddr> = workers(2).into_iter().chain(workers(2)).collect();
-    let mut gateways: Vec<Under> = CORES
+    let mut gateways: Vec<Running> = CORES
         .iter()
         .map(|&cores| {
             on(0..if cores <= 2 { cores } else { all });
@@ -62,12 +63,12 @@
     let mut found = vec![Vec::new(); gateways.len()];
     for _ in 0..ROUNDS {
         for (under, found) in gateways.iter().zip(&mut found) {
-            if under.0.id() > 0 && found.is_empty() {
+            if under.child.id() > 0 && found.is_empty() {
                 // A first round in which instances and connections get known.
-                closed(under.1, CONNECTIONS, 1.0);
+                closed(under.address, CONNECTIONS, 1.0);
             }
-            let (before, cores) = (under.cpu(), by_core(under));
-            let at = under.1;
+            let (before, cores) = (cpu(under), by_core(under));
+            let at = under.address;
             let loaders: Vec<_> =
                 (0..LOADERS).map(|_| std::thread::spawn(move || closed(at, CONNECTIONS, SECONDS))).collect();
             let rate: f64 = loaders.into_iter().map(|l| l.join().expect("a loader")).sum();
@@ -75,7 +76,7 @@
                 by_core(under).iter().zip(cores).map(|(after, before)| after - before).collect();
             let mean = used.iter().sum::<f64>() / used.len() as f64;
             let busiest = used.iter().copied().fold(0.0, f64::max) / mean.max(1e-9);
-            found.push((rate, (under.cpu() - before) * 1e6 / (rate * SECONDS), busiest));
+            found.push((rate, (cpu(under) - before) * 1e6 / (rate * SECONDS), busiest));
         }
     }
     let middle = |mut of: Vec<f64>| {
@@ -97,7 +98,7 @@
             rate / one
         );
     }
-    let addresses: Vec<SocketAddr> = gateways.iter().map(|g| g.1).collect();
+    let addresses: Vec<SocketAddr> = gateways.iter().map(|g| g.address).collect();
     // One at a time at the full rate, turn about in short pieces.
     let mut latencies: Vec<Option<hdrhistogram::Histogram<u64>>> = vec![None; gateways.len()];
     for _ in 0..ROUNDS {
--- a/crates/milletpath/benches/load/mod.rs
+++ b/crates/milletpath/benches/load/mod.rs
@@ -2,10 +2,10 @@
 #![allow(dead_code, reason = "each bench uses a part of it")]
 
 use hdrhistogram::Histogram;
+use milletpath_standin::running::Running;
 use std::cell::RefCell;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
@@ -68,33 +68,18 @@
     told.iter().collect()
 }
 
-/// A process that tells where it listens.
-pub struct Under(pub Child, pub SocketAddr);
-
-impl Under {
-    pub fn start(mut command: Command) -> Self {
-        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("it starts");
-        let lines = BufReader::new(child.stdout.take().expect("its output")).lines();
-        let address =
-            lines.map_while(Result::ok).find_map(|l| l.strip_prefix("listening on http://")?.parse().ok());
-        Self(child, address.expect("it tells where it listens"))
-    }
-
-    /// Seconds of CPU used so far.
-    pub fn cpu(&self) -> f64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.0.id())).unwrap_or_default();
-        let fields: Vec<_> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-        // User and system time, in hundredths of a second.
-        (ticks(11) + ticks(12)) / 100.0
-    }
+pub fn start(mut command: Command) -> Running {
+    command.stderr(Stdio::null());
+    Running::start(command).expect("it starts")
 }
 
-impl Drop for Under {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+/// Seconds of CPU that a process used so far.
+pub fn cpu(under: &Running) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/stat", under.child.id())).unwrap_or_default();
+    let fields: Vec<_> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    // User and system time, in hundredths of a second.
+    (ticks(11) + ticks(12)) / 100.0
 }
 
 pub fn call() -> Vec<u8> {
@@ -168,12 +153,12 @@
     })
 }
 
-pub fn gateway(workers: &[SocketAddr], cores: usize) -> Under {
+pub fn gateway(workers: &[SocketAddr], cores: usize) -> Running {
     gateway_of(env!("CARGO_BIN_EXE_milletpath"), workers, &format!("cores = {cores}\n"))
 }
 
 /// Another build of the program, whose charter may know other keys.
-pub fn gateway_of(program: &str, workers: &[SocketAddr], keys: &str) -> Under {
+pub fn gateway_of(program: &str, workers: &[SocketAddr], keys: &str) -> Running {
     let name = format!("milletpath-bench-{}-{}.hcl", std::process::id(), keys.trim().replace([' ', '='], ""));
     let path = std::env::temp_dir().join(name);
     let lines: String = workers
@@ -188,5 +173,5 @@
     std::fs::write(&path, text).expect("a charter");
     let mut command = Command::new(program);
     command.arg("serve").arg("--charter").arg(&path);
-    Under::start(command)
+    start(command)
 }
--- a/crates/milletpath/benches/memory.rs
+++ b/crates/milletpath/benches/memory.rs
@@ -4,6 +4,7 @@
 //! `cargo bench -p milletpath --bench memory`; the limit of open files is raised where that is allowed, and the count
 //! of connections follows it.
 
+use milletpath_standin::running::Running;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -40,7 +41,7 @@
     address
 }
 
-fn gateway(worker: SocketAddr) -> (Child, SocketAddr) {
+fn gateway(worker: SocketAddr) -> Running {
     let path = std::env::temp_dir().join(format!("milletpath-memory-{}.hcl", std::process::id()));
     let text = format!(
         "listen = \"127.0.0.1:0\"\nprofile \"p\" {{\n  due = 1\n  effect = \"pure\"\n}}\nfunctions {{ lanes = 64 }}\n\
@@ -48,13 +49,8 @@
     );
     std::fs::write(&path, text).expect("a charter");
     let mut command = Command::new(env!("CARGO_BIN_EXE_milletpath"));
-    let command =
-        command.arg("serve").arg("--charter").arg(&path).stdout(Stdio::piped()).stderr(Stdio::null());
-    let mut child = command.spawn().expect("the gateway starts");
-    let lines = BufReader::new(child.stdout.take().expect("its output")).lines();
-    let address =
-        lines.map_while(Result::ok).find_map(|l| l.strip_prefix("listening on http://")?.parse().ok());
-    (child, address.expect("it tells where it listens"))
+    command.arg("serve").arg("--charter").arg(&path).stderr(Stdio::null());
+    Running::start(command).expect("the gateway starts")
 }
 
 /// Resident memory in MB.
@@ -87,8 +83,9 @@
     let raised = setrlimit(Resource::RLIMIT_NOFILE, wanted, wanted.max(hard)).is_ok();
     let files = if raised { wanted } else { hard };
     let _ = setrlimit(Resource::RLIMIT_NOFILE, files, files.max(hard));
-    let (mut child, at) = gateway(worker());
-    println!("at the start: {:.1} MB", resident(&child));
+    let running = gateway(worker());
+    let (child, at) = (&running.child, running.address);
+    println!("at the start: {:.1} MB", resident(child));
     let began = Instant::now();
     for part in 0..10 {
         let step = ONE_OFFS / 10 / CLIENTS;
@@ -102,11 +99,11 @@
         let (done, seconds) = ((part + 1) * ONE_OFFS / 10, began.elapsed().as_secs_f64());
         println!(
             "{done} one-off functions after {seconds:.0} s ({handled} of the last handled): {:.1} MB",
-            resident(&child)
+            resident(child)
         );
     }
     let idle = IDLE.min(files as usize - 500);
-    let before = resident(&child);
+    let before = resident(child);
     // One call each, so that each connection was in use; from several addresses, as ports are few.
     let mut kept = Vec::with_capacity(idle);
     for n in 0..idle {
@@ -121,10 +118,8 @@
         let _ = stream.read(&mut bytes);
         kept.push(stream);
     }
-    let after = resident(&child);
+    let after = resident(child);
     let each = (after - before) * 1024.0 / idle as f64;
     println!("{idle} idle client connections: {before:.1} to {after:.1} MB, {each:.1} KB each");
     drop(kept);
-    let _ = child.kill();
-    let _ = child.wait();
 }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -4,6 +4,7 @@
 use crate::clients::{self, Front};
 use crate::hall::{Hall, Tells};
 use crate::registry::{Manner, Registry};
+use crate::running::Running;
 use crate::script::{Day, Trouble, What};
 use crate::spoilt::Spoil;
 use crate::traffic;
@@ -17,10 +18,10 @@
 use rand_chacha::ChaCha8Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, ChildStdin, Command, Stdio};
+use std::process::{ChildStdin, Command, Stdio};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -56,21 +57,11 @@
     runtime.block_on(tokio::task::LocalSet::new().run_until(town(day, stage)))
 }
 
-/// A gateway's process; dropped, it is killed outright.
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 /// One gateway process and what it takes to start it anew.
 struct Process {
     charter: PathBuf,
     address: SocketAddr,
-    child: RefCell<Option<Running>>,
+    running: RefCell<Option<Running>>,
     /// Where mischief for its cores is told.
     stirs: RefCell<Option<ChildStdin>>,
 }
@@ -104,14 +95,15 @@
         let charter = stage.folder.join(format!("gateway-{gateway}.hcl"));
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         std::fs::write(&charter, self::charter(day, gateway, any, registry.address(gateway), stage.seed))?;
-        let (mut child, address) = start(stage.program, &charter).await?;
+        let mut running = start(stage.program, &charter).await?;
+        let address = running.address;
         // Started anew it comes back where clients know it.
         std::fs::write(
             &charter,
             self::charter(day, gateway, address, registry.address(gateway), stage.seed),
         )?;
-        let stirs = RefCell::new(child.0.stdin.take());
-        gateways.push(Process { charter, address, child: RefCell::new(Some(child)), stirs });
+        let stirs = RefCell::new(running.child.stdin.take());
+        gateways.push(Process { charter, address, running: RefCell::new(Some(running)), stirs });
     }
     let front = Arc::new(Front {
         gateways: gateways.iter().map(|g| g.address).collect(),
@@ -151,7 +143,7 @@
     tokio::time::sleep(Duration::from_secs_f64(0.3 + lag)).await;
     let mut records = asking.join().map_err(|_| io::Error::other("the clients panicked"))??;
     for gateway in &town.gateways {
-        gateway.child.take();
+        gateway.running.take();
     }
     records.extend(hall.notes());
     records.sort_by(|a, b| a.at.total_cmp(&b.at));
@@ -233,27 +225,14 @@
 }
 
 /// Starts a gateway process; comes back once it tells where it listens.
-async fn start(program: &Path, charter: &Path) -> io::Result<(Running, SocketAddr)> {
-    let log = std::fs::OpenOptions::new().create(true).append(true).open(charter.with_extension("log"))?;
+async fn start(program: &Path, charter: &Path) -> io::Result<Running> {
+    let path = charter.with_extension("log");
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(&path)?;
     let mut command = Command::new(program);
-    command.arg("serve").arg("--charter").arg(charter).arg("--stir");
-    command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
-    let mut running = Running(command.spawn()?);
-    let stdout = running.0.stdout.take().ok_or_else(|| io::Error::other("no standard output"))?;
+    command.arg("serve").arg("--charter").arg(charter).arg("--stir").stdin(Stdio::piped()).stderr(log);
     // On a thread of its own: the stand-ins of the others go on meanwhile.
-    let lines = move || -> io::Result<_> {
-        for line in BufReader::new(stdout).lines() {
-            if let Some(address) = line?.strip_prefix("listening on http://") {
-                return address.trim().parse().map(Some).map_err(io::Error::other);
-            }
-        }
-        Ok(None)
-    };
-    let address = tokio::task::spawn_blocking(lines).await??;
-    let log = charter.with_extension("log");
-    let address = address
-        .ok_or_else(|| io::Error::other(format!("the gateway did not start; see {}", log.display())))?;
-    Ok((running, address))
+    let running = tokio::task::spawn_blocking(|| Running::start(command)).await?;
+    running.map_err(|e| io::Error::other(format!("the gateway did not start: {e}; see {}", path.display())))
 }
 
 async fn sleep(seconds: f64) {
@@ -422,9 +401,9 @@
     }
 
     fn signal(&self, gateway: usize, signal: Signal) {
-        let child = self.gateways[gateway].child.borrow();
-        if let Some(running) = child.as_ref()
-            && let Err(e) = kill(Pid::from_raw(running.0.id() as i32), signal)
+        let running = self.gateways[gateway].running.borrow();
+        if let Some(running) = running.as_ref()
+            && let Err(e) = kill(Pid::from_raw(running.child.id() as i32), signal)
         {
             tracing::error!(gateway, "{signal} can't be sent: {e}");
         }
@@ -473,16 +452,16 @@
         for gateway in self.some(self.gateways.len(), trouble.part) {
             let process = &self.gateways[gateway];
             self.hall.note(Saw::Killed { gateway });
-            process.child.take();
+            process.running.take();
             // The front layer goes on sending there until it notices.
             let notice = self.day.terms.notice.min(trouble.lasts);
             sleep(notice).await;
             self.front.alive[gateway].store(false, Ordering::Relaxed);
             sleep(trouble.lasts - notice).await;
             match start(&self.program, &process.charter).await {
-                Ok((mut child, _)) => {
-                    process.stirs.replace(child.0.stdin.take());
-                    process.child.replace(Some(child));
+                Ok(mut running) => {
+                    process.stirs.replace(running.child.stdin.take());
+                    process.running.replace(Some(running));
                     self.hall.note(Saw::Back { gateway });
                     self.front.alive[gateway].store(true, Ordering::Relaxed);
                 }
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -37,6 +37,18 @@
     Probe(u64),
 }
 
+impl Load {
+    /// What an answer is owed for, once this has gone.
+    fn awaits(&self) -> Option<Sent> {
+        match *self {
+            Self::Shot(tag, shot) => Some(Sent::Shot(tag, shot)),
+            Self::Hold(order, ..) => Some(Sent::Order(order)),
+            Self::Probe(serial) => Some(Sent::Probe(serial)),
+            Self::Unload(_) | Self::GiveUp(_) => None,
+        }
+    }
+}
+
 struct Open {
     id: u64,
     what: Sent,
@@ -434,18 +446,20 @@
     fn unreached(&mut self, key: usize, why: &str) {
         let Some(link) = self.remove(key) else { return };
         tracing::debug!(worker = link.worker, why, "a worker is not reached");
+        for what in link.waiting.iter().filter_map(Load::awaits) {
+            self.unanswered(link.worker, what, Outcome::Unreached);
+        }
+    }
+
+    /// Tells the desk that no answer comes any more, and what that proves.
+    fn unanswered(&mut self, worker: usize, what: Sent, outcome: Outcome) {
         let now = self.now();
-        for load in link.waiting {
-            match load {
-                Load::Shot(tag, shot) => {
-                    self.desk.end(now, tag, shot, End::plain(Outcome::Unreached));
-                }
-                Load::Hold(order, ..) => self.desk.order_ended(now, order, Outcome::Unreached, 0),
-                Load::Probe(serial) => {
-                    self.desk.probed(now, link.worker, serial, Outcome::Unreached, None);
-                }
-                Load::Unload(_) | Load::GiveUp(_) => {}
+        match what {
+            Sent::Shot(tag, shot) => {
+                self.desk.end(now, tag, shot, End::plain(outcome));
             }
+            Sent::Order(order) => self.desk.order_ended(now, order, outcome, 0),
+            Sent::Probe(serial) => self.desk.probed(now, worker, serial, outcome, None),
         }
     }
 
@@ -454,16 +468,9 @@
     fn broken(&mut self, key: usize, why: &str) {
         let Some(link) = self.remove(key) else { return };
         tracing::debug!(worker = link.worker, why, open = link.open.len(), "a connection to a worker ended");
-        let now = self.now();
         for open in link.open {
             let outcome = if link.written >= open.whole { Outcome::Cut } else { Outcome::Unreached };
-            match open.what {
-                Sent::Shot(tag, shot) => {
-                    self.desk.end(now, tag, shot, End::plain(outcome));
-                }
-                Sent::Order(order) => self.desk.order_ended(now, order, outcome, 0),
-                Sent::Probe(serial) => self.desk.probed(now, link.worker, serial, outcome, None),
-            }
+            self.unanswered(link.worker, open.what, outcome);
         }
         for load in link.waiting {
             match load {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -10,19 +10,24 @@
     settings.pointer(path).and_then(|v| T::deserialize(v).ok())
 }
 
+fn senseless(name: &str) -> String {
+    format!("the setting {name} is missing or senseless")
+}
+
+/// A required figure that passes the test.
+fn stated(settings: &Value, path: &str, sound: impl Fn(f64) -> bool) -> Result<f64, String> {
+    let stated = at::<f64>(settings, path).filter(|x| x.is_finite() && sound(*x));
+    stated.ok_or_else(|| senseless(&path[1..].replace('/', ".")))
+}
+
 /// A required figure, not negative.
 fn figure(settings: &Value, path: &str) -> Result<f64, String> {
-    at::<f64>(settings, path)
-        .filter(|x| x.is_finite() && *x >= 0.0)
-        .ok_or_else(|| format!("the setting {} is missing or senseless", path[1..].replace('/', ".")))
+    stated(settings, path, |x| x >= 0.0)
 }
 
 /// A required figure above zero.
 fn positive(settings: &Value, path: &str) -> Result<f64, String> {
-    figure(settings, path).ok().filter(|x| *x > 0.0).map_or_else(
-        || Err(format!("the setting {} is missing or senseless", path[1..].replace('/', "."))),
-        Ok,
-    )
+    stated(settings, path, |x| x > 0.0)
 }
 
 /// A required time, in seconds.
@@ -44,8 +49,8 @@
         (Some("guarded"), Some(group)) => {
             Effect::Receipted { group, memory: seconds(class, "/DedupWindow").map_err(named)? }
         }
-        (Some("guarded"), None) => return Err(named("the setting KeyScope is missing or senseless".into())),
-        _ => return Err(named("the setting Effect is missing or senseless".into())),
+        (Some("guarded"), None) => return Err(named(senseless("KeyScope"))),
+        _ => return Err(named(senseless("Effect"))),
     };
     Ok(Profile { due: seconds(class, "/Objective").map_err(named)?, effect })
 }
@@ -57,7 +62,7 @@
 
 /// The charter that the settings spell out, or the name of what is wrong with them.
 pub fn charter(s: &Value, seed: u64) -> Result<Charter, String> {
-    let classes: Vec<Value> = at(s, "/Classes").ok_or("the setting Classes is missing or senseless")?;
+    let classes: Vec<Value> = at(s, "/Classes").ok_or_else(|| senseless("Classes"))?;
     let profiles = classes.iter().enumerate().map(|(n, c)| profile(c, n)).collect::<Result<Vec<_>, _>>()?;
     let flag = |path| at::<bool>(s, path).unwrap_or(false);
     let time = |path| at::<f64>(s, path).filter(|x| x.is_finite() && *x > 0.0).map(|x| x / 1e6);
@@ -113,8 +118,7 @@
 pub fn profiles(settings: &Value) -> Result<Vec<(String, f64, f64)>, String> {
     let classes: Vec<Value> = at(settings, "/Classes").unwrap_or_default();
     let profile = |(n, class): (usize, &Value)| {
-        let name =
-            at(class, "/Name").ok_or(format!("the setting Classes[{n}].Name is missing or senseless"))?;
+        let name = at(class, "/Name").ok_or_else(|| senseless(&format!("Classes[{n}].Name")))?;
         Ok((name, seconds(class, "/HardLimit")?, at(class, "/Gain").unwrap_or(1.0)))
     };
     classes.iter().enumerate().map(profile).collect()
