Six files of the gateway no longer lean on each other in a circle

Need: the link between gateways is to reach the desk through the office and join no circle; shell, serve, line, shot, follow and office imported each other. Final answers and bytes in hand are a piece of their own (answer.rs), which line and office lean on instead of serve; what the desk has for a core is carried out in errands.rs, which the shell is given at its start instead of naming serve, shot and follow. No behaviour changed.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,6 +1,7 @@
 //! One core: a thread with a runtime of its own, which carries the calls of its connections from their first byte to
 //! their last.
 
+use crate::errands;
 use crate::office::Office;
 use crate::shell::{Gateway, PULSE};
 use std::io;
@@ -46,7 +47,7 @@
     /// Seconds between two looks for idle connections: short against the time they may be idle.
     const LOOK: f64 = 1.0;
     let seat = &office.seats[number];
-    let gateway = Gateway::new(office.clone(), number, life);
+    let gateway = Gateway::new(office.clone(), number, life, errands::carry_out);
     let (mut pulse, mut look) = (0.0, office.now() + LOOK);
     loop {
         let now = office.now();
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -1,11 +1,12 @@
 //! The keeper: the thread that accepts and deals connections, follows the worker list, keeps the desk's time and
 //! watches the cores. It carries no calls; for a core that stands still it gives the answers that fall due.
 
+use crate::answer::{Own, answer_of};
 use crate::core;
 use crate::desk::{End, Tally};
+use crate::errands;
 use crate::line::Line;
-use crate::office::{Errand, Office, Own, Stir, Ticket};
-use crate::serve::answer_of;
+use crate::office::{Errand, Office, Stir, Ticket};
 use crate::shell::{Gateway, PULSE};
 use milletpath_charter::{House, Source};
 use milletpath_cores::deal::{self, Deal, Seen};
@@ -121,7 +122,7 @@
 impl Keeper {
     fn new(house: House) -> Self {
         let office = Office::new(house);
-        let gateway = Gateway::new(office.clone(), office.cores(), 0);
+        let gateway = Gateway::new(office.clone(), office.cores(), 0, errands::carry_out);
         match &office.house.source {
             Source::List(entries) => office.list(Some(gateway.seat), true, entries),
             // Says what the desk had to say at its start: that the list is to be followed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,9 @@
 pub mod signals;
 pub mod wheel;
 
+mod answer;
 mod core;
+mod errands;
 mod follow;
 mod gather;
 mod keeper;
--- a/crates/gateway/src/line.rs
+++ b/crates/gateway/src/line.rs
@@ -1,8 +1,8 @@
 //! A client's connection as all cores may see it: its own core reads and writes; where that core stands still or
 //! ends, another says the last word on it.
 
+use crate::answer::Written;
 use crate::desk::Tag;
-use crate::serve::Written;
 use bytes::Bytes;
 use http::Response;
 use hyper::rt::{Read, ReadBufCursor, Write};
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -2,6 +2,7 @@
 //! and its pulse, and the bounds on all together. Whoever enters tells the desk one thing, on the true clock, and
 //! posts what follows to the cores whose calls it is about, in the order in which the desk said it.
 
+use crate::answer::Own;
 use crate::desk::{Act, Desk, Tag, Tally};
 use crate::line::Line;
 use crate::pool::{Room, Way};
@@ -24,20 +25,6 @@
     pub line: Arc<Line>,
 }
 
-/// A final answer that the gateway gives itself.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Own {
-    Bounced(Option<f64>),
-    Terminated { late: bool },
-}
-
-impl Own {
-    /// For a call that nobody will carry on, by whether something of it may have run.
-    pub fn lost(begun: bool) -> Self {
-        if begun { Self::Terminated { late: false } } else { Self::Bounced(None) }
-    }
-}
-
 /// A client connection's part of the bound on all; given back when dropped.
 pub struct Ticket(pub Arc<Office>);
 
@@ -173,7 +160,7 @@
     pub earlier: Notify,
     pub stopping: AtomicBool,
     /// Bytes in hand, and client connections.
-    pub held: Budget,
+    pub held: Arc<Budget>,
     pub guests: Budget,
     pub fewer: Notify,
     numbers: AtomicU64,
@@ -205,7 +192,7 @@
             stood_in: AtomicU64::new(0),
             earlier: Notify::new(),
             stopping: AtomicBool::new(false),
-            held: Budget::new(house.bounds.held),
+            held: Arc::new(Budget::new(house.bounds.held)),
             guests: Budget::new(house.bounds.connections),
             fewer: Notify::new(),
             numbers: AtomicU64::new(0),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,30 +1,30 @@
 //! The way of a call on its core: door (decode, bounds, indices), desk, shot, answer.
 
+use crate::answer::{Held, Own, Reply, Written, answer_of, bounced, faulty, healthy, refused, terminated};
 use crate::desk::{Come, Tag};
 use crate::gather::Gathered;
 use crate::line::{Line, Own as OwnEnd};
-use crate::office::{Own, Place, Ticket};
+use crate::office::{Place, Ticket};
 use crate::paced::Paced;
-use crate::shell::{Gateway, Held, Reply};
+use crate::shell::Gateway;
 use crate::shot::pass_on;
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::{Request, Response, StatusCode};
-use http_body::{Body, Frame, SizeHint};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use milletpath_policy::host::Effect;
-use milletpath_protocol::{Fault, invoke, problem};
+use milletpath_protocol::{Fault, invoke};
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
@@ -129,100 +129,6 @@
     }
 }
 
-/// The body of an answer; its bytes count as in hand until it is written.
-pub struct Written {
-    bytes: Bytes,
-    _held: Option<Held>,
-}
-
-impl Body for Written {
-    type Data = Bytes;
-    type Error = Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let bytes = std::mem::take(&mut self.bytes);
-        Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.bytes.is_empty()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.len() as u64)
-    }
-}
-
-impl Written {
-    pub fn len(&self) -> usize {
-        self.bytes.len()
-    }
-}
-
-impl From<Written> for Bytes {
-    fn from(written: Written) -> Self {
-        written.bytes
-    }
-}
-
-const BOUNCED: HeaderValue = HeaderValue::from_static("bounced");
-
-/// An answer that the gateway gives itself, as a problem document.
-fn own(status: StatusCode, outcome: HeaderValue, kind: &str, title: &str, detail: &str) -> Response<Written> {
-    let bytes = problem::document(status.as_u16(), kind, title, detail).into();
-    let mut response = Response::new(Written { bytes, _held: None });
-    *response.status_mut() = status;
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(problem::MEDIA_TYPE));
-    headers.insert(&invoke::OUTCOME, outcome);
-    response
-}
-
-fn bounced(kind: &str, title: &str, come_back: Option<f64>) -> Response<Written> {
-    let detail = "The call was not taken, or nothing of it has run; trying again does no harm.";
-    let mut response = own(StatusCode::SERVICE_UNAVAILABLE, BOUNCED, kind, title, detail);
-    let after = HeaderValue::from(invoke::retry_after(come_back.unwrap_or(1.0)));
-    response.headers_mut().insert(header::RETRY_AFTER, after);
-    response
-}
-
-/// A client's mistake: refused, and the connection is closed, as what follows on it can't be trusted.
-fn refused(status: StatusCode, kind: &str, title: &str, detail: &str) -> Response<Written> {
-    let mut response = own(status, BOUNCED, kind, title, detail);
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
-fn faulty(fault: &Fault) -> Response<Written> {
-    refused(StatusCode::BAD_REQUEST, "bad-field", "A header field can't be understood", &fault.to_string())
-}
-
-/// Health answers, for balancers: short text.
-fn healthy(ok: bool, text: &'static str) -> Response<Written> {
-    let mut response = Response::new(Written { bytes: Bytes::from_static(text.as_bytes()), _held: None });
-    *response.status_mut() = if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    response
-}
-
-/// The answer to a call that no worker handled.
-pub fn answer_of(own: crate::office::Own) -> Response<Written> {
-    match own {
-        Own::Bounced(come_back) => bounced("bounced", "No worker could take the call in time", come_back),
-        Own::Terminated { late: true } => {
-            let detail = "A worker had the call and did not answer in time; it may have run, or may still.";
-            terminated(StatusCode::GATEWAY_TIMEOUT, "late", "No answer in time", detail)
-        }
-        Own::Terminated { late: false } => {
-            let detail = "A worker had the call and failed; it may have run.";
-            terminated(StatusCode::BAD_GATEWAY, "failed", "The call failed", detail)
-        }
-    }
-}
-
 /// One request, from its head to its answer; a crowded core closes the connection behind some.
 async fn answer(
     gateway: Rc<Gateway>,
@@ -314,7 +220,7 @@
     drop(held);
     let mut response = match reply {
         Ok(Reply::Handled(parts, bytes, held)) => {
-            let mut response = Response::from_parts(parts, Written { bytes, _held: Some(held) });
+            let mut response = Response::from_parts(parts, Written::handled(bytes, held));
             response.headers_mut().insert(&invoke::OUTCOME, HeaderValue::from_static("handled"));
             response
         }
@@ -332,10 +238,6 @@
     response
 }
 
-fn terminated(status: StatusCode, kind: &str, title: &str, detail: &str) -> Response<Written> {
-    own(status, HeaderValue::from_static("terminated"), kind, title, detail)
-}
-
 /// Why a call is not taken; boxed, as it is seldom and large.
 type Refusal = Box<Response<Written>>;
 
--- a/crates/gateway/src/shell.rs
+++ b/crates/gateway/src/shell.rs
@@ -1,13 +1,13 @@
 //! The shell of one core: its calls, its connections to workers, and the errands that the desk has for it.
 
+use crate::answer::{Held, Reply};
 use crate::desk::{Desk, Tag};
 use crate::line::Line;
-use crate::office::{Errand, Office, Own, Place, Stir};
+use crate::office::{Errand, Office, Place};
 use crate::pool::{self, Connection, Pool, Way};
-use crate::{follow, shot};
 use bytes::Bytes;
 use http::HeaderMap;
-use milletpath_charter::{Bounds, House, Source};
+use milletpath_charter::{Bounds, House};
 use milletpath_cores::watch::STILL;
 use slab::Slab;
 use std::cell::{Cell, RefCell};
@@ -15,23 +15,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::{AbortHandle, spawn_local};
-
-/// The final answer of an activation, on its way to the client.
-pub enum Reply {
-    Handled(http::response::Parts, Bytes, Held),
-    Own(Own),
-    /// The worker's answer is larger than may be passed on; it has run.
-    TooLarge,
-}
+use tokio::task::AbortHandle;
 
 /// What the shell keeps of a call while it is in hand.
 pub struct Waiting {
     answer: Option<oneshot::Sender<Reply>>,
     line: Arc<Line>,
-    headers: HeaderMap,
-    body: Bytes,
-    shots: Vec<AbortHandle>,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub shots: Vec<AbortHandle>,
     /// Nobody waits for what is out when the call is let go of.
     cancels: bool,
 }
@@ -44,23 +36,15 @@
     }
 }
 
-/// Bytes in hand, given back when dropped.
-pub struct Held {
-    bytes: usize,
-    office: Arc<Office>,
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.office.held.give_back(self.bytes);
-    }
-}
-
 /// Seconds between two looks at whether this thread runs.
 pub const PULSE: f64 = 0.05;
 
+/// Carries out what the desk has for a core.
+pub type Carry = fn(&Rc<Gateway>, Errand);
+
 pub struct Gateway {
     pub office: Arc<Office>,
+    carry: Carry,
     pub seat: usize,
     /// Which of the lives of its seat this is.
     life: u32,
@@ -78,8 +62,9 @@
 
 impl Gateway {
     /// Must run within a `LocalSet`.
-    pub fn new(office: Arc<Office>, seat: usize, life: u32) -> Rc<Self> {
+    pub fn new(office: Arc<Office>, seat: usize, life: u32, carry: Carry) -> Rc<Self> {
         Rc::new(Self {
+            carry,
             seen: Cell::new(office.now()),
             office,
             seat,
@@ -145,55 +130,27 @@
     }
 
     pub fn carry_out(self: &Rc<Self>, errand: Errand) {
-        match errand {
-            Errand::Guest(stream, ticket) => crate::serve::welcome(self, stream, ticket),
-            Errand::Shoot { tag, slot, shot, worker, way, function, left } => {
-                let mut slots = self.slots.borrow_mut();
-                // Let go of meanwhile: the desk has booked the shot's end with the call's.
-                let Some(waiting) = slots.get_mut(slot).filter(|w| w.line.owes(tag)) else { return };
-                let request = shot::Request {
-                    function,
-                    left,
-                    headers: waiting.headers.clone(),
-                    body: waiting.body.clone(),
-                };
-                let task =
-                    spawn_local(shot::activation(self.clone(), (tag, slot, shot), worker, way, request));
-                waiting.shots.push(task.abort_handle());
-            }
-            Errand::Drop { tag, slot, shot } => {
-                let slots = self.slots.borrow();
-                let waiting = slots.get(slot).filter(|w| w.line.owes(tag));
-                waiting.and_then(|w| w.shots.get(shot)).into_iter().for_each(AbortHandle::abort);
-            }
-            Errand::Answer { slot, own, line } => self.reply(slot, &line, Reply::Own(own)),
-            Errand::Hold { order, worker, way, function, copies } => {
-                spawn_local(shot::hold(self.clone(), order, worker, way, function, copies));
-            }
-            Errand::Unload { worker, way, function } => {
-                spawn_local(shot::unload(self.clone(), worker, way, function));
-            }
-            Errand::Probe { worker, way, serial } => {
-                spawn_local(shot::probe(self.clone(), worker, way, serial));
-            }
-            Errand::Follow => {
-                if let Source::Registry(address) = self.house().source {
-                    let task = spawn_local(follow::follow(self.clone(), address)).abort_handle();
-                    if let Some(before) = self.following.replace(Some(task)) {
-                        before.abort();
-                    }
-                }
-            }
-            Errand::Spare { worker } => self.pool(worker, Pool::spare),
-            Errand::Stir(Stir::Stall(seconds)) => std::thread::sleep(Duration::from_secs_f64(seconds)),
-            Errand::Stir(Stir::Panic) => panic!("asked for"),
-            Errand::Stir(Stir::Break) => {
-                let gateway = self.clone();
-                spawn_local(async move { gateway.office.tell(None, |_, _| panic!("asked for")) });
-            }
+        (self.carry)(self, errand);
+    }
+
+    /// What is kept of the call in a slot, unless it was let go of meanwhile: the desk has booked the ends of its shots
+    /// with its own then.
+    pub fn waiting<R>(&self, tag: Tag, slot: usize, what: impl FnOnce(&mut Waiting) -> R) -> Option<R> {
+        self.slots.borrow_mut().get_mut(slot).filter(|w| w.line.owes(tag)).map(what)
+    }
+
+    /// The worker list is followed by this task, and no longer by the one before.
+    pub fn follows(&self, task: AbortHandle) {
+        if let Some(before) = self.following.replace(Some(task)) {
+            before.abort();
         }
     }
 
+    /// Closes an idle connection to a worker, for another core that has need of its place.
+    pub fn spare(&self, worker: usize) {
+        self.pool(worker, Pool::spare);
+    }
+
     /// Keeps what the shell has of a call; gives its slot.
     pub fn keep(
         &self,
@@ -242,7 +199,7 @@
 
     /// Counts bytes as in hand; none where the bound on all together is reached.
     pub fn hold(&self, bytes: usize) -> Option<Held> {
-        self.office.held.take(bytes).then(|| Held { bytes, office: self.office.clone() })
+        Held::take(&self.office.held, bytes)
     }
 
     /// This thread runs; false where another has taken its seat.
--- a/crates/gateway/src/shot.rs
+++ b/crates/gateway/src/shot.rs
@@ -2,10 +2,11 @@
 //! is believed where no connection was made, where nothing was written, or on the worker's own word; all else may
 //! have run.
 
+use crate::answer::{Held, Reply};
 use crate::desk::{End, Tag};
 use crate::gather::Gathered;
 use crate::pool::{Body, Connection, Way};
-use crate::shell::{Gateway, Held, Reply};
+use crate::shell::Gateway;
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response};
