The module and the desk can be told a count with two sides; nobody tells them yet

Need: budgets that bound harm go by the highest count that may be true, usage by the likeliest. Change: Router::share takes the likeliest count and this router's part until a time; quotas, free orders and orders ahead go by the part, all else by the count. The desk keeps it over a break and scales the ration kept at sending. Where nobody calls it each figure is multiplied by 1.0.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -146,8 +146,18 @@
     pub kept_back: u64,
 }
 
+/// What gateways that know of each other say: how many there likely are, and this one's part of what all share, as a
+/// multiple of what it has by its charter, until then on the desk's clock, and from then on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    pub likely: f64,
+    pub part: [f64; 2],
+    pub until: f64,
+}
+
 pub struct Desk<T> {
     router: Router,
+    share: Option<Share>,
     books: Books<T>,
     functions: Functions,
     profiles: Vec<Kind>,
@@ -332,8 +342,9 @@
         let (serial, life) = (self.books.serial, self.books.roll.life());
         // Past any number that was given out amid what broke.
         let desk = Self::from(house, epoch, now, serial + 1, life + 1);
-        let Books { calls, mut tally, ration, .. } = std::mem::replace(self, desk).books;
+        let Self { books: Books { calls, mut tally, ration, .. }, share, .. } = std::mem::replace(self, desk);
         self.books.ration = ration;
+        share.into_iter().for_each(|share| self.share(share));
         let open: Vec<_> =
             calls.into_iter().flatten().filter(|c| c.open).map(|c| (c.what, c.begun)).collect();
         let begun = open.iter().filter(|(_, begun)| *begun).count() as u64;
@@ -369,7 +380,16 @@
             tally: Tally::default(),
         };
         let router = Router::new(house.policy.clone(), now, &mut books);
-        Self { router, books, functions: house.functions.clone(), profiles: house.profiles.clone() }
+        let (functions, profiles) = (house.functions.clone(), house.profiles.clone());
+        Self { router, share: None, books, functions, profiles }
+    }
+
+    /// Goes by what gateways that know of each other say, until they say otherwise.
+    pub fn share(&mut self, share: Share) {
+        let Share { likely, part, until } = share;
+        self.share = Some(share);
+        self.router.share(likely, part, until);
+        self.books.ration.iter_mut().for_each(|r| r.share(part, until));
     }
 
     /// The next thing to do.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -170,7 +170,10 @@
 #[derive(Default)]
 pub struct Router {
     chance: Option<Rand64>,
+    /// Routers that share the workers, and what this one has of what all share, until when; by `share`.
     routers: f64,
+    most: f64,
+    part: ([f64; 2], f64),
     profiles: Vec<Profile>,
     quotas: Vec<f64>,
     shots: usize,
@@ -260,6 +263,8 @@
         Self {
             chance: Some(Rand64::new(u128::from(charter.seed))),
             routers: charter.routers.max(1) as f64,
+            most: charter.routers.max(1) as f64,
+            part: ([1.0; 2], f64::INFINITY),
             clients: vec![(0.0, now - 1.0); charter.quotas.len()],
             // A router's part of what its client groups may use.
             quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
@@ -292,6 +297,18 @@
         }
     }
 
+    /// Routers that know of each other say how many there likely are, and this one's part of what bounds harm: of what
+    /// it has by the charter so much until then, and so much afterwards. Where nobody says so the charter's count holds.
+    pub fn share(&mut self, likely: f64, part: [f64; 2], until: f64) {
+        self.routers = likely.max(1.0);
+        self.part = (part, until);
+    }
+
+    fn part(&self, now: f64) -> f64 {
+        let (part, until) = self.part;
+        part[usize::from(now >= until)]
+    }
+
     fn luck(&mut self) -> f64 {
         self.chance.as_mut().map_or(0.5, Rand64::rand_float)
     }
@@ -377,8 +394,9 @@
                 count.add(now, half, 1.0);
             }
             // A client group may use a second of its share at once.
+            let part = self.part(now);
             if let Some((left, at)) = self.clients.get_mut(a.client) {
-                let quota = self.quotas[a.client];
+                let quota = self.quotas[a.client] * part;
                 *left = (*left + (now - *at) * quota).min(quota.max(1.0));
                 *at = now;
                 over_share = self.sheds && *left < 1.0;
@@ -641,7 +659,7 @@
         }
         let filled: f64 = self.functions.iter().flatten().map(|f| f.memory * f.standing(now, w).0).sum();
         let full = filled + f.memory * wanted > FILLED * self.fleet.memory[w];
-        if ahead && (full || self.loading > self.ready * AHEAD / self.routers) {
+        if ahead && (full || self.loading > self.ready * AHEAD / self.most * self.part(now)) {
             return;
         }
         if let Some((window, free, share)) = self.ration {
@@ -651,7 +669,7 @@
                 self.ordered.pop_front();
             }
             let taken = self.taken.iter().filter(|&&t| now - t < window - HAIR).count();
-            if self.ordered.len() as f64 + 1.0 > free + share * taken as f64 {
+            if self.ordered.len() as f64 + 1.0 > free * self.part(now) + share * taken as f64 {
                 return;
             }
             self.ordered.push_back(now);
