--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -297,8 +297,9 @@
         }
     }
 
-    /// Routers that know of each other say how many there likely are, and this one's part of what bounds harm: of what
-    /// it has by the charter so much until then, and so much afterwards. Where nobody says so the charter's count holds.
+    /// Routers that know of each other say how many there likely are, and this one's part of what bounds harm:
+    /// of what it has by the charter so much until then, and so much afterwards. Where nobody says so the
+    /// charter's count holds.
     pub fn share(&mut self, likely: f64, part: [f64; 2], until: f64) {
         self.routers = likely.max(1.0);
         self.part = (part, until);
