--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -13,6 +13,7 @@
 use milletpath_protocol::registry::Entry;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// All that a gateway goes by.
 #[derive(Clone, Debug)]
@@ -29,6 +30,27 @@
     pub kinds: Vec<String>,
     pub source: Source,
     pub bounds: Bounds,
+    /// What gateways tell each other; none where they share nothing.
+    pub peers: Option<Peers>,
+}
+
+/// How a gateway is known to the others, and how it knows them. Times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peers {
+    /// Where it hears letters, and where others are told that it does.
+    pub listen: SocketAddr,
+    pub advertise: SocketAddr,
+    pub name: String,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The file with the secret that the gateways share.
+    pub key: PathBuf,
+    /// Between two probes.
+    pub period: f64,
+    /// For which a word counts as proof.
+    pub lease: f64,
+    /// Part of one in the most that it keeps while it hears no majority.
+    pub floor: f64,
 }
 
 /// A profile as clients name it; its due time and effect are the policy's.
--- a/crates/charter/src/page.rs
+++ b/crates/charter/src/page.rs
@@ -162,6 +162,36 @@
         value
     }
 
+    /// A list of texts that `read` understands; `shape` shows one.
+    pub fn list<T>(
+        &self,
+        key: &'static str,
+        shape: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<Vec<T>> {
+        let (at, value) = self.value(key)?;
+        let texts = match value {
+            Expression::Array(items) => items.iter().map(|item| match item {
+                Expression::String(text) => read(text.value()),
+                _ => None,
+            }),
+            _ => {
+                self.mistake(
+                    at,
+                    format!("{key} of {} is no list", self.title),
+                    format!("write {key} = {shape}"),
+                );
+                return None;
+            }
+        };
+        let read: Option<Vec<T>> = texts.collect();
+        if read.is_none() {
+            let wrong = format!("{key} of {} holds what it can't", self.title);
+            self.mistake(at, wrong, format!("write {key} = {shape}"));
+        }
+        read
+    }
+
     /// One of a few words.
     pub fn word<T: Copy>(&self, key: &'static str, words: &[(&str, T)]) -> Option<T> {
         let shape: Vec<_> = words.iter().map(|(w, _)| format!("\"{w}\"")).collect();
--- a/crates/charter/src/read.rs
+++ b/crates/charter/src/read.rs
@@ -2,12 +2,14 @@
 //! read; the usual ones are chosen for one gateway beside a handful of workers.
 
 use crate::page::{Mistake, Page, Section};
-use crate::{Bounds, Functions, House, Instance, Kind, Source};
+use crate::{Bounds, Functions, House, Instance, Kind, Peers, Source};
 use hcl_edit::parser::parse_body;
 use milletpath_policy::host::{Charter, Effect, Group, Profile};
+use milletpath_protocol::is_name;
 use milletpath_protocol::registry::{Entry, Standing};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use xxhash_rust::xxh3::xxh3_64;
 
 const LONG: f64 = 86_400.0;
@@ -99,7 +101,47 @@
         );
     }
     let listen = listen.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)));
-    House { listen, policy, profiles: kinds_of_call, clients, functions, kinds, source, bounds }
+    let peers = top.block("peers").and_then(|p| peers(top, &p, policy.routers));
+    House { listen, policy, profiles: kinds_of_call, clients, functions, kinds, source, bounds, peers }
+}
+
+/// How gateways know each other. The figures should be the same in all charters of a fleet: the usual ones find a death
+/// within some seconds at some 2 kB a second, and serve dozens of gateways (`docs/design/peers.md`).
+fn peers(top: &Section<'_>, section: &Section<'_>, most: usize) -> Option<Peers> {
+    let listen = section.parsed("listen", "\"10.0.0.3:7400\"", address);
+    if !section.has("listen") {
+        section.missing("listen", "\"10.0.0.3:7400\"");
+    }
+    let advertise = section.parsed("advertise", "\"10.0.0.3:7400\"", address);
+    if advertise.is_none() && listen.is_some_and(|at| at.ip().is_unspecified()) {
+        section.missing("advertise", "\"10.0.0.3:7400\" (where others reach it)");
+    }
+    let known = |text: &str| {
+        let fits = is_name(text) && text.len() <= milletpath_peers::letter::LONGEST_NAME;
+        fits.then(|| text.to_owned())
+    };
+    let name = section.parsed("name", "a name of up to 64 letters, digits and -._~:", known);
+    let key = section.text("key").map(PathBuf::from);
+    if key.is_none() && !section.has("key") {
+        section.missing("key", "\"peers.key\" (a file with 32 bytes of chance or more)");
+    }
+    let usual = milletpath_peers::Terms::default();
+    let period = section.figure("period", "seconds", 0.05..=60.0).unwrap_or(usual.period);
+    let lease = section.figure("lease", "seconds", 0.1..=600.0).unwrap_or(usual.lease);
+    if lease < 4.0 * period {
+        let wrong = format!("lease of peers is shorter than four periods of {period}");
+        section.mistake(section.place("lease"), wrong, format!("make it {} or more", 4.0 * period));
+    }
+    let floor = section.figure("floor", "of its part", 0.0..=1.0).unwrap_or(usual.floor);
+    let seeds = section.list("seeds", "[\"10.0.0.1:7400\"]", address).unwrap_or_default();
+    if most < 2 {
+        let remedy = "add gateways = NUMBER, the most that there may be";
+        top.mistake(section.at, "peers, but the charter allows for one gateway only", remedy);
+    }
+    let (listen, key) = (listen?, key?);
+    let advertise = advertise.unwrap_or(listen);
+    let name = name.unwrap_or_else(|| advertise.to_string().replace(['[', ']'], ""));
+    Some(Peers { listen, advertise, name, seeds, key, period, lease, floor })
 }
 
 fn address(text: &str) -> Option<SocketAddr> {
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -7,6 +7,7 @@
 use crate::errands;
 use crate::line::Line;
 use crate::office::{Errand, Office, Stir, Ticket};
+use crate::peering::{self, Link};
 use crate::shell::{Gateway, PULSE};
 use milletpath_charter::{House, Source};
 use milletpath_cores::deal::{self, Deal, Seen};
@@ -41,20 +42,28 @@
 /// calling thread is the keeper, and the cores are threads beside it.
 pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
     let (_, quiet) = tokio::sync::mpsc::unbounded_channel();
-    serve_stirred(house, listener, stop, quiet).await
+    serve_stirred(house, listener, None, stop, quiet).await
 }
 
-/// As [`serve`], with mischief for tests and days: what comes on the channel befalls the core of that number; the one
-/// behind the last is the keeper.
+/// As [`serve`], with a link to the other gateways, and with mischief for tests and days: what comes on the channel
+/// befalls the core of that number; the one behind the last is the keeper.
 pub async fn serve_stirred(
     house: House,
     listener: TcpListener,
+    link: Option<Link>,
     stop: impl Future<Output = ()>,
     mut stirs: UnboundedReceiver<(usize, Stir)>,
 ) -> Tally {
     let keeper = Rc::new(Keeper::new(house));
     let office = keeper.office.clone();
     tracing::info!(cores = office.cores(), "serving");
+    let peering = link.and_then(|link| match peering::start(office.clone(), link) {
+        Ok(thread) => Some(thread),
+        Err(e) => {
+            tracing::error!("the link to the other gateways can't start, this one shares nothing: {e}");
+            None
+        }
+    });
     let mut time = spawn_local(keeper.clone().keep_time());
     let mut stop = pin!(stop);
     let mut stirred = true;
@@ -101,6 +110,10 @@
     .await;
     keeper.end().await;
     time.abort();
+    // It ends within a look of its own after the stop was told.
+    if peering.is_some_and(|thread| thread.join().is_err()) {
+        tracing::error!("the link to the other gateways broke");
+    }
     keeper.account();
     office.tally()
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod line;
 mod office;
 mod paced;
+mod peering;
 mod pool;
 mod ration;
 mod serve;
@@ -28,3 +29,4 @@
 
 pub use keeper::{listen, serve, serve_stirred};
 pub use office::Stir;
+pub use peering::{Link, Plant, ask, key_of};
--- /dev/null
+++ b/crates/gateway/src/peering.rs
@@ -0,0 +1,287 @@
+//! The link to the other gateways: a thread with one UDP socket around the core of `milletpath-peers`. It reaches the
+//! desk through the office alone, and no call ever waits for it. What is told to the desk ends by itself: whoever acts
+//! looks at the time at that moment.
+
+use crate::desk::Share;
+use crate::office::Office;
+use milletpath_charter::{House, Peers as Stated};
+use milletpath_peers::letter::{self, Key, LARGEST, Letter, Page, Who, matter};
+use milletpath_peers::{Event, Peers, Terms, View};
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, ErrorKind};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// A fault of the program that tests ask for, to see that it is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Budgets that bound harm take the likeliest count.
+    LikelyCount,
+}
+
+/// A link that is open and not yet read.
+pub struct Link {
+    socket: UdpSocket,
+    key: Key,
+    plant: Option<Plant>,
+}
+
+/// The key of a fleet, from the file that the charter names.
+pub fn key_of(path: &Path) -> io::Result<Key> {
+    /// Bytes below which a secret can be guessed.
+    const LEAST: usize = 32;
+    let name = path.display();
+    let secret = std::fs::read(path).map_err(|e| io::Error::new(e.kind(), format!("{name}: {e}")))?;
+    let secret = secret.trim_ascii();
+    if secret.len() < LEAST {
+        let wrong = format!("{name} has {} bytes; a key has {LEAST} or more", secret.len());
+        return Err(io::Error::new(ErrorKind::InvalidData, wrong));
+    }
+    Ok(Key::new(secret))
+}
+
+impl Link {
+    /// Opens the socket that the charter states, and reads the key.
+    pub fn open(stated: &Stated, plant: Option<Plant>) -> io::Result<Self> {
+        let key = key_of(&stated.key)?;
+        let socket = UdpSocket::bind(stated.listen)
+            .map_err(|e| io::Error::new(e.kind(), format!("{} can't be listened on: {e}", stated.listen)))?;
+        Ok(Self { socket, key, plant })
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+}
+
+/// Starts the thread of a link.
+pub fn start(office: Arc<Office>, link: Link) -> io::Result<JoinHandle<()>> {
+    let Some(stated) = office.house.peers.clone() else {
+        return Err(io::Error::other("the charter has no peers"));
+    };
+    let at = if stated.advertise.port() == 0 { link.address()? } else { stated.advertise };
+    let who = who(&office.house, &stated, at);
+    std::thread::Builder::new().name("peers".into()).spawn(move || {
+        let (seed, now) = (who.life, office.now());
+        let peers = Peers::new(who, terms(&office.house, &stated), stated.seeds, seed, now);
+        Running { peers, office, link, told: None, asks: 0 }.run();
+    })
+}
+
+fn who(house: &House, stated: &Stated, at: SocketAddr) -> Who {
+    // Drawn anew by each process from the system's chance, also where the charter fixes the seed of its decisions.
+    let life = RandomState::new().hash_one(std::process::id()).max(1);
+    Who { life, name: stated.name.clone(), at, incarnation: 0, most: house.policy.routers as u32 }
+}
+
+fn terms(house: &House, stated: &Stated) -> Terms {
+    // Quotas are counted by the second, orders within their window.
+    let window = house.policy.ration.map_or(1.0, |(window, ..)| window.max(1.0));
+    Terms { period: stated.period, lease: stated.lease, floor: stated.floor, window }
+}
+
+struct Running {
+    peers: Peers,
+    office: Arc<Office>,
+    link: Link,
+    /// What the desk was told last, and when.
+    told: Option<(f64, Share)>,
+    /// Questions of operators answered in this second.
+    asks: u32,
+}
+
+impl Running {
+    fn run(mut self) {
+        /// Letters read in a row before time is looked at again.
+        const TURN: usize = 64;
+        /// Seconds between two looks whether the gateway stops.
+        const LOOK: f64 = 0.05;
+        let mut buffer = [0; LARGEST + 1];
+        let (mut read, mut second) = (0, 0.0);
+        while !self.office.stopping.load(Ordering::Acquire) {
+            let now = self.office.now();
+            if now >= second + 1.0 {
+                (second, self.asks) = (now, 0);
+            }
+            let wait = (self.peers.next() - now).clamp(0.001, LOOK);
+            // Whatever came while this thread stood still is heard before anybody is accused.
+            let timed = self.link.socket.set_read_timeout(Some(Duration::from_secs_f64(wait)));
+            match timed.and_then(|()| self.link.socket.recv_from(&mut buffer)) {
+                Ok((size, from)) => {
+                    self.take(&buffer[..size], from);
+                    read += 1;
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => read = TURN,
+                // The word of a letter that reached nobody.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    tracing::error!("letters of other gateways can't be read: {e}");
+                    std::thread::sleep(Duration::from_secs_f64(LOOK));
+                    read = TURN;
+                }
+            }
+            let now = self.office.now();
+            if read >= TURN || now >= self.peers.next() + LOOK {
+                read = 0;
+                self.peers.turn(now);
+            }
+            self.post();
+            self.tell();
+            self.log();
+        }
+        self.peers.leave(self.office.now());
+        self.post();
+        self.tell();
+    }
+
+    fn take(&mut self, datagram: &[u8], from: SocketAddr) {
+        match letter::open(&self.link.key, datagram) {
+            Ok(letter) if letter.matter == matter::ASK => self.answer(&letter, from),
+            Ok(letter) => self.peers.heard(self.office.now(), letter),
+            Err(why) => {
+                let tally = self.peers.tally();
+                tally.refused(why);
+                // Each tenfold: a flood is not to fill the log.
+                let all = tally.sizes + tally.versions + tally.seals + tally.bodies;
+                if all.to_string().trim_end_matches('0') == "1" {
+                    tracing::warn!(%from, all, "a letter of another gateway is not taken: {why}");
+                }
+            }
+        }
+    }
+
+    /// Tells an operator what is known here.
+    fn answer(&mut self, ask: &Letter, from: SocketAddr) {
+        /// Questions answered a second: an old one played again is no lever.
+        const ASKS: u32 = 10;
+        self.asks += 1;
+        if self.asks > ASKS {
+            return;
+        }
+        let view = self.peers.view(self.office.now());
+        let Ok(text) = serde_json::to_vec(&view) else { return };
+        let chunks: Vec<_> = text.chunks(PAGE).collect();
+        for (number, chunk) in chunks.iter().enumerate() {
+            let mut told = Letter::new(ask.from.clone(), 0, matter::TOLD, ask.number);
+            told.page = Some(Page { number: number as u16, of: chunks.len() as u16, bytes: chunk.to_vec() });
+            if let Some(datagram) = letter::seal(&self.link.key, &told) {
+                let _ = self.link.socket.send_to(&datagram, from);
+            }
+        }
+    }
+
+    fn post(&mut self) {
+        while let Some(sent) = self.peers.out() {
+            let datagram = letter::seal(&self.link.key, &sent.letter);
+            let tally = self.peers.tally();
+            match datagram.map(|d| self.link.socket.send_to(&d, sent.to)) {
+                Some(Ok(bytes)) => {
+                    tally.sent += 1;
+                    tally.bytes += bytes as u64;
+                }
+                // As if lost on its way: that is what the core is built for.
+                Some(Err(_)) | None => tally.unsent += 1,
+            }
+        }
+    }
+
+    /// Tells the desk where it changes something, or before what it was told ends.
+    fn tell(&mut self) {
+        /// Seconds after which it is told anew that all is as it was.
+        const AGAIN: f64 = 0.2;
+        let now = self.office.now();
+        let parts = self.peers.parts(now);
+        let mut share = Share { likely: parts.likely, part: [parts.part, parts.floor], until: parts.until };
+        if self.link.plant == Some(Plant::LikelyCount) {
+            let part = self.office.house.policy.routers as f64 / parts.likely;
+            share = Share { likely: parts.likely, part: [part; 2], until: f64::INFINITY };
+        }
+        let same = |(at, told): (f64, Share)| {
+            (told.likely, told.part) == (share.likely, share.part)
+                && (told.until == share.until || now - at < AGAIN && told.until <= share.until)
+        };
+        if !self.told.is_some_and(same) {
+            self.told = Some((now, share));
+            self.office.tell(None, |desk, _| desk.share(share));
+        }
+    }
+
+    fn log(&mut self) {
+        for event in self.peers.events() {
+            match event {
+                Event::Joined { name, at } => tracing::info!(name, %at, "a gateway is there"),
+                Event::Suspected { name } => tracing::info!(name, "a gateway does not answer"),
+                Event::Died { name } => tracing::warn!(name, "a gateway counts as gone"),
+                Event::Left { name } => tracing::info!(name, "a gateway has left"),
+                Event::Returned { name } => tracing::info!(name, "a gateway that counted as gone is there"),
+                Event::Twice { name } => tracing::error!(
+                    name,
+                    "two gateways go by one name: give each its own; until then neither has a say in shared budgets"
+                ),
+                Event::OtherMost { name, most } => tracing::error!(
+                    name,
+                    most,
+                    own = self.office.house.policy.routers,
+                    "another gateway's charter states another number of gateways: make them alike; the larger one holds"
+                ),
+                Event::Stood { seconds } => {
+                    tracing::warn!(seconds, "the link to the other gateways stood still")
+                }
+            }
+        }
+    }
+}
+
+/// Bytes of text in one page of an answer.
+const PAGE: usize = 1100;
+
+/// Asks the gateway of a charter what it knows of the others. Waits for some seconds at most.
+pub fn ask(house: &House) -> io::Result<View> {
+    /// Times that it is asked, and seconds for each.
+    const TRIES: u64 = 4;
+    const WAIT: Duration = Duration::from_secs(1);
+    let Some(stated) = &house.peers else { return Err(io::Error::other("the charter has no peers")) };
+    let key = key_of(&stated.key)?;
+    let mut to = stated.listen;
+    if to.port() == 0 {
+        return Err(io::Error::other("listen of peers has port 0: nobody can tell where it is; give it one"));
+    }
+    if to.ip().is_unspecified() {
+        to.set_ip(IpAddr::V4(Ipv4Addr::LOCALHOST));
+    }
+    let any: SocketAddr = if to.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" }.parse().expect("an address");
+    let socket = UdpSocket::bind(any)?;
+    let who = Who { life: 0, name: "operator".into(), at: any, incarnation: 0, most: 0 };
+    let mut buffer = [0; LARGEST + 1];
+    for number in 1..=TRIES {
+        let ask = Letter::new(who.clone(), 0, matter::ASK, number);
+        let datagram =
+            letter::seal(&key, &ask).ok_or_else(|| io::Error::other("the question is too large"))?;
+        socket.send_to(&datagram, to)?;
+        let end = Instant::now() + WAIT;
+        let mut pages: Vec<Option<Vec<u8>>> = Vec::new();
+        while let Some(left) = end.checked_duration_since(Instant::now()).filter(|l| !l.is_zero()) {
+            socket.set_read_timeout(Some(left))?;
+            let Ok((size, _)) = socket.recv_from(&mut buffer) else { break };
+            let Ok(told) = letter::open(&key, &buffer[..size]) else { continue };
+            let Some(page) = told.page.filter(|_| told.matter == matter::TOLD && told.number == number)
+            else {
+                continue;
+            };
+            pages.resize(usize::from(page.of), None);
+            if let Some(slot) = pages.get_mut(usize::from(page.number)) {
+                *slot = Some(page.bytes);
+            }
+            if pages.iter().all(Option::is_some) {
+                let text: Vec<u8> = pages.into_iter().flatten().flatten().collect();
+                return serde_json::from_slice(&text).map_err(io::Error::other);
+            }
+        }
+    }
+    let wrong = format!("the gateway does not answer on {to}: is it running, with this key?");
+    Err(io::Error::new(ErrorKind::TimedOut, wrong))
+}
--- a/crates/gateway/tests/house.rs
+++ b/crates/gateway/tests/house.rs
@@ -8,7 +8,9 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
     let files = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path());
     let names: BTreeMap<_, _> = files
-        .map(|f| (f.file_stem().unwrap().to_string_lossy().into_owned(), std::fs::read_to_string(&f).unwrap()))
+        .map(|f| {
+            (f.file_stem().unwrap().to_string_lossy().into_owned(), std::fs::read_to_string(&f).unwrap())
+        })
         .filter(|(name, _)| name != "lib")
         .collect();
     let named = |text: &str, other: &str| {
@@ -29,7 +31,8 @@
     assert!(leans["serve"].contains("shell") && leans["errands"].contains("follow"), "{leans:?}");
     // Those that lean on nothing left are taken away, until none is left or a circle.
     loop {
-        let free: BTreeSet<_> = leans.iter().filter(|(_, on)| on.is_empty()).map(|(n, _)| n.clone()).collect();
+        let free: BTreeSet<_> =
+            leans.iter().filter(|(_, on)| on.is_empty()).map(|(n, _)| n.clone()).collect();
         if free.is_empty() {
             break;
         }
--- a/crates/gateway/tests/town/mod.rs
+++ b/crates/gateway/tests/town/mod.rs
@@ -74,7 +74,12 @@
             std::future::pending::<()>().await;
         }
     };
-    (address, stop, spawn_local(milletpath_gateway::serve_stirred(house, listener, stopped, stirs)), stir)
+    (
+        address,
+        stop,
+        spawn_local(milletpath_gateway::serve_stirred(house, listener, None, stopped, stirs)),
+        stir,
+    )
 }
 
 /// What a scripted worker does with one request.
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -3,6 +3,7 @@
 
 mod day;
 mod log;
+mod peers;
 mod platform;
 mod serve;
 mod workers;
@@ -35,6 +36,9 @@
         /// Take mischief for cores on standard input, for scripted days
         #[arg(long, hide = true)]
         stir: bool,
+        /// A fault that tests plant, to see that it is found
+        #[arg(long, hide = true)]
+        plant: Option<String>,
     },
     /// Read and check a charter; tells all mistakes at once
     Check {
@@ -48,6 +52,14 @@
     },
     /// Run the router on the platform, by LB_NAME, LB_LISTEN and LB_CONFIG
     Platform,
+    /// Tell what the gateway of a charter knows of the others
+    Peers {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -74,7 +86,9 @@
     let line = Line::parse();
     log::begin(line.log);
     match line.wanted {
-        Wanted::Serve { charter, cores, stir } => serve::serve(charter.as_deref(), cores, stir),
+        Wanted::Serve { charter, cores, stir, plant } => {
+            serve::serve(charter.as_deref(), &serve::How { cores, stir, plant })
+        }
         Wanted::Check { charter } => match read(&charter) {
             Ok(_) => {
                 println!("{}: sound", charter.display());
@@ -83,6 +97,7 @@
             Err(code) => code,
         },
         Wanted::Workers { charter } => workers::workers(&charter),
+        Wanted::Peers { charter, json } => peers::peers(&charter, json),
         Wanted::Platform => platform::platform(),
         Wanted::Day { file, seed, json, lag, cores, records } => {
             day::day(&day::Asked { file: &file, seed, json, lag, cores, records: records.as_deref() })
@@ -96,10 +111,19 @@
         eprintln!("{}: can't be read: {e}; name a charter file", path.display());
         ExitCode::from(2)
     })?;
-    milletpath_charter::read(&text).map_err(|mistakes| {
+    let mut house = milletpath_charter::read(&text).map_err(|mistakes| {
         mistakes.iter().for_each(|mistake| eprintln!("{}:{mistake}", path.display()));
         ExitCode::from(2)
-    })
+    })?;
+    // Beside the charter, wherever the program was started.
+    if let (Some(peers), Some(folder)) = (&mut house.peers, path.parent()) {
+        peers.key = folder.join(&peers.key);
+        milletpath_gateway::key_of(&peers.key).map_err(|e| {
+            eprintln!("{}: key of peers: {e}; make one of chance, alike for all gateways", path.display());
+            ExitCode::from(2)
+        })?;
+    }
+    Ok(house)
 }
 
 /// Runs something on one thread, with tasks of its own.
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -1,20 +1,35 @@
 //! `milletpath serve`.
 
 use milletpath_charter::House;
-use milletpath_gateway::Stir;
 use milletpath_gateway::signals::{Heard, SIGINT, SIGTERM};
+use milletpath_gateway::{Link, Plant, Stir};
 use std::path::Path;
 use std::process::ExitCode;
 use tokio::sync::mpsc::UnboundedSender;
 
-pub fn serve(charter: Option<&Path>, cores: Option<u8>, stir: bool) -> ExitCode {
+/// How it is to be run, beside the charter.
+pub struct How {
+    pub cores: Option<u8>,
+    pub stir: bool,
+    pub plant: Option<String>,
+}
+
+pub fn serve(charter: Option<&Path>, how: &How) -> ExitCode {
+    let plant = match how.plant.as_deref() {
+        None => None,
+        Some("likely-count") => Some(Plant::LikelyCount),
+        Some(other) => {
+            eprintln!("no fault is called {other}; known: likely-count");
+            return ExitCode::from(2);
+        }
+    };
     let house = match charter.map(crate::read).transpose() {
         Ok(house) => house,
         Err(code) => return code,
     };
     let run = async |mut house: House, inside| {
-        house.bounds.cores = cores.map_or(house.bounds.cores, usize::from);
-        run(house, inside, stir).await
+        house.bounds.cores = how.cores.map_or(house.bounds.cores, usize::from);
+        run(house, inside, how.stir, plant).await
     };
     crate::local(async move {
         match house {
@@ -27,7 +42,7 @@
     })
 }
 
-async fn run(house: House, inside: bool, stir: bool) -> ExitCode {
+async fn run(house: House, inside: bool, stir: bool, plant: Option<Plant>) -> ExitCode {
     let mut bound = milletpath_gateway::listen(house.listen);
     if bound.is_err() && inside {
         // The built-in charter's port is taken: any other will do.
@@ -40,6 +55,17 @@
             return ExitCode::FAILURE;
         }
     };
+    let link = match house.peers.as_ref().map(|peers| Link::open(peers, plant)).transpose() {
+        Ok(link) => link,
+        Err(e) => {
+            eprintln!("the link to the other gateways can't be opened: {e}; change peers in the charter");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Some(address) = link.as_ref().and_then(|link| link.address().ok()) {
+        tracing::info!(%address, "hears other gateways");
+        println!("peers on udp://{address}");
+    }
     if let Ok(address) = listener.local_addr() {
         tracing::info!(%address, "listening");
         // For whoever started it with port 0.
@@ -54,7 +80,7 @@
             std::io::stdin().lines().map_while(Result::ok).for_each(|l| take(&l, &tell))
         });
     }
-    let tally = milletpath_gateway::serve_stirred(house, listener, stop(), stirs).await;
+    let tally = milletpath_gateway::serve_stirred(house, listener, link, stop(), stirs).await;
     tracing::info!(?tally, "stopped");
     ExitCode::SUCCESS
 }
--- a/crates/platform/src/told.rs
+++ b/crates/platform/src/told.rs
@@ -90,6 +90,8 @@
             kinds: milletpath_terms::kinds(settings),
             source: Source::List(Vec::new()),
             bounds,
+            // Routers of the platform share nothing.
+            peers: None,
         },
     })
 }
