--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -21,7 +21,7 @@
 impl Peers {
     /// How often a rumour is passed on: enough for it to reach all but a few by chance, and those by exchange.
     pub(crate) fn telling(&self) -> u32 {
-        3 * (self.members.len() as f64 + 2.0).log2().ceil() as u32
+        (4.0 * (self.members.len() as f64 + 2.0).log10()).ceil() as u32
     }
 
     /// Members known at most: twice those that there may be, and some.
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/peers/tests/net/mod.rs
@@ -77,6 +77,8 @@
     /// The sum of what all use is looked at after each event.
     pub watch: bool,
     seeds: usize,
+    /// Bytes by what letters were about.
+    pub matters: BTreeMap<u8, u64>,
 }
 
 /// Letters take half a millisecond to two, and are never lost.
@@ -125,6 +127,7 @@
             over: (0.0, 0.0),
             watch: false,
             seeds,
+            matters: BTreeMap::new(),
         }
     }
 
@@ -213,6 +216,7 @@
             let datagram = letter::seal(&self.key, &sent.letter).expect("no letter is too large");
             self.nodes[n].bytes += datagram.len() as u64;
             self.nodes[n].letters += 1;
+            *self.matters.entry(sent.letter.matter).or_default() += datagram.len() as u64;
             let Some(to) = self.nodes.iter().position(|node| node.at == sent.to) else { continue };
             for delay in (self.rule)(now, n, to, &mut self.chance) {
                 self.put(now + delay, What::Come(to, sent.letter.clone()));
