--- a/crates/charter/src/page.rs
+++ b/crates/charter/src/page.rs
@@ -4,7 +4,7 @@
 
 use hcl_edit::Span;
 use hcl_edit::expr::Expression;
-use hcl_edit::structure::{Body, Structure};
+use hcl_edit::structure::{Attribute, Body, Structure};
 use milletpath_protocol::is_name;
 use std::cell::{Cell, RefCell};
 use std::fmt;
@@ -63,7 +63,10 @@
     /// The label, empty where there is none.
     pub label: String,
     pub at: usize,
-    body: &'p Body,
+    /// Its body, and below it those of the texts that this one builds on, whose figures hold where it gives none.
+    bodies: Vec<&'p Body>,
+    /// Whether the first of them stands on this page.
+    own: bool,
     asked: RefCell<Vec<&'static str>>,
     sealed: Cell<bool>,
 }
@@ -74,11 +77,31 @@
 
 impl<'p> Section<'p> {
     pub fn whole(page: &'p Page<'p>, body: &'p Body) -> Self {
-        Self::new(page, "the charter".into(), String::new(), 0, body)
+        Self::layered(page, vec![body])
     }
 
-    fn new(page: &'p Page<'p>, title: String, label: String, at: usize, body: &'p Body) -> Self {
-        Self { page, title, label, at, body, asked: RefCell::default(), sealed: Cell::new(false) }
+    /// A text that builds on others: first its own body, then those of the others, which must be sound by themselves.
+    pub fn layered(page: &'p Page<'p>, bodies: Vec<&'p Body>) -> Self {
+        Self::new(page, "the charter".into(), String::new(), 0, bodies, true)
+    }
+
+    fn new(
+        page: &'p Page<'p>,
+        title: String,
+        label: String,
+        at: usize,
+        bodies: Vec<&'p Body>,
+        own: bool,
+    ) -> Self {
+        Self { page, title, label, at, bodies, own, asked: RefCell::default(), sealed: Cell::new(false) }
+    }
+
+    /// An attribute, and where it stands; for one of another text that is where this section does.
+    fn attribute(&self, key: &str) -> Option<(usize, &'p Attribute)> {
+        self.bodies.iter().enumerate().find_map(|(layer, body)| {
+            let attribute = body.get_attribute(key)?;
+            Some((if layer == 0 && self.own { at(attribute.span()) } else { self.at }, attribute))
+        })
     }
 
     pub fn mistake(&self, at: usize, wrong: impl Into<String>, remedy: impl Into<String>) {
@@ -87,17 +110,16 @@
 
     fn value(&self, key: &'static str) -> Option<(usize, &'p Expression)> {
         self.asked.borrow_mut().push(key);
-        let attribute = self.body.get_attribute(key)?;
-        Some((at(attribute.span()), &attribute.value))
+        self.attribute(key).map(|(at, attribute)| (at, &attribute.value))
     }
 
     /// Where an attribute stands, or the section itself.
     pub fn place(&self, key: &str) -> usize {
-        self.body.get_attribute(key).map_or(self.at, |a| at(a.span()))
+        self.attribute(key).map_or(self.at, |(at, _)| at)
     }
 
     pub fn has(&self, key: &str) -> bool {
-        self.body.get_attribute(key).is_some()
+        self.attribute(key).is_some()
     }
 
     /// A figure within bounds; `unit` says what it counts.
@@ -208,21 +230,37 @@
     pub fn blocks(&self, key: &'static str, labelled: bool) -> Vec<Section<'p>> {
         self.asked.borrow_mut().push(key);
         let mut sections: Vec<Section<'p>> = Vec::new();
-        for block in self.body.get_blocks(key) {
-            let start = at(block.span());
-            let label = block.labels.first().map(|l| l.as_str().to_owned()).unwrap_or_default();
-            let title = if labelled { format!("{key} \"{label}\"") } else { key.to_owned() };
-            if block.labels.len() != usize::from(labelled) || labelled && !is_name(&label) {
-                let wrong = format!("{title} has no proper label");
-                let shape =
-                    if labelled { format!("{key} \"name\" {{ ... }}") } else { format!("{key} {{ ... }}") };
-                self.mistake(start, wrong, format!("write {shape}"));
-            }
-            if sections.iter().any(|s| s.label == label) {
-                let remedy = if labelled { "give each its own name" } else { "keep one" };
-                self.mistake(start, format!("{title} stands here for the second time"), remedy);
+        // From the ground up: what stands below comes first, and gets its figures from above.
+        for (layer, body) in self.bodies.iter().enumerate().rev() {
+            let own = layer == 0 && self.own;
+            for block in body.get_blocks(key) {
+                let start = if own { at(block.span()) } else { self.at };
+                let label = block.labels.first().map(|l| l.as_str().to_owned()).unwrap_or_default();
+                let title = if labelled { format!("{key} \"{label}\"") } else { key.to_owned() };
+                if block.labels.len() != usize::from(labelled) || labelled && !is_name(&label) {
+                    let wrong = format!("{title} has no proper label");
+                    let shape = if labelled {
+                        format!("{key} \"name\" {{ ... }}")
+                    } else {
+                        format!("{key} {{ ... }}")
+                    };
+                    self.mistake(start, wrong, format!("write {shape}"));
+                }
+                match sections.iter_mut().find(|s| s.label == label) {
+                    Some(below) if own && !below.own => {
+                        below.bodies.insert(0, &block.body);
+                        (below.at, below.own) = (start, true);
+                    }
+                    Some(below) if !own => below.bodies.insert(0, &block.body),
+                    twice => {
+                        if twice.is_some() {
+                            let remedy = if labelled { "give each its own name" } else { "keep one" };
+                            self.mistake(start, format!("{title} stands here for the second time"), remedy);
+                        }
+                        sections.push(Section::new(self.page, title, label, start, vec![&block.body], own));
+                    }
+                }
             }
-            sections.push(Section::new(self.page, title, label, start, &block.body));
         }
         sections
     }
@@ -238,11 +276,12 @@
     fn drop(&mut self) {
         /// Words at least so alike are taken for a slip.
         const ALIKE: f64 = 0.75;
-        if self.sealed.replace(true) {
+        // What another text holds was looked at with that one.
+        if self.sealed.replace(true) || !self.own {
             return;
         }
         let asked = self.asked.borrow();
-        for structure in self.body {
+        for structure in self.bodies[0] {
             let (name, at) = match structure {
                 Structure::Attribute(a) => (a.key.as_str(), at(a.span())),
                 Structure::Block(b) => (b.ident.as_str(), at(b.span())),
--- a/crates/milletpath/src/day.rs
+++ b/crates/milletpath/src/day.rs
@@ -2,7 +2,7 @@
 
 use milletpath_standin::day::{Played, Stage, play};
 use milletpath_standin::script::{self, Day};
-use milletpath_witness::Counts;
+use milletpath_witness::{Bound, Counts, Times};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -13,23 +13,17 @@
     pub json: bool,
     pub lag: f64,
     pub cores: Option<u8>,
+    /// A fault that all gateways are started with.
+    pub plant: Option<&'a str>,
     /// Where the records go, one a line.
     pub records: Option<&'a Path>,
 }
 
 pub fn day(asked: &Asked<'_>) -> ExitCode {
-    let text = match std::fs::read_to_string(asked.file) {
-        Ok(text) => text,
-        Err(e) => {
-            eprintln!("{}: can't be read: {e}; name a day's file", asked.file.display());
-            return ExitCode::from(2);
-        }
-    };
-    let name = asked.file.file_stem().map_or("day".into(), |n| n.to_string_lossy().into_owned());
-    let mut day = match script::read(&name, &text) {
+    let mut day = match script::open(asked.file) {
         Ok(day) => day,
         Err(mistakes) => {
-            mistakes.iter().for_each(|mistake| eprintln!("{}:{mistake}", asked.file.display()));
+            mistakes.iter().for_each(|mistake| eprintln!("{mistake}"));
             return ExitCode::from(2);
         }
     };
@@ -38,7 +32,7 @@
     match staged(&day, asked) {
         Ok(played) => {
             print(&day, &played, asked.json);
-            if played.broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+            if played.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
         }
         Err(e) => {
             eprintln!("{}: can't be played: {e}", asked.file.display());
@@ -51,7 +45,8 @@
     let folder = std::env::temp_dir().join(format!("milletpath-day-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let program = std::env::current_exe()?;
-    let stage = Stage { program: &program, folder: &folder, seed: day.seed, lag: asked.lag };
+    let stage =
+        Stage { program: &program, folder: &folder, seed: day.seed, lag: asked.lag, plant: asked.plant };
     let played = play(day, &stage);
     if let (Ok(played), Some(path)) = (&played, asked.records) {
         let lines: Vec<_> = played.records.iter().filter_map(|r| serde_json::to_string(r).ok()).collect();
@@ -59,7 +54,7 @@
     }
     // Charters and logs are kept where something went wrong.
     match &played {
-        Ok(p) if p.broken.is_empty() => std::fs::remove_dir_all(&folder)?,
+        Ok(p) if p.kept() => std::fs::remove_dir_all(&folder)?,
         _ => eprintln!("the gateways' charters and logs are in {}", folder.display()),
     }
     played
@@ -99,10 +94,14 @@
             .iter()
             .map(|b| serde_json::json!({"rule": b.rule, "at": b.at, "what": b.what}))
             .collect();
-        let report = serde_json::json!({
+        let mut report = serde_json::json!({
             "day": day.name, "seed": day.seed, "whole": counts(&played.whole), "troubles": troubles,
             "fetches": played.fetches, "warm": played.warm, "refusals": played.refusals, "broken": broken, "latencies": latencies,
         });
+        if let Some(known) = &played.known {
+            report["bounds"] = serde_json::json!(played.bounds);
+            report["peers"] = serde_json::json!(known);
+        }
         println!("{report}");
         return;
     }
@@ -132,4 +131,21 @@
     for b in played.broken.iter().take(MOST) {
         println!("  rule {} at {:.3} s: {}", b.rule, b.at, b.what);
     }
+    for (name, bound) in &played.bounds {
+        let Bound { most, bound, broken, places } = bound;
+        println!("bound {name}: {most:.1} where {bound:.1} is allowed, broken {broken} times");
+        places.iter().for_each(|b| println!("  at {:.3} s: {}", b.at, b.what));
+    }
+    if let Some(known) = &played.known {
+        println!("peers: {:.1} letters and {:.0} bytes a second of each gateway", known.letters, known.bytes);
+        println!("  told wrongly: {} suspects, {} dead", known.false_suspicions, known.false_deaths);
+        for (what, times) in [("death", &known.death), ("join", &known.join), ("healing", &known.healing)] {
+            let Times { p50, p99, learnt, never } = times;
+            if let (Some(p50), Some(p99)) = (p50, p99) {
+                println!(
+                    "  {what} known after: p50 {p50:.2} s, p99 {p99:.2} s ({learnt} times; {never} not)"
+                );
+            }
+        }
+    }
 }
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -76,6 +76,9 @@
         /// Cores of each gateway, whatever the day says
         #[arg(long, value_parser = clap::value_parser!(u8).range(1..=63))]
         cores: Option<u8>,
+        /// A fault that all gateways are started with, to see that it is found
+        #[arg(long, hide = true)]
+        plant: Option<String>,
         /// Also write what passed on the sockets, one record a line
         #[arg(long, value_name = "FILE")]
         records: Option<PathBuf>,
@@ -99,8 +102,9 @@
         Wanted::Workers { charter } => workers::workers(&charter),
         Wanted::Peers { charter, json } => peers::peers(&charter, json),
         Wanted::Platform => platform::platform(),
-        Wanted::Day { file, seed, json, lag, cores, records } => {
-            day::day(&day::Asked { file: &file, seed, json, lag, cores, records: records.as_deref() })
+        Wanted::Day { file, seed, json, lag, cores, plant, records } => {
+            let (plant, records) = (plant.as_deref(), records.as_deref());
+            day::day(&day::Asked { file: &file, seed, json, lag, cores, plant, records })
         }
     }
 }
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -3,6 +3,7 @@
 use milletpath_charter::House;
 use milletpath_gateway::signals::{Heard, SIGINT, SIGTERM};
 use milletpath_gateway::{Link, Plant, Stir};
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
 use tokio::sync::mpsc::UnboundedSender;
@@ -64,14 +65,14 @@
     };
     if let Some(address) = link.as_ref().and_then(|link| link.address().ok()) {
         tracing::info!(%address, "hears other gateways");
-        println!("peers on udp://{address}");
+        say(&format!("peers on udp://{address}"));
     }
     if let Ok(address) = listener.local_addr() {
         tracing::info!(%address, "listening");
         // For whoever started it with port 0.
-        println!("listening on http://{address}");
+        say(&format!("listening on http://{address}"));
         if inside {
-            println!("try: curl -d hello http://{address}/v1/functions/greet/activations");
+            say(&format!("try: curl -d hello http://{address}/v1/functions/greet/activations"));
         }
     }
     let (tell, stirs) = tokio::sync::mpsc::unbounded_channel();
@@ -85,6 +86,11 @@
     ExitCode::SUCCESS
 }
 
+/// Tells whoever started it; that nobody reads it is no reason not to serve.
+fn say(line: &str) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
 /// One line of mischief: the core, what befalls it, and for how many seconds.
 fn take(line: &str, tell: &UnboundedSender<(usize, Stir)>) {
     let mut words = line.split_whitespace();
--- /dev/null
+++ b/crates/milletpath/tests/peers.rs
@@ -0,0 +1,208 @@
+//! Gateways that know each other, as processes: what befalls their links and themselves, and what they make of it.
+
+mod fleet;
+
+use fleet::Fleet;
+use milletpath_peers::Hears;
+use milletpath_standin::relay::Fault;
+use nix::sys::signal::Signal;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+fn all(size: usize) -> Vec<usize> {
+    (0..size).collect()
+}
+
+fn hears(fleet: &Fleet, n: usize) -> Option<Hears> {
+    fleet.view(n).map(|v| v.hears)
+}
+
+/// Twenty-four begin at once and know one seed.
+#[test]
+fn two_dozen_join_by_one_seed() {
+    let mut fleet = Fleet::new(24);
+    (0..24).for_each(|n| fleet.begin(n));
+    let all = all(24);
+    fleet.wait("each of 24 knows the others", |f| all.iter().all(|n| f.knows(*n, &all)));
+    for n in all {
+        assert_eq!(fleet.said(n, "counts as gone"), 0, "{n} buried nobody on the way");
+    }
+}
+
+#[test]
+fn a_seed_that_is_dead_at_start_keeps_nobody_out_for_long() {
+    let mut fleet = Fleet::new(4);
+    fleet.stated.iter_mut().for_each(|s| s.seeds = vec![0, 1]);
+    (1..4).for_each(|n| fleet.begin(n));
+    fleet.wait("the three know each other", |f| (1..4).all(|n| f.knows(n, &[1, 2, 3])));
+    fleet.begin(0);
+    fleet.wait("all four do", |f| (0..4).all(|n| f.knows(n, &all(4))));
+}
+
+/// Two of five are cut off from three, and come back: the small side falls to its floor, the large one goes on, and
+/// both know each other again.
+#[test]
+fn a_cut_is_borne_and_heals() {
+    let fleet = Fleet::together(5);
+    let cut = fleet.relay.put(Fault::Cut(vec![0, 1]));
+    fleet.wait("each side takes the other for gone", |f| {
+        (0..2).all(|n| f.knows(n, &[0, 1])) && (2..5).all(|n| f.knows(n, &[2, 3, 4]))
+    });
+    fleet.wait("the small side has its floor", |f| {
+        f.view(0).is_some_and(|v| (v.hears, v.stands, v.part) == (Hears::Some, 0.0, 0.5))
+    });
+    let large = fleet.view(4).unwrap();
+    assert!(large.hears == Hears::Majority && large.stands > 0.0, "{large:?}");
+    fleet.relay.lift(cut);
+    fleet.wait("all are together again", |f| (0..5).all(|n| f.knows(n, &all(5))));
+    fleet.wait("all have standing", |f| (0..5).all(|n| f.view(n).is_some_and(|v| v.stands > 0.0)));
+}
+
+/// One hears nothing while all hear it: it shares nothing any more, and drags nobody down.
+#[test]
+fn one_that_is_deaf_falls_to_its_floor() {
+    let fleet = Fleet::together(5);
+    let deaf = fleet.relay.put(Fault::Deaf(vec![2]));
+    fleet.wait("it knows that it hears nothing", |f| hears(f, 2) == Some(Hears::Nothing));
+    let view = fleet.view(2).unwrap();
+    assert_eq!((view.stands, view.likely), (0.0, 5.0));
+    fleet.relay.lift(deaf);
+    fleet.wait("it hears them again", |f| (0..5).all(|n| f.knows(n, &all(5))));
+    // The others never took one another for gone.
+    for n in [0, 1, 3, 4] {
+        for other in [0, 1, 3, 4] {
+            assert_eq!(fleet.said(n, &format!("counts as gone name=\"gateway-{other}\"")), 0);
+        }
+    }
+}
+
+#[test]
+fn all_but_one_are_killed_and_come_back() {
+    let mut fleet = Fleet::together(5);
+    (1..5).for_each(|n| fleet.kill(n));
+    fleet.wait("the last one is alone", |f| f.knows(0, &[0]));
+    fleet.wait("and knows that it is", |f| {
+        f.view(0).is_some_and(|v| (v.hears, v.likely, v.stands) == (Hears::Nothing, 5.0, 0.0))
+    });
+    (1..5).for_each(|n| fleet.begin(n));
+    fleet.wait("all are there again", |f| (0..5).all(|n| f.knows(n, &all(5))));
+}
+
+/// A process killed and begun anew under its name is another one at once, whatever is said of the former.
+#[test]
+fn a_process_is_told_apart_from_its_former_self() {
+    let mut fleet = Fleet::together(3);
+    let former = fleet.view(1).unwrap().life;
+    fleet.kill(1);
+    fleet.begin(1);
+    let life = fleet.view(1).unwrap().life;
+    assert_ne!(life, former);
+    fleet.wait("the new one is known and the former gone", |f| {
+        let members = f.view(0).map(|v| v.members).unwrap_or_default();
+        let state = |life: &str| members.iter().find(|m| m.life == life).map(|m| m.state.clone());
+        state(&life).as_deref() == Some("alive") && state(&former).is_none_or(|s| s == "dead")
+    });
+    fleet.wait("and stays", |f| (0..3).all(|n| f.knows(n, &all(3))));
+    assert_eq!(fleet.said(0, "two gateways go by one name"), 0);
+}
+
+/// Stopped for longer than it takes to be buried: it wakes, accuses nobody, and is taken back.
+#[test]
+fn one_that_stood_still_accuses_nobody() {
+    let fleet = Fleet::together(5);
+    fleet.signal(3, Signal::SIGSTOP);
+    fleet.wait("the others take it for gone", |f| [0, 1, 2, 4].iter().all(|n| f.knows(*n, &[0, 1, 2, 4])));
+    std::thread::sleep(Duration::from_secs(2));
+    let before = fleet.said(3, "does not answer");
+    fleet.signal(3, Signal::SIGCONT);
+    fleet.wait("it is taken back", |f| (0..5).all(|n| f.knows(n, &all(5))));
+    assert_eq!(fleet.said(3, "does not answer"), before);
+    assert!(fleet.said(3, "stood still") >= 1);
+    for n in [0, 1, 2, 4] {
+        assert_eq!(fleet.said(n, "counts as gone"), 1, "{n} buried the one that stood, and nobody else");
+    }
+}
+
+#[test]
+fn a_fifth_of_all_letters_lost_buries_nobody() {
+    let fleet = Fleet::together(6);
+    let lost = fleet.relay.put(Fault::Lost(fleet.relay.links(), 0.2));
+    std::thread::sleep(Duration::from_secs(8));
+    for n in 0..6 {
+        assert_eq!(fleet.said(n, "counts as gone"), 0, "{n}");
+        assert_eq!(hears(&fleet, n), Some(Hears::Majority));
+    }
+    fleet.relay.lift(lost);
+}
+
+/// Two by mistake under one name: told loudly by all, and both are served.
+#[test]
+fn two_under_one_name_are_told_of() {
+    let mut fleet = Fleet::new(4);
+    fleet.stated[3].name = "gateway-2".into();
+    (0..4).for_each(|n| fleet.begin(n));
+    fleet.wait("all say so", |f| (0..4).all(|n| f.said(n, "two gateways go by one name") > 0));
+    let twice = |n: usize| {
+        let members = fleet.view(n).map(|v| v.members).unwrap_or_default();
+        members.iter().filter(|m| m.twice && m.state == "alive").count()
+    };
+    fleet.wait("and that both are there", |_| twice(0) == 2 && twice(1) == 2 && twice(2) == 1);
+}
+
+/// Charters that state other numbers of gateways: told loudly, and the larger holds for all.
+#[test]
+fn charters_that_count_otherwise_are_told_of() {
+    let mut fleet = Fleet::new(6);
+    (0..3).for_each(|n| fleet.stated[n].gateways = 3);
+    (0..6).for_each(|n| fleet.begin(n));
+    fleet.wait("all go by six", |f| {
+        (0..6).all(|n| f.view(n).is_some_and(|v| v.most == 6 && v.stands > 0.0 && v.members.len() == 5))
+    });
+    for n in 0..6 {
+        assert!(fleet.said(n, "states another number of gateways") > 0, "{n}");
+        // Of three, one has what is a sixth of all.
+        let part = fleet.view(n).unwrap().part;
+        assert!(part <= if n < 3 { 0.5 } else { 1.0 } + 1e-9, "{n}: {part}");
+    }
+}
+
+/// One with another key: nobody takes its letters, and it is told why.
+#[test]
+fn another_key_is_no_key() {
+    let mut fleet = Fleet::new(4);
+    fleet.stated[3].key = "another secret of more than thirty-two bytes".into();
+    (0..4).for_each(|n| fleet.begin(n));
+    fleet.wait("the three know each other", |f| (0..3).all(|n| f.knows(n, &[0, 1, 2])));
+    fleet.wait("its letters are refused", |f| f.view(0).is_some_and(|v| v.tally.seals > 3));
+    assert!(fleet.said(0, "its seal is of another key") > 0);
+    let alone = fleet.view(3).unwrap();
+    assert!(alone.hears == Hears::Nothing && alone.members.is_empty());
+}
+
+/// A flood of what is no letter: random bytes, letters cut off, changed, too large, and true ones played again.
+#[test]
+fn a_flood_of_garbage_changes_nothing() {
+    let fleet = Fleet::together(3);
+    let garbage = fleet.relay.put(Fault::Garbage(fleet.relay.links(), 0.3));
+    let repeat = fleet.relay.put(Fault::Repeat(fleet.relay.links(), 0.5));
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let to = fleet.links[0].unwrap();
+    let mut seed = 1u64;
+    for n in 0..20_000usize {
+        // A small generator of its own: what the bytes are does not matter.
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let bytes: Vec<u8> = (0..n % 2000).map(|k| (seed >> (k % 57)) as u8).collect();
+        let _ = socket.send_to(&bytes, to);
+        if n % 200 == 0 {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+    let view = fleet.view(0).expect("it still answers");
+    let t = view.tally;
+    assert!(t.sizes > 100 && t.seals + t.versions > 100, "{t:?}");
+    fleet
+        .wait("what is played again is not taken twice", |f| f.view(0).is_some_and(|v| v.tally.repeated > 0));
+    fleet.relay.lift(garbage);
+    fleet.relay.lift(repeat);
+    fleet.wait("all is as before", |f| (0..3).all(|n| f.knows(n, &all(3))));
+}
--- a/crates/milletpath/tests/program.rs
+++ b/crates/milletpath/tests/program.rs
@@ -25,12 +25,13 @@
 #[test_case("days/cores-day.hcl", 1300; "cores that stall, panic and break")]
 #[test_case("days/cold-worker.hcl", 2000; "four gateways and cold workers")]
 #[test_case("days/lists-day.hcl", 2300; "lists late, lost, stalled and emptied")]
+#[test_case("days/cut-day.hcl", 1300; "six gateways that know each other, over links that fail")]
 fn a_day_keeps_the_rules(day: &str, least: u64) {
     let output = program().arg("day").arg(file(day)).args(["--json", "--lag", "2"]).output().unwrap();
     let text = String::from_utf8_lossy(&output.stdout);
     let report: serde_json::Value = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {output:?}"));
     assert_eq!(report["broken"], serde_json::json!([]), "{report:#}");
-    assert!(output.status.success());
+    assert!(output.status.success(), "{report:#}");
     let count = |key: &str| report["whole"][key].as_u64().unwrap();
     let ends = ["handled", "late", "bounced", "terminated", "unanswered"].map(count);
     assert!(count("calls") >= least);
@@ -39,6 +40,18 @@
     assert!(count("handled") * 2 > count("calls"), "{report:#}");
 }
 
+/// Gateways whose budgets take the likeliest count: cut in the middle, each half spends what there is for all.
+#[test]
+fn a_budget_that_takes_the_likeliest_count_is_found_out() {
+    let day = file("days/cut-day.hcl");
+    let mut command = program();
+    command.arg("day").arg(day).args(["--json", "--lag", "0.5", "--plant", "likely-count"]);
+    let output = command.output().unwrap();
+    let report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert!(report["bounds"]["orders"]["broken"].as_u64().unwrap() > 0, "{report:#}");
+    assert_eq!(output.status.code(), Some(1));
+}
+
 struct Served(Child, String);
 
 impl Drop for Served {
--- a/crates/peers/src/gossip.rs
+++ b/crates/peers/src/gossip.rs
@@ -12,6 +12,9 @@
 const PAGE: usize = 1100;
 const RUMOUR: usize = 40;
 
+/// Gateways that ask a suspect of whom they heard; on average, however many there are.
+const ASKING: f64 = 4.0;
+
 /// The largest number of gateways that is believed of another's charter.
 const MOST: u32 = 100_000;
 
@@ -134,7 +137,12 @@
         if let Some(at) = r.at.filter(|_| state == State::Alive) {
             m.at = at;
         }
-        let name = m.name.clone();
+        let (name, at) = (m.name.clone(), m.at);
+        // Some of those who hear of it ask the suspect themselves, and so it hears of it too: with nobody near it would
+        // be buried for want of a chance to object.
+        if state == State::Suspect && self.chance.rand_float() * (self.members.len() as f64) < ASKING {
+            self.ask(r.life, at, matter::PING, 0);
+        }
         match state {
             State::Suspect if before != State::Suspect => self.note(Event::Suspected { name }),
             State::Dead => self.note(Event::Died { name }),
--- a/crates/peers/src/probing.rs
+++ b/crates/peers/src/probing.rs
@@ -46,7 +46,7 @@
 const SAYING: [usize; 2] = [16, 34];
 
 impl Peers {
-    fn ask(&mut self, life: u64, at: SocketAddr, matter: u8, about: u64) -> u64 {
+    pub(crate) fn ask(&mut self, life: u64, at: SocketAddr, matter: u8, about: u64) -> u64 {
         self.number += 1;
         let mut letter = self.letter(life, matter, self.number);
         letter.about = about;
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -27,6 +27,22 @@
 pub struct Front {
     pub gateways: Vec<SocketAddr>,
     pub alive: Vec<AtomicBool>,
+    /// What each gets of the clients' tries, as a weight.
+    pub weights: Vec<f64>,
+}
+
+/// Weights by which the busiest of several gateways gets so many times the mean, and the others by their rank, as towns
+/// are large and small: the n-th as n to some power.
+pub fn weights(gateways: usize, uneven: f64) -> Vec<f64> {
+    let ranked = |power: f64| (1..=gateways).map(move |n| (n as f64).powf(-power));
+    let busiest = |power: f64| gateways as f64 / ranked(power).sum::<f64>();
+    let wanted = uneven.clamp(1.0, gateways as f64);
+    let (mut low, mut high) = (0.0, 64.0);
+    for _ in 0..60 {
+        let middle = 0.5 * (low + high);
+        if busiest(middle) < wanted { low = middle } else { high = middle }
+    }
+    ranked(0.5 * (low + high)).collect()
 }
 
 type Sender = SendRequest<Full<Bytes>>;
@@ -110,11 +126,16 @@
     }
 
     fn pick(&self) -> usize {
-        let alive = &self.front.alive;
+        let Front { alive, weights, .. } = &*self.front;
         let up: Vec<_> = (0..alive.len()).filter(|&g| alive[g].load(Ordering::Relaxed)).collect();
-        let all = alive.len();
-        let mut chance = self.chance.borrow_mut();
-        if up.is_empty() { chance.random_range(0..all) } else { up[chance.random_range(0..up.len())] }
+        let up = if up.is_empty() { (0..alive.len()).collect() } else { up };
+        let mut left =
+            self.chance.borrow_mut().random_range(0.0..up.iter().map(|g| weights[*g]).sum::<f64>());
+        let found = up.iter().find(|g| {
+            left -= weights[**g];
+            left < 0.0
+        });
+        *found.unwrap_or(&up[up.len() - 1])
     }
 
     async fn ask(&self, gateway: usize, call: u64, attempt: u32, planned: &Planned, patience: f64) -> Ended {
@@ -196,3 +217,19 @@
     });
     Some(sender)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_busiest_gateway_gets_so_many_times_the_mean() {
+        for (gateways, uneven) in [(12, 1.0), (12, 5.0), (12, 12.0), (2, 1.5), (1, 5.0), (24, 5.0)] {
+            let weights = weights(gateways, uneven);
+            let mean = weights.iter().sum::<f64>() / gateways as f64;
+            let wanted = f64::min(uneven, gateways as f64);
+            assert!((weights[0] / mean - wanted).abs() < 1e-6, "{weights:?}");
+            assert!(weights.is_sorted_by(|a, b| a >= b));
+        }
+    }
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -4,13 +4,14 @@
 use crate::clients::{self, Front};
 use crate::hall::{Hall, Tells};
 use crate::registry::{Manner, Registry};
+use crate::relay::{Fault, Relay};
 use crate::running::Running;
 use crate::script::{Day, Trouble, What};
 use crate::spoilt::Spoil;
 use crate::traffic;
 use crate::worker::{Mood, Worker};
 use milletpath_protocol::registry::{Entry, Standing};
-use milletpath_witness::{self as witness, Account, Broken, Counts, Record, Saw};
+use milletpath_witness::{self as witness, Account, Bound, Broken, Counts, Known, Record, Saw, Shared};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rand::seq::SliceRandom;
@@ -38,6 +39,16 @@
     /// Part of the calls done that found an instance standing.
     pub warm: f64,
     pub refusals: u64,
+    /// Where the gateways know each other: bounds by name, and what that cost.
+    pub bounds: BTreeMap<&'static str, Bound>,
+    pub known: Option<Known>,
+}
+
+impl Played {
+    /// Whether all rules and bounds were kept.
+    pub fn kept(&self) -> bool {
+        self.broken.is_empty() && self.bounds.values().all(|b| b.broken == 0)
+    }
 }
 
 /// How a day is played.
@@ -49,6 +60,8 @@
     pub seed: u64,
     /// Seconds by which stand-ins may lag: more on a crowded machine.
     pub lag: f64,
+    /// A fault that all gateways are started with.
+    pub plant: Option<&'s str>,
 }
 
 /// Plays a day from its first call to the last answer.
@@ -72,8 +85,13 @@
     registry: Rc<Registry>,
     workers: RefCell<Vec<Rc<Worker>>>,
     gateways: Vec<Process>,
+    /// Where the gateways know each other, the links between them.
+    relay: Option<Relay>,
+    /// Gateways that begin in the course of the day, by the trouble that is.
+    late: BTreeMap<String, Vec<usize>>,
     front: Arc<Front>,
     program: PathBuf,
+    plant: Option<String>,
     chance: RefCell<ChaCha8Rng>,
 }
 
@@ -90,24 +108,43 @@
     }
     registry
         .put_all(workers.iter().map(|w| (w.number, entry(w.number, None), w.addresses.clone())).collect());
+    let relay = day.sharing.then(|| Relay::start(day.gateways, began, stage.seed)).transpose()?;
+    if relay.is_some() {
+        let secret = format!("the secret of a day on loopback, with the seed {}", stage.seed);
+        std::fs::write(stage.folder.join("peers.key"), secret)?;
+    }
+    let mut dice = ChaCha8Rng::seed_from_u64(stage.seed ^ 0x10_7a7e);
+    let late = late(day, &mut dice);
     let mut gateways = Vec::new();
     for gateway in 0..day.gateways {
         let charter = stage.folder.join(format!("gateway-{gateway}.hcl"));
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        std::fs::write(&charter, self::charter(day, gateway, any, registry.address(gateway), stage.seed))?;
-        let mut running = start(stage.program, &charter).await?;
+        let write = |listen| {
+            let links = relay.as_ref().map(Relay::addresses);
+            let text = self::charter(day, gateway, listen, registry.address(gateway), links, stage.seed);
+            std::fs::write(&charter, text)
+        };
+        write(any)?;
+        let mut running = start(stage.program, &charter, stage.plant).await?;
         let address = running.address;
         // Started anew it comes back where clients know it.
-        std::fs::write(
-            &charter,
-            self::charter(day, gateway, address, registry.address(gateway), stage.seed),
-        )?;
+        write(address)?;
         let stirs = RefCell::new(running.child.stdin.take());
-        gateways.push(Process { charter, address, running: RefCell::new(Some(running)), stirs });
+        let begun = !late.values().flatten().any(|g| *g == gateway);
+        if let (Some(relay), Some(link), true) = (&relay, running.link, begun) {
+            relay.is_at(gateway, link);
+        }
+        // One that begins later has told its address, and nobody has heard of it.
+        let running = RefCell::new(begun.then_some(running));
+        if !begun {
+            hall.note(Saw::Killed { gateway });
+        }
+        gateways.push(Process { charter, address, running, stirs });
     }
     let front = Arc::new(Front {
         gateways: gateways.iter().map(|g| g.address).collect(),
-        alive: gateways.iter().map(|_| AtomicBool::new(true)).collect(),
+        alive: gateways.iter().map(|g| AtomicBool::new(g.running.borrow().is_some())).collect(),
+        weights: clients::weights(day.gateways, day.uneven),
     });
     let chance = RefCell::new(ChaCha8Rng::seed_from_u64(stage.seed ^ 0x7011));
     let town = Rc::new(Town {
@@ -116,8 +153,11 @@
         registry,
         workers: RefCell::new(workers),
         gateways,
+        relay,
+        late,
         front: front.clone(),
         program: stage.program.to_owned(),
+        plant: stage.plant.map(str::to_owned),
         chance,
     });
     // Lists and connections settle before the first call.
@@ -146,6 +186,7 @@
         gateway.running.take();
     }
     records.extend(hall.notes());
+    records.extend(town.relay.iter().flat_map(Relay::notes));
     records.sort_by(|a, b| a.at.total_cmp(&b.at));
     let terms = witness::Terms {
         grace: day.terms.grace,
@@ -153,6 +194,13 @@
         warm_up: day.make.warm_up,
         tip_multiple: day.make.tip_multiple,
         tip_window: day.make.tip_window,
+        // Where gateways know each other the ration is the fleet's.
+        ration: day.terms.ration.filter(|_| !day.sharing),
+        lag: stage.lag,
+    };
+    let shared = Shared {
+        gateways: day.gateways,
+        floor: milletpath_peers::Terms::default().floor,
         ration: day.terms.ration,
         lag: stage.lag,
     };
@@ -163,7 +211,22 @@
     let (fetches, refusals) = (hall.store.borrow().fetches, hall.store.borrow().refusals);
     let (warm, done) = hall.warm.get();
     let warm = warm as f64 / done.max(1) as f64;
-    Ok(Played { records, broken, whole, by_trouble, fetches, warm, refusals })
+    let bounds = if day.sharing { witness::bounds(&records, &shared) } else { BTreeMap::new() };
+    let known = day.sharing.then(|| witness::known(&records, day.gateways));
+    Ok(Played { records, broken, whole, by_trouble, fetches, warm, refusals, bounds, known })
+}
+
+/// Gateways that begin in the course of the day, by the trouble that is; one at least is there from the beginning.
+fn late(day: &Day, dice: &mut ChaCha8Rng) -> BTreeMap<String, Vec<usize>> {
+    let mut left: Vec<usize> = (0..day.gateways).collect();
+    left.shuffle(dice);
+    let mut late = BTreeMap::new();
+    for trouble in day.troubles.iter().filter(|t| t.what == What::GatewayJoin) {
+        let wanted = ((day.gateways as f64 * trouble.part).round() as usize).max(1);
+        let taken = left.split_off(left.len() - wanted.min(left.len() - 1));
+        late.insert(trouble.name.clone(), taken);
+    }
+    late
 }
 
 fn entry(number: usize, started: Option<f64>) -> Entry {
@@ -179,8 +242,17 @@
     }
 }
 
-/// The charter that a gateway of the day goes by.
-fn charter(day: &Day, gateway: usize, listen: SocketAddr, registry: SocketAddr, seed: u64) -> String {
+/// The charter that a gateway of the day goes by; `links` is where others reach each of them.
+fn charter(
+    day: &Day,
+    gateway: usize,
+    listen: SocketAddr,
+    registry: SocketAddr,
+    links: Option<&[SocketAddr]>,
+    seed: u64,
+) -> String {
+    /// One in so many gateways is named as a place where others may be found.
+    const SEEDS: usize = 4;
     use std::fmt::Write;
     let mut text = String::new();
     let mut line = |l: String| {
@@ -221,15 +293,25 @@
         line(format!("  ration {{\n    window = {window}\n    free = {free}\n    share = {share}\n  }}"));
     }
     line("}".into());
+    if let Some(links) = links {
+        let seeds: Vec<_> =
+            links.iter().take(links.len().div_ceil(SEEDS).max(2)).map(|at| format!("\"{at}\"")).collect();
+        line(format!("peers {{\n  listen = \"127.0.0.1:0\"\n  advertise = \"{}\"", links[gateway]));
+        line(format!("  name = \"gateway-{gateway}\"\n  seeds = [{}]", seeds.join(", ")));
+        line("  key = \"peers.key\"\n}".into());
+    }
     text
 }
 
 /// Starts a gateway process; comes back once it tells where it listens.
-async fn start(program: &Path, charter: &Path) -> io::Result<Running> {
+async fn start(program: &Path, charter: &Path, plant: Option<&str>) -> io::Result<Running> {
     let path = charter.with_extension("log");
     let log = std::fs::OpenOptions::new().create(true).append(true).open(&path)?;
     let mut command = Command::new(program);
     command.arg("serve").arg("--charter").arg(charter).arg("--stir").stdin(Stdio::piped()).stderr(log);
+    plant.into_iter().for_each(|plant| {
+        command.arg("--plant").arg(plant);
+    });
     // On a thread of its own: the stand-ins of the others go on meanwhile.
     let running = tokio::task::spawn_blocking(|| Running::start(command)).await?;
     running.map_err(|e| io::Error::other(format!("the gateway did not start: {e}; see {}", path.display())))
@@ -325,6 +407,15 @@
                 sleep(lasts).await;
                 self.registry.empty(false);
             }
+            What::GatewayJoin => {
+                self.begin_all(self.late.get(&trouble.name).cloned().unwrap_or_default()).await;
+            }
+            What::LinkCut
+            | What::LinkDeaf
+            | What::LinkLost
+            | What::LinkLate
+            | What::LinkRepeat
+            | What::LinkGarbage => self.strike(&trouble).await,
             // In the plan of the clients' calls.
             What::Burst | What::OneOffs | What::Hot | What::Heavy | What::Impatience => {}
         }
@@ -449,24 +540,68 @@
     }
 
     async fn kill(self: &Rc<Self>, trouble: &Trouble) {
-        for gateway in self.some(self.gateways.len(), trouble.part) {
-            let process = &self.gateways[gateway];
+        let struck = self.some(self.gateways.len(), trouble.part);
+        for &gateway in &struck {
             self.hall.note(Saw::Killed { gateway });
-            process.running.take();
-            // The front layer goes on sending there until it notices.
-            let notice = self.day.terms.notice.min(trouble.lasts);
-            sleep(notice).await;
-            self.front.alive[gateway].store(false, Ordering::Relaxed);
-            sleep(trouble.lasts - notice).await;
-            match start(&self.program, &process.charter).await {
-                Ok(mut running) => {
-                    process.stirs.replace(running.child.stdin.take());
-                    process.running.replace(Some(running));
-                    self.hall.note(Saw::Back { gateway });
-                    self.front.alive[gateway].store(true, Ordering::Relaxed);
+            self.gateways[gateway].running.take();
+        }
+        // The front layer goes on sending there until it notices.
+        let notice = self.day.terms.notice.min(trouble.lasts);
+        sleep(notice).await;
+        struck.iter().for_each(|g| self.front.alive[*g].store(false, Ordering::Relaxed));
+        sleep(trouble.lasts - notice).await;
+        self.begin_all(struck).await;
+    }
+
+    /// A gateway's process starts, for the first time or anew.
+    async fn begin(&self, gateway: usize) {
+        let process = &self.gateways[gateway];
+        match start(&self.program, &process.charter, self.plant.as_deref()).await {
+            Ok(mut running) => {
+                process.stirs.replace(running.child.stdin.take());
+                if let (Some(relay), Some(link)) = (&self.relay, running.link) {
+                    relay.is_at(gateway, link);
                 }
-                Err(e) => tracing::error!(gateway, "a gateway can't come back: {e}"),
+                process.running.replace(Some(running));
+                self.hall.note(Saw::Back { gateway });
+                self.front.alive[gateway].store(true, Ordering::Relaxed);
             }
+            Err(e) => tracing::error!(gateway, "a gateway can't start: {e}"),
         }
     }
+
+    /// Several at once.
+    async fn begin_all(self: &Rc<Self>, gateways: Vec<usize>) {
+        let begins = |gateway: usize| {
+            let town = self.clone();
+            spawn_local(async move { town.begin(gateway).await })
+        };
+        let begun: Vec<_> = gateways.into_iter().map(begins).collect();
+        for begun in begun {
+            let _ = begun.await;
+        }
+    }
+
+    /// Something is wrong with the links for a while.
+    async fn strike(&self, trouble: &Trouble) {
+        let Some(relay) = &self.relay else { return };
+        let gateways = || self.some(self.gateways.len(), trouble.part);
+        let links = || {
+            let all = relay.links();
+            self.some(all.len(), trouble.part).into_iter().map(|n| all[n]).collect()
+        };
+        let part = trouble.size.min(1.0);
+        let fault = match trouble.what {
+            What::LinkCut => Fault::Cut(gateways()),
+            What::LinkDeaf => Fault::Deaf(gateways()),
+            What::LinkLost => Fault::Lost(links(), part),
+            What::LinkLate => Fault::Late(links(), trouble.size),
+            What::LinkRepeat => Fault::Repeat(links(), part),
+            _ => Fault::Garbage(links(), part),
+        };
+        tracing::info!(trouble = trouble.name, ?fault, "on the links");
+        let number = relay.put(fault);
+        sleep(trouble.lasts).await;
+        relay.lift(number);
+    }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod hall;
 pub mod registry;
+pub mod relay;
 pub mod running;
 pub mod script;
 pub mod spoilt;
--- a/crates/standin/src/running.rs
+++ b/crates/standin/src/running.rs
@@ -8,6 +8,8 @@
 pub struct Running {
     pub child: Child,
     pub address: SocketAddr,
+    /// Where it hears other gateways, if it does.
+    pub link: Option<SocketAddr>,
 }
 
 impl Running {
@@ -15,11 +17,13 @@
     pub fn start(mut command: Command) -> io::Result<Self> {
         let mut child = command.stdout(Stdio::piped()).spawn()?;
         let lines = child.stdout.take().into_iter().flat_map(|out| BufReader::new(out).lines());
-        let told = lines
-            .map_while(Result::ok)
-            .find_map(|l| l.strip_prefix("listening on http://")?.trim().parse().ok());
+        let mut link = None;
+        let told = lines.map_while(Result::ok).find_map(|line| {
+            link = line.strip_prefix("peers on udp://").and_then(|at| at.trim().parse().ok()).or(link);
+            line.strip_prefix("listening on http://")?.trim().parse().ok()
+        });
         match told {
-            Some(address) => Ok(Self { child, address }),
+            Some(address) => Ok(Self { child, address, link }),
             None => {
                 let _ = child.kill();
                 let _ = child.wait();
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -1,11 +1,13 @@
 //! Days as scripts in HCL: a fleet, its traffic, and the troubles that befall it. Read with the charter's page, so
-//! that mistakes are told the same way.
+//! that mistakes are told the same way. A day may build on another (`upon`), whose figures hold where it gives none.
 
 use crate::engine::{Make, Pack};
 use crate::store::Shelf;
 use hcl_edit::parser::parse_body;
+use hcl_edit::structure::Body;
 use milletpath_charter::page::{Mistake, Page, Section};
 use milletpath_witness::Effect;
+use std::path::Path;
 
 #[derive(Clone, Debug)]
 pub struct Day {
@@ -15,6 +17,10 @@
     pub gateways: usize,
     /// Cores of each; as many as the machine has where nothing is said.
     pub cores: Option<usize>,
+    /// Whether the gateways know each other, over links that troubles can strike.
+    pub sharing: bool,
+    /// The busiest gateway gets so many times the mean of the clients' tries.
+    pub uneven: f64,
     pub workers: usize,
     pub make: Make,
     pub shelf: Shelf,
@@ -149,10 +155,24 @@
     ListRepeated,
     /// The list shows nobody.
     ListEmptied,
+    /// A part (size) of the letters between gateways is lost, on a part of the links.
+    LinkLost,
+    /// A part of the gateways is cut off from the others, both ways.
+    LinkCut,
+    /// A part of the gateways hears no other, and is heard.
+    LinkDeaf,
+    /// Letters come so many seconds (size) late, and overtake each other.
+    LinkLate,
+    /// A part (size) of the letters is doubled, and played again later.
+    LinkRepeat,
+    /// A part (size) of the letters is garbage: cut off, changed, forged, too large, or of long ago.
+    LinkGarbage,
+    /// A part of the gateways begins only then.
+    GatewayJoin,
 }
 
 /// The script's words, with what `part` and `size` are when nothing is said.
-const WORDS: [(&str, What, f64, f64); 30] = [
+const WORDS: [(&str, What, f64, f64); 37] = [
     ("death", What::Death, 0.2, 1.0),
     ("rolling", What::Rolling, 0.5, 1.0),
     ("drain", What::Drain, 0.2, 1.0),
@@ -183,22 +203,64 @@
     ("list-lost", What::ListLost, 1.0, 1.0),
     ("list-repeated", What::ListRepeated, 1.0, 1.0),
     ("list-emptied", What::ListEmptied, 1.0, 1.0),
+    ("link-lost", What::LinkLost, 1.0, 0.2),
+    ("link-cut", What::LinkCut, 0.4, 1.0),
+    ("link-deaf", What::LinkDeaf, 0.1, 1.0),
+    ("link-late", What::LinkLate, 1.0, 0.5),
+    ("link-repeat", What::LinkRepeat, 1.0, 0.3),
+    ("link-garbage", What::LinkGarbage, 1.0, 0.3),
+    ("gateway-join", What::GatewayJoin, 0.3, 1.0),
 ];
 
-/// Reads a day; the error holds all mistakes.
-pub fn read(name: &str, text: &str) -> Result<Day, Vec<Mistake>> {
-    let page = Page::new(text);
-    let body = parse_body(text).map_err(|e| {
+/// Reads a day's file and those that it builds on; the error holds a line for each mistake.
+pub fn open(path: &Path) -> Result<Day, Vec<String>> {
+    open_under(path, 0)
+}
+
+fn open_under(path: &Path, depth: usize) -> Result<Day, Vec<String>> {
+    /// Days one upon the other; more are a circle.
+    const DEEPEST: usize = 8;
+    let (mut texts, mut at) = (Vec::new(), path.to_owned());
+    loop {
+        let place = at.display();
+        let text = std::fs::read_to_string(&at)
+            .map_err(|e| vec![format!("{place}: can't be read: {e}; name a day's file")])?;
+        let body = parse(&text).map_err(|mistakes| lines(&at, &mistakes))?;
+        let upon = body.get_attribute("upon").and_then(|a| a.value.as_str()).map(str::to_owned);
+        texts.push((text, body));
+        let Some(upon) = upon else { break };
+        if texts.len() + depth > DEEPEST {
+            return Err(vec![format!(
+                "{place}: builds on itself; write a day that ends at one without upon"
+            )]);
+        }
+        at = at.parent().unwrap_or(Path::new("")).join(upon);
+        if texts.len() == 1 {
+            // Sound by itself: what is told below is about this file alone.
+            open_under(&at, depth + 1)?;
+        }
+    }
+    let name = path.file_stem().map_or("day".into(), |n| n.to_string_lossy().into_owned());
+    let page = Page::new(&texts[0].0);
+    let day = whole(&name, &Section::layered(&page, texts.iter().map(|(_, body)| body).collect()));
+    let mistakes = page.mistakes();
+    if mistakes.is_empty() { Ok(day) } else { Err(lines(path, &mistakes)) }
+}
+
+fn lines(path: &Path, mistakes: &[Mistake]) -> Vec<String> {
+    mistakes.iter().map(|mistake| format!("{}:{mistake}", path.display())).collect()
+}
+
+fn parse(text: &str) -> Result<Body, Vec<Mistake>> {
+    parse_body(text).map_err(|e| {
         let (line, column) = (e.location().line(), e.location().column());
         vec![Mistake { line, column, wrong: e.message().to_owned(), remedy: "mend the line".into() }]
-    })?;
-    let day = whole(name, &Section::whole(&page, &body));
-    let mistakes = page.mistakes();
-    if mistakes.is_empty() { Ok(day) } else { Err(mistakes) }
+    })
 }
 
 fn whole(name: &str, top: &Section<'_>) -> Day {
     const LONG: f64 = 86_400.0;
+    let _ = top.text("upon");
     let fleet = top.block("fleet");
     let fleet = fleet.as_ref();
     let of = |s: Option<&Section<'_>>, key, unit, high, usual| {
@@ -249,6 +311,8 @@
         backoff: of(traffic, "backoff", "seconds", LONG, 0.1),
         leave: of(traffic, "leave", "of the clients", 1.0, 0.002),
     };
+    let front = top.block("front");
+    let uneven = of(front.as_ref(), "uneven", "times the mean", 1e6, 1.0);
     let rules = top.block("rules");
     let rules = rules.as_ref();
     let ration = rules.and_then(|r| r.block("ration")).map(|r| {
@@ -273,6 +337,8 @@
         seconds: of(Some(top), "seconds", "seconds", LONG, 30.0),
         gateways: count(Some(top), "gateways", 2),
         cores: top.count("cores", "cores", 1..=63),
+        sharing: top.flag("sharing").unwrap_or(false),
+        uneven,
         workers: count(fleet, "workers", 10),
         make,
         shelf,
--- /dev/null
+++ b/crates/witness/src/fleet.rs
@@ -0,0 +1,277 @@
+//! What gateways that share things keep together: bounds over the whole fleet, and what it costs them to know each
+//! other. Like the rules it goes by what passed on the sockets of clients, workers and links alone.
+
+use crate::{Broken, Record, Saw};
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// What the gateways of a day share.
+#[derive(Clone, Copy, Debug)]
+pub struct Shared {
+    /// Gateways that there may be.
+    pub gateways: usize,
+    /// Part of its own that a gateway keeps which hears no majority.
+    pub floor: f64,
+    /// The ration of each: window, free orders, orders for each activation taken. The fleet's is their sum.
+    pub ration: Option<(f64, f64, f64)>,
+    /// Seconds by which a stand-in's reading may lag behind what was written.
+    pub lag: f64,
+}
+
+/// Bytes of a letter, and bytes a second that a gateway may send to others.
+const LETTER: f64 = 1400.0;
+const BYTES: f64 = 20_000.0;
+
+/// One bound: the case that came nearest to it or went furthest over it, and how often it was broken.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Bound {
+    pub most: f64,
+    pub bound: f64,
+    pub broken: u64,
+    /// The first places, for people.
+    #[serde(skip)]
+    pub places: Vec<Broken>,
+}
+
+impl Bound {
+    /// Places that are told.
+    const PLACES: usize = 5;
+
+    fn see(&mut self, at: f64, seen: f64, bound: f64, what: impl FnOnce() -> String) {
+        if self.bound == 0.0 || seen - bound > self.most - self.bound {
+            (self.most, self.bound) = (seen, bound);
+        }
+        if seen > bound {
+            self.broken += 1;
+            if self.places.len() < Self::PLACES {
+                self.places.push(Broken { rule: 0, at, what: what() });
+            }
+        }
+    }
+}
+
+/// All bounds by name. Records are in the order of time.
+pub fn bounds(records: &[Record], shared: &Shared) -> BTreeMap<&'static str, Bound> {
+    let mut bounds =
+        BTreeMap::from([("letter-bytes", Bound::default()), ("letters-a-second", Bound::default())]);
+    letters(records, &mut bounds);
+    if let Some(ration) = shared.ration {
+        bounds.insert("orders", orders(records, shared, ration));
+    }
+    bounds
+}
+
+/// Orders of the whole fleet in any window: the free ones of all gateways that there may be, a share of what all took,
+/// and for each process that was killed within the window the floor of the one that takes its place, whose account
+/// begins empty.
+fn orders(records: &[Record], shared: &Shared, (window, free, share): (f64, f64, f64)) -> Bound {
+    let mut bound = Bound::default();
+    let (mut taken, mut ordered, mut killed) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
+    for Record { at, saw } in records {
+        match saw {
+            Saw::Asked { .. } => taken.push_back(*at),
+            Saw::Killed { .. } => killed.push_back(*at),
+            Saw::Ordered { .. } => {
+                ordered.push_back(*at);
+                // What lags behind may have been sent up to so much earlier, within another window.
+                let since = |from: &mut VecDeque<f64>, window: f64| {
+                    while from.front().is_some_and(|when| at - when > window) {
+                        from.pop_front();
+                    }
+                    from.len() as f64
+                };
+                let orders = since(&mut ordered, window - shared.lag);
+                let taken = since(&mut taken, window + shared.lag);
+                let killed = since(&mut killed, window + shared.lag);
+                let most = free * shared.gateways as f64 + share * taken + shared.floor * free * killed;
+                bound.see(*at, orders, most, || {
+                    format!(
+                        "all gateways together gave {orders} orders within {window} s, for {most:.1} at most"
+                    )
+                });
+            }
+            _ => {}
+        }
+    }
+    bound
+}
+
+/// The size of each letter, and what each gateway sends within ten seconds.
+fn letters(records: &[Record], bounds: &mut BTreeMap<&'static str, Bound>) {
+    const WINDOW: f64 = 10.0;
+    let mut sent: BTreeMap<usize, (VecDeque<(f64, usize)>, usize)> = BTreeMap::new();
+    for Record { at, saw } in records {
+        let Saw::Sent { gateway, bytes } = *saw else { continue };
+        let (letters, sum) = sent.entry(gateway).or_default();
+        letters.push_back((*at, bytes));
+        *sum += bytes;
+        while letters.front().is_some_and(|(when, _)| at - when > WINDOW) {
+            *sum -= letters.pop_front().map_or(0, |(_, bytes)| bytes);
+        }
+        let rate = *sum as f64 / WINDOW;
+        if let Some(bound) = bounds.get_mut("letter-bytes") {
+            bound.see(*at, bytes as f64, LETTER, || {
+                format!("gateway {gateway} sent a letter of {bytes} bytes")
+            });
+        }
+        if let Some(bound) = bounds.get_mut("letters-a-second") {
+            bound.see(*at, rate, BYTES, || format!("gateway {gateway} sent {rate:.0} bytes a second"));
+        }
+    }
+}
+
+/// Seconds that something took, over all gateways that it was about.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Times {
+    pub p50: Option<f64>,
+    pub p99: Option<f64>,
+    /// How many learnt it, and how many that were there had not when the day ended.
+    pub learnt: usize,
+    pub never: usize,
+}
+
+impl Times {
+    fn of(times: impl IntoIterator<Item = Option<f64>>) -> Self {
+        let (learnt, never): (Vec<_>, Vec<_>) = times.into_iter().partition(Option::is_some);
+        let mut learnt: Vec<f64> = learnt.into_iter().flatten().collect();
+        learnt.sort_by(f64::total_cmp);
+        let at =
+            |part: f64| learnt.get((part * learnt.len().saturating_sub(1) as f64).round() as usize).copied();
+        Self { p50: at(0.5), p99: at(0.99), learnt: learnt.len(), never: never.len() }
+    }
+}
+
+/// What knowing each other costs, and how soon what is known.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Known {
+    /// Letters and bytes a second of a gateway, on average while it was up.
+    pub letters: f64,
+    pub bytes: f64,
+    /// Times that a gateway told of another as suspect, or as dead, whose process ran.
+    pub false_suspicions: usize,
+    pub false_deaths: usize,
+    pub death: Times,
+    pub join: Times,
+    pub healing: Times,
+}
+
+/// A process's life, as far as the sockets tell.
+struct Life {
+    number: u64,
+    gateway: usize,
+    from: f64,
+    until: f64,
+}
+
+/// What the gateways knew of each other on a day.
+pub fn known(records: &[Record], gateways: usize) -> Known {
+    let last = records.last().map_or(0.0, |r| r.at);
+    let mut lives: Vec<Life> = Vec::new();
+    let mut killed: Vec<(usize, f64)> = Vec::new();
+    let mut still: BTreeSet<usize> = BTreeSet::new();
+    let mut says: BTreeMap<(usize, u64), Vec<(f64, u8)>> = BTreeMap::new();
+    let mut known = Known::default();
+    let (mut letters, mut bytes, mut mended) = (0.0, 0.0, Vec::new());
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Lives { gateway, life } => {
+                lives.push(Life { number: life, gateway, from: *at, until: f64::INFINITY });
+            }
+            Saw::Killed { gateway } => {
+                killed.push((gateway, *at));
+                let ends = lives.iter_mut().filter(|l| l.gateway == gateway && l.until.is_infinite());
+                ends.for_each(|l| l.until = *at);
+            }
+            Saw::Still { gateway } => {
+                still.insert(gateway);
+            }
+            Saw::Moves { gateway } => {
+                still.remove(&gateway);
+            }
+            Saw::Sent { bytes: size, .. } => {
+                letters += 1.0;
+                bytes += size as f64;
+            }
+            Saw::Mended => mended.push(*at),
+            Saw::Says { gateway, about, life, state } => {
+                let runs = lives.iter().any(|l| l.number == life && l.until.is_infinite());
+                if runs && !still.contains(&about) {
+                    known.false_suspicions += usize::from(state == 1);
+                    known.false_deaths += usize::from(state == 2);
+                }
+                says.entry((gateway, life)).or_default().push((*at, state));
+            }
+            _ => {}
+        }
+    }
+    let up: f64 = lives.iter().map(|l| l.until.min(last) - l.from).sum();
+    (known.letters, known.bytes) = (letters / up.max(1e-9), bytes / up.max(1e-9));
+    // When a gateway, up from then on without a break, first said so.
+    let first = |gateway: usize, life: u64, from: f64, such: &dyn Fn(u8) -> bool| {
+        let up = lives.iter().find(|l| l.gateway == gateway && l.from <= from && from < l.until)?;
+        let said = says.get(&(gateway, life)).into_iter().flatten();
+        let found = said.filter(|(at, state)| *at >= from && such(*state)).map(|(at, _)| *at).next();
+        match found.filter(|at| *at <= up.until) {
+            Some(at) => Some(Some(at - from)),
+            // Killed before it could: nobody's.
+            None if up.until.is_finite() => None,
+            None => Some(None),
+        }
+    };
+    let others = |gateway: usize| (0..gateways).filter(move |other| *other != gateway);
+    let deaths = lives.iter().filter(|l| l.until.is_finite());
+    known.death = Times::of(deaths.flat_map(|l| {
+        others(l.gateway).filter_map(|other| first(other, l.number, l.until, &|state| state >= 2))
+    }));
+    known.join = Times::of(lives.iter().flat_map(|l| {
+        others(l.gateway).filter_map(|other| first(other, l.number, l.from, &|state| state == 0))
+    }));
+    let lost = |gateway: usize, life: u64, at: f64| {
+        let before = says.get(&(gateway, life)).into_iter().flatten().take_while(|(when, _)| *when <= at);
+        before.last().is_some_and(|(_, state)| *state >= 2)
+    };
+    known.healing = Times::of(mended.iter().flat_map(|at| {
+        let there = lives.iter().filter(|l| l.from <= *at && *at < l.until);
+        there.flat_map(|l| {
+            let lost = others(l.gateway).filter(|other| lost(*other, l.number, *at));
+            lost.filter_map(|other| first(other, l.number, *at, &|state| state == 0)).collect::<Vec<_>>()
+        })
+    }));
+    known
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn orders_at(times: &[(usize, f64)], killed: &[f64]) -> Bound {
+        let ordered = |(gateway, at): &(usize, f64)| Record {
+            at: *at,
+            saw: Saw::Ordered { gateway: *gateway, worker: 0 },
+        };
+        let mut records: Vec<_> = times.iter().map(ordered).collect();
+        records.extend(killed.iter().map(|at| Record { at: *at, saw: Saw::Killed { gateway: 0 } }));
+        records.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let shared = Shared { gateways: 2, floor: 0.5, ration: Some((10.0, 2.0, 0.0)), lag: 0.0 };
+        bounds(&records, &shared).remove("orders").expect("there is a ration")
+    }
+
+    /// One may use what the other leaves; together they have no more than their sum.
+    #[test]
+    fn orders_count_for_the_fleet() {
+        let four = [(0, 1.0), (0, 2.0), (0, 3.0), (1, 4.0)];
+        assert_eq!((orders_at(&four, &[]).most, orders_at(&four, &[]).broken), (4.0, 0));
+        let five = [&four[..], &[(1, 10.5)]].concat();
+        assert_eq!(orders_at(&five, &[]).broken, 1);
+        let later = [&four[..], &[(1, 11.5)]].concat();
+        assert_eq!(orders_at(&later, &[]).broken, 0);
+    }
+
+    /// A process that begins anew has its floor whatever its former self used.
+    #[test]
+    fn who_was_killed_leaves_a_floor_to_the_next() {
+        let five = [(0, 1.0), (0, 2.0), (1, 3.0), (1, 4.0), (0, 6.0)];
+        assert_eq!(orders_at(&five, &[]).broken, 1);
+        assert_eq!(orders_at(&five, &[5.0]).broken, 0);
+    }
+}
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -1,9 +1,13 @@
 //! Checks the five rules for all gateways together and counts service. It goes by [`Record`]s taken where stand-ins
 //! read and wrote: the client's side, the worker's side, the registry's; never by a gateway's own word.
+//! Where gateways share things, bounds over all of them come beside the rules.
 
+mod fleet;
 mod rules;
 mod service;
 
+pub use fleet::{Bound, Known, Shared, Times, bounds, known};
+
 pub use rules::{Broken, Terms, check};
 pub use service::{Account, Counts, count, latencies};
 
@@ -110,4 +114,24 @@
     Moves {
         gateway: usize,
     },
+    /// A letter of a gateway to another was read on its link.
+    Sent {
+        gateway: usize,
+        bytes: usize,
+    },
+    /// The first letter of a process: it goes by this number.
+    Lives {
+        gateway: usize,
+        life: u64,
+    },
+    /// A gateway said in a letter how it takes the process of that number to stand, and had not said so before: 0
+    /// alive, 1 suspect, 2 dead, 3 left.
+    Says {
+        gateway: usize,
+        about: usize,
+        life: u64,
+        state: u8,
+    },
+    /// Links that were cut carry letters again.
+    Mended,
 }
--- a/days/large-day.hcl
+++ b/days/large-day.hcl
@@ -1,90 +1,24 @@
 # 300 workers and 10,000 functions under 760 calls a second, through two gateways; a release and deaths.
-seed     = 11
-seconds  = 30
-gateways = 2
+upon    = "town.hcl"
+seconds = 30
 
 fleet {
-  workers       = 300
-  cores         = 4
-  speed         = 1.0
-  memory        = 6000
-  queue         = 48
-  loads_at_once = 4
-  keep          = 12
-  cold_share    = 0.2
-  warm_up       = 8
-  tip_multiple  = 2.5
-  tip_window    = 1
+  workers = 300
 }
 
 store {
   at_once = 240
   takes   = 800
   tips    = 1600
-  stops   = 2
 }
 
 functions {
-  count  = 10000
-  zipf   = 1.1
-  lanes  = 2
-  memory = 400
-  fetch  = 0.25
-  start  = 0.15
-}
-
-traffic {
-  rate     = 760
-  work     = 0.05
-  io       = 0.01
-  body     = 300
-  patience = 0.5
-  retries  = 2
-  backoff  = 0.1
-  leave    = 0.002
-}
-
-profile "refill-check" {
-  share   = 0.8
-  due     = 1.0
-  cut_off = 3.0
-  effect  = "pure"
-}
-
-profile "refill-order" {
-  share   = 0.15
-  due     = 1.0
-  cut_off = 3.0
-  effect  = "receipted"
-}
-
-profile "dispense" {
-  share      = 0.05
-  due        = 1.0
-  cut_off    = 3.0
-  effect     = "effectful"
-  importance = 2
-}
-
-client "counter" {
-  share = 0.6
-  quota = 520
-}
-
-client "portal" {
-  share = 0.4
-  quota = 360
+  count = 10000
 }
 
 rules {
-  drain_grace = 1.0
-  receipts    = 30
-  notice      = 1.5
-
   ration {
-    window = 10
-    free   = 400
-    share  = 0.05
+    free = 400
   }
 }
 
