--- /dev/null
+++ b/crates/lab/examples/fleet.rs
@@ -0,0 +1,47 @@
+//! Plays a day in simulated time with other numbers of gateways: service, fetches, refusals of the store, over seeds from 1.
+//! `cargo run --release -p milletpath-lab --example fleet -- days/town.hcl 10 1 24`: a day, seeds, numbers of gateways.
+
+use milletpath_lab::play;
+use milletpath_standin::script;
+use std::path::Path;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let mut asked = std::env::args().skip(1);
+    let (Some(file), Some(seeds)) = (asked.next(), asked.next().and_then(|n| n.parse::<u64>().ok())) else {
+        eprintln!("name a day's file, a number of seeds, and numbers of gateways");
+        return ExitCode::from(2);
+    };
+    let day = match script::open(Path::new(&file)) {
+        Ok(day) => day,
+        Err(mistakes) => {
+            mistakes.iter().for_each(|mistake| eprintln!("{mistake}"));
+            return ExitCode::from(2);
+        }
+    };
+    let sizes: Vec<usize> = asked.filter_map(|n| n.parse().ok()).collect();
+    println!("gateways  service  fetches  refusals  warm    rules broken");
+    for gateways in if sizes.is_empty() { vec![day.gateways] } else { sizes } {
+        let came: Vec<_> = (1..=seeds)
+            .map(|seed| {
+                let mut day = day.clone();
+                day.gateways = gateways;
+                play(&day, seed, None)
+            })
+            .collect();
+        let mean =
+            |of: &dyn Fn(&milletpath_lab::Came) -> f64| came.iter().map(of).sum::<f64>() / seeds as f64;
+        println!(
+            "{gateways:>8} {:>8.4} {:>8.0} {:>9.0} {:>7.4} {:>8}",
+            mean(&|c| c.whole.service()),
+            mean(&|c| c.fetches as f64),
+            mean(&|c| c.refusals as f64),
+            mean(&|c| c.warm),
+            came.iter().map(|c| c.broken.len()).sum::<usize>(),
+        );
+        for b in came.iter().flat_map(|c| &c.broken).take(3) {
+            println!("  rule {} at {:.3} s: {}", b.rule, b.at, b.what);
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! Scripted days in simulated time: the gateway's desks as they are, the stand-ins' models of workers and store, and
+//! clients, under one clock and from one seed. No sockets: what takes a minute in processes takes a second here.
+
+mod clients;
+pub mod town;
+mod workers;
+
+pub use town::{Came, Look, Town, play};
--- /dev/null
+++ b/crates/lab/src/town.rs
@@ -0,0 +1,390 @@
+//! A day in simulated time. What happens next is taken from one queue, by time and then by order of coming in: the same
+//! seed gives the same history.
+
+use crate::clients::Call;
+use crate::workers::Worker;
+use milletpath_charter::House;
+use milletpath_gateway::desk::{Act, Come, Desk, End, Tag, Tally};
+use milletpath_policy::host::{Outcome, Report};
+use milletpath_protocol::registry::Entry;
+use milletpath_standin::clients::weights;
+use milletpath_standin::day;
+use milletpath_standin::engine::{Engine, Figures};
+use milletpath_standin::script::Day;
+use milletpath_standin::store::Store;
+use milletpath_standin::traffic;
+use milletpath_witness::{self as witness, Account, Broken, Counts, Effect, Ended, Record, Saw};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Seconds that a message takes from one process to another: what loopback and a busy machine add.
+pub(crate) const WAY: f64 = 0.0003;
+
+/// What came of a day.
+pub struct Came {
+    pub records: Vec<Record>,
+    pub broken: Vec<Broken>,
+    pub whole: Counts,
+    pub fetches: u64,
+    pub refusals: u64,
+    /// Part of the calls done that found an instance standing.
+    pub warm: f64,
+    /// What the gateways did, all together.
+    pub tally: Tally,
+}
+
+/// What happens at a time.
+pub(crate) enum Next {
+    /// A client's try goes out, comes in at its gateway, ends.
+    Try(usize, u32),
+    Arrive(usize, u32, usize),
+    Answered(usize, u32, usize, Ended),
+    Leaves(usize, u32, usize),
+    /// Something is due at a desk; at an engine, of that process.
+    Desk(usize),
+    Engine(usize, u64),
+    Fetched(usize, u64, u64, bool),
+    /// A shot, an order, a probe comes in at a worker's process.
+    Shot {
+        gateway: usize,
+        tag: Tag,
+        shot: usize,
+        worker: usize,
+        process: u64,
+    },
+    Order {
+        gateway: usize,
+        order: Tag,
+        worker: usize,
+        process: u64,
+        function: u32,
+        copies: u8,
+    },
+    Probe {
+        gateway: usize,
+        worker: usize,
+        process: u64,
+        serial: u64,
+    },
+    /// What comes back of them.
+    Ended {
+        gateway: usize,
+        tag: Tag,
+        shot: usize,
+        end: End,
+    },
+    Ordered {
+        gateway: usize,
+        order: Tag,
+        outcome: Outcome,
+        copies: u8,
+    },
+    Probed {
+        gateway: usize,
+        worker: usize,
+        serial: u64,
+        outcome: Outcome,
+        report: Option<Report>,
+    },
+    List(Vec<Entry>),
+    /// A trouble begins, goes on to its next step, ends.
+    Begins(usize),
+    Step(usize, usize),
+    Ends(usize),
+    Look,
+}
+
+struct Due(f64, u64, Next);
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Due {}
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
+    }
+}
+
+/// What a desk keeps of a call: which, and which try.
+pub(crate) type Kept = (usize, u32);
+
+/// Called ten times a second with all desks and what the workers hold, by whoever plays: to tell the desks things.
+pub type Look<'l> = Box<dyn FnMut(f64, &mut [Desk<(usize, u32)>], &[Figures]) + 'l>;
+
+pub struct Town<'l> {
+    pub(crate) day: Day,
+    pub(crate) now: f64,
+    queue: BinaryHeap<Due>,
+    count: u64,
+    pub(crate) desks: Vec<Desk<Kept>>,
+    armed: Vec<f64>,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) store: Store,
+    pub(crate) functions: BTreeMap<String, u32>,
+    pub(crate) calls: Vec<Call>,
+    pub(crate) weights: Vec<f64>,
+    records: Vec<Record>,
+    pub(crate) chance: ChaCha8Rng,
+    /// The workers that each trouble strikes.
+    pub(crate) struck: BTreeMap<usize, Vec<usize>>,
+    pub(crate) warm: (u64, u64),
+    look: Option<Look<'l>>,
+}
+
+/// Plays a day.
+pub fn play(day: &Day, seed: u64, look: Option<Look<'_>>) -> Came {
+    let mut town = Town::new(day, seed);
+    town.look = look;
+    town.run()
+}
+
+/// Where a worker's process is: another one is elsewhere.
+pub(crate) fn place(worker: usize, process: u64) -> SocketAddr {
+    SocketAddr::from(([10, (process % 250) as u8, (worker / 250) as u8, (worker % 250) as u8], 80))
+}
+
+impl Town<'_> {
+    fn new(day: &Day, seed: u64) -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let house = |gateway: usize| -> House {
+            let text =
+                day::charter(day, gateway, any, SocketAddr::from((Ipv4Addr::LOCALHOST, 1)), None, seed);
+            milletpath_charter::read(&text).unwrap_or_else(|m| panic!("a day's charter: {m:?}"))
+        };
+        let desks: Vec<Desk<Kept>> = (0..day.gateways).map(|g| Desk::new(&house(g), 0.0)).collect();
+        let entries: Vec<Entry> =
+            (0..day.workers).map(|w| Entry { address: place(w, 0), ..day::entry(w, None) }).collect();
+        let mut town = Self {
+            day: day.clone(),
+            now: 0.0,
+            queue: BinaryHeap::new(),
+            count: 0,
+            armed: vec![f64::INFINITY; desks.len()],
+            desks,
+            workers: (0..day.workers).map(|_| Worker::warm(day.make)).collect(),
+            entries,
+            store: Store::new(day.shelf),
+            functions: BTreeMap::new(),
+            calls: Vec::new(),
+            weights: weights(day.gateways, day.uneven),
+            records: Vec::new(),
+            chance: ChaCha8Rng::seed_from_u64(seed ^ 0x7011),
+            struck: BTreeMap::new(),
+            warm: (0, 0),
+            look: None,
+        };
+        for worker in 0..day.workers {
+            town.note(Saw::Started { worker, capacity: Engine::capacity(&day.make), warm: true });
+        }
+        let list = town.entries.clone();
+        for gateway in 0..town.desks.len() {
+            town.desks[gateway].list(0.0, true, &list);
+            town.after(gateway);
+        }
+        for (number, planned) in traffic::plan(day, seed).into_iter().enumerate() {
+            town.put(planned.at, Next::Try(number, 0));
+            let receipted = day.profiles[planned.profile].effect == Effect::Receipted;
+            town.calls.push(Call::new(planned, receipted));
+        }
+        for (number, trouble) in day.troubles.iter().enumerate() {
+            town.put(trouble.at, Next::Begins(number));
+        }
+        town.put(0.0, Next::Look);
+        town
+    }
+
+    pub(crate) fn note(&mut self, saw: Saw) {
+        self.records.push(Record { at: self.now, saw });
+    }
+
+    pub(crate) fn put(&mut self, at: f64, next: Next) {
+        self.count += 1;
+        self.queue.push(Due(at, self.count, next));
+    }
+
+    pub(crate) fn function(&mut self, name: &str) -> u32 {
+        let next = self.functions.len() as u32;
+        *self.functions.entry(name.to_owned()).or_insert(next)
+    }
+
+    fn run(mut self) -> Came {
+        /// Seconds after the last call by which all has ended.
+        const REST: f64 = 5.0;
+        let end = self.day.seconds + REST;
+        while let Some(Due(at, _, next)) = self.queue.pop().filter(|due| due.0 <= end) {
+            self.now = at;
+            self.befall(next);
+        }
+        let day = &self.day;
+        let terms = witness::Terms {
+            grace: day.terms.grace,
+            cold_share: day.make.cold_share,
+            warm_up: day.make.warm_up,
+            tip_multiple: day.make.tip_multiple,
+            tip_window: day.make.tip_window,
+            ration: day.terms.ration.filter(|_| !day.sharing),
+            lag: 0.01,
+        };
+        let quotas = day.groups.iter().map(|g| g.quota).collect();
+        let account = Account { late: day.terms.late, quotas, over_share: day.terms.over_share };
+        let mut tally = Tally::default();
+        for t in self.desks.iter().map(Desk::tally) {
+            tally.shots += t.shots;
+            tally.orders += t.orders;
+            tally.probes += t.probes;
+        }
+        Came {
+            broken: witness::check(&self.records, &terms),
+            whole: witness::count(&self.records, &account).0,
+            fetches: self.store.fetches,
+            refusals: self.store.refusals,
+            warm: self.warm.0 as f64 / self.warm.1.max(1) as f64,
+            tally,
+            records: self.records,
+        }
+    }
+
+    fn befall(&mut self, next: Next) {
+        let now = self.now;
+        match next {
+            Next::Try(call, attempt) => self.ask(call, attempt),
+            Next::Arrive(call, attempt, gateway) => self.arrive(call, attempt, gateway),
+            Next::Answered(call, attempt, gateway, how) => self.answered(call, attempt, gateway, how),
+            Next::Leaves(call, attempt, gateway) => self.leaves(call, attempt, gateway),
+            Next::Desk(gateway) if self.armed[gateway] <= now => {
+                self.armed[gateway] = f64::INFINITY;
+                self.at_desk(gateway, |_, _| ());
+            }
+            Next::Desk(_) => {}
+            Next::Engine(worker, process) if self.workers[worker].armed <= now => {
+                self.at_engine(worker, process, Engine::turn);
+            }
+            Next::Engine(..) => {}
+            Next::Fetched(worker, process, load, ok) => {
+                if ok {
+                    self.store.fetched();
+                }
+                self.at_engine(worker, process, |engine, now| engine.fetched(now, load, ok));
+            }
+            Next::Shot { gateway, tag, shot, worker, process } => {
+                self.shot(gateway, tag, shot, worker, process);
+            }
+            Next::Order { gateway, order, worker, process, function, copies } => {
+                self.order(gateway, order, worker, process, function, copies);
+            }
+            Next::Probe { gateway, worker, process, serial } => self.probe(gateway, worker, process, serial),
+            Next::Ended { gateway, tag, shot, end } => {
+                let kept = self.desks[gateway].what(tag).copied();
+                let settles = self.at_desk(gateway, |desk, now| desk.end(now, tag, shot, end));
+                if let Some((call, attempt)) = kept.filter(|_| settles) {
+                    self.put(now + WAY, Next::Answered(call, attempt, gateway, Ended::Handled));
+                }
+            }
+            Next::Ordered { gateway, order, outcome, copies } => {
+                self.at_desk(gateway, |desk, now| desk.order_ended(now, order, outcome, copies));
+            }
+            Next::Probed { gateway, worker, serial, outcome, report } => {
+                self.at_desk(gateway, |desk, now| desk.probed(now, worker, serial, outcome, report));
+            }
+            Next::List(entries) => {
+                for gateway in 0..self.desks.len() {
+                    self.at_desk(gateway, |desk, now| desk.list(now, false, &entries));
+                }
+            }
+            Next::Begins(trouble) => self.begins(trouble),
+            Next::Step(trouble, step) => self.step(trouble, step),
+            Next::Ends(trouble) => self.ends(trouble),
+            Next::Look => {
+                /// Seconds between two looks.
+                const LOOK: f64 = 0.1;
+                if let Some(mut look) = self.look.take() {
+                    let figures: Vec<_> = self.workers.iter().map(|w| w.engine.figures()).collect();
+                    look(now, &mut self.desks, &figures);
+                    self.look = Some(look);
+                }
+                (0..self.desks.len()).for_each(|g| self.after(g));
+                self.put(now + LOOK, Next::Look);
+            }
+        }
+    }
+
+    /// Tells a desk something, after all that is due there, and does what follows.
+    pub(crate) fn at_desk<R>(&mut self, gateway: usize, what: impl FnOnce(&mut Desk<Kept>, f64) -> R) -> R {
+        let now = self.now;
+        if self.desks[gateway].next().is_some_and(|due| due <= now) {
+            self.desks[gateway].turn(now);
+        }
+        let result = what(&mut self.desks[gateway], now);
+        self.after(gateway);
+        result
+    }
+
+    /// Does what a desk says, and sets its clock.
+    pub(crate) fn after(&mut self, gateway: usize) {
+        let now = self.now;
+        while let Some(act) = self.desks[gateway].act() {
+            match act {
+                Act::Shoot { tag, shot, worker } => {
+                    let process = self.workers[worker].process;
+                    if self.desks[gateway].begin(now, tag, shot) {
+                        self.put(now + WAY, Next::Shot { gateway, tag, shot, worker, process });
+                    }
+                }
+                Act::Bounce { tag, .. } => self.own_answer(gateway, tag, Ended::Bounced),
+                Act::Terminate { tag, .. } => self.own_answer(gateway, tag, Ended::Terminated),
+                Act::Hold { order, worker, function, copies } => {
+                    let process = self.workers[worker].process;
+                    let function = self.function(&function);
+                    if self.desks[gateway].begin_order(now, order) {
+                        let next = Next::Order { gateway, order, worker, process, function, copies };
+                        self.put(now + WAY, next);
+                    }
+                }
+                Act::Probe { worker, serial } => {
+                    let process = self.workers[worker].process;
+                    self.put(now + WAY, Next::Probe { gateway, worker, process, serial });
+                }
+                Act::Unload { .. } | Act::Drop { .. } | Act::Follow => {}
+            }
+        }
+        if let Some(next) = self.desks[gateway].next().filter(|next| *next < self.armed[gateway]) {
+            self.armed[gateway] = next;
+            self.put(next.max(now), Next::Desk(gateway));
+        }
+    }
+
+    fn own_answer(&mut self, gateway: usize, tag: Tag, how: Ended) {
+        if let Some((call, attempt)) = self.desks[gateway].what(tag).copied() {
+            self.put(self.now + WAY, Next::Answered(call, attempt, gateway, how));
+        }
+    }
+
+    fn arrive(&mut self, call: usize, attempt: u32, gateway: usize) {
+        let patience = self.patience(call, attempt);
+        let planned = self.calls[call].planned.clone();
+        let come = Come {
+            function: &planned.function,
+            profile: planned.profile,
+            client: planned.group,
+            patience,
+            repeat: attempt > 0,
+            instance: None,
+        };
+        let taken = self.at_desk(gateway, |desk, now| desk.arrive(now, come, (call, attempt)));
+        if taken.is_none() {
+            self.put(self.now + WAY, Next::Answered(call, attempt, gateway, Ended::Bounced));
+        }
+    }
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -229,7 +229,7 @@
     late
 }
 
-fn entry(number: usize, started: Option<f64>) -> Entry {
+pub fn entry(number: usize, started: Option<f64>) -> Entry {
     Entry {
         name: format!("worker-{number}"),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
@@ -243,7 +243,7 @@
 }
 
 /// The charter that a gateway of the day goes by; `links` is where others reach each of them.
-fn charter(
+pub fn charter(
     day: &Day,
     gateway: usize,
     listen: SocketAddr,
