--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -16,6 +16,7 @@
 mod probing;
 mod view;
 
+pub use backing::DRIFT;
 pub use member::State;
 pub use peers::{Peers, Terms};
 pub use view::{Event, Hears, Parts, Seen, Tally, View};
--- /dev/null
+++ b/crates/shares/src/note.rs
@@ -0,0 +1,64 @@
+//! What gateways tell each other of what they share. Numbered fields: one that is not known is skipped, a number never
+//! changes its meaning.
+
+use minicbor::{Decode, Encode};
+
+/// Budgets in one note at most: what a letter holds.
+pub const ENTRIES: usize = 48;
+
+/// Bytes of a letter around its note, and of one budget in it, at most.
+pub const AROUND: f64 = 150.0;
+pub const ENTRY: f64 = 20.0;
+
+/// Levels are millionths of a budget's unit.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct Ask {
+    /// The budget: a hash of its kind, its name and how it is counted.
+    #[n(0)]
+    pub key: u64,
+    /// The sender wants to hold so much of the receiver's, and holds no more from now on.
+    #[n(1)]
+    pub level: u64,
+    /// Nor is more of it in use: what the receiver lent beyond is free at once.
+    #[n(2)]
+    pub frees: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct Grant {
+    #[n(0)]
+    pub key: u64,
+    #[n(1)]
+    pub level: u64,
+    /// What could be lent beside.
+    #[n(2)]
+    pub left: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
+#[cbor(map)]
+pub struct Note {
+    /// Of the asks in it, or of those that it answers. Grows from note to note of one process.
+    #[n(0)]
+    pub number: u64,
+    #[n(1)]
+    pub asks: Vec<Ask>,
+    #[n(2)]
+    pub grants: Vec<Grant>,
+    /// Milliseconds for which the grants hold from when they were asked for.
+    #[n(3)]
+    pub lasts: u32,
+}
+
+impl Note {
+    /// None where it can't be written, which does not happen.
+    pub fn write(&self) -> Option<Vec<u8>> {
+        minicbor::to_vec(self).ok()
+    }
+
+    /// None for what is no note.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let note: Self = minicbor::decode(bytes).ok()?;
+        (note.asks.len() <= ENTRIES && note.grants.len() <= ENTRIES).then_some(note)
+    }
+}
