--- a/crates/charter/src/read.rs
+++ b/crates/charter/src/read.rs
@@ -34,7 +34,7 @@
 fn whole(top: &Section<'_>) -> House {
     let listen = top.parsed("listen", "\"127.0.0.1:8080\"", address);
     let (profiles, kinds_of_call) = profiles(top);
-    let (clients, quotas) = clients(top);
+    let Groups { names: clients, quotas, ceilings } = clients(top);
     let workers = top.block("workers");
     if workers.is_none() {
         top.mistake(0, "the charter has no workers", "add workers { worker \"w1\" { address = \"...\" } }");
@@ -48,11 +48,17 @@
     let limit = |key, unit, within, usual| limits.and_then(|l| l.figure(key, unit, within)).unwrap_or(usual);
     let of = |key, unit, within, usual| workers.and_then(|w| w.figure(key, unit, within)).unwrap_or(usual);
     let may = |key, usual| workers.and_then(|w| w.flag(key)).unwrap_or(usual);
+    let routers = top.count("gateways", "gateways", 1..=100_000).unwrap_or(1);
     let policy = Charter {
         seed: top.figure("seed", "chance", 0.0..=9e15).map_or_else(chance, |s| s as u64),
-        routers: top.count("gateways", "gateways", 1..=100_000).unwrap_or(1),
+        routers,
         profiles,
         quotas,
+        ceilings,
+        retries: limits
+            .and_then(|l| rationed(l, "retries"))
+            .map(|(w, free, s)| (w, free / routers as f64, s)),
+        hand: limits.and_then(|l| in_flight(l, routers)).unwrap_or(f64::INFINITY),
         over_share: limit("over_share", "importance", 0.0..=1.0, 1.0),
         shots: limits.and_then(|l| l.count("shots", "shots", 1..=16)).unwrap_or(4),
         cancels: may("cancels", true),
@@ -63,7 +69,7 @@
         probes: may("probes", true),
         come_back: Some(limit("come_back", "seconds", 0.0..=LONG, 1.0)).filter(|x| *x > 0.0),
         keep: of("keep", "seconds", 0.0..=LONG, 10.0),
-        ration: limits.and_then(ration),
+        ration: limits.and_then(|l| rationed(l, "ration")),
         order_wait: of("order_wait", "seconds", 0.01..=LONG, 30.0),
         cold_share: of("cold_share", "capacity", 0.0..=1.0, 0.2),
         warm_up: of("warm_up", "seconds", 0.0..=LONG, 15.0),
@@ -221,13 +227,24 @@
     (profiles, kinds)
 }
 
-/// Client groups with their quotas. Who names no group, or another, is within its share always.
-fn clients(top: &Section<'_>) -> (Vec<String>, Vec<f64>) {
-    let read = |s: Section<'_>| {
-        let quota = s.figure("quota", "activations a second over all gateways", 0.0..=1e9);
-        (s.label.clone(), quota.unwrap_or(f64::INFINITY))
-    };
-    top.blocks("client", true).into_iter().map(read).unzip()
+/// Client groups, with what each may send within its share and at all.
+#[derive(Default)]
+struct Groups {
+    names: Vec<String>,
+    quotas: Vec<f64>,
+    ceilings: Vec<f64>,
+}
+
+/// Who names no group, or another, is within its share always, and under no ceiling.
+fn clients(top: &Section<'_>) -> Groups {
+    let mut groups = Groups::default();
+    for s in top.blocks("client", true) {
+        let figure = |key| s.figure(key, "activations a second over all gateways", 0.0..=1e9);
+        groups.quotas.push(figure("quota").unwrap_or(f64::INFINITY));
+        groups.ceilings.push(figure("ceiling").unwrap_or(f64::INFINITY));
+        groups.names.push(s.label.clone());
+    }
+    groups
 }
 
 fn kinds(workers: &Section<'_>) -> (Vec<String>, Vec<f64>) {
@@ -301,13 +318,23 @@
     }
 }
 
-/// The ration of orders to load: window, free ones, and orders for each activation taken.
-fn ration(limits: &Section<'_>) -> Option<(f64, f64, f64)> {
-    let ration = limits.block("ration")?;
+/// What is rationed: window, free ones, and a share of one for each activation taken.
+fn rationed(limits: &Section<'_>, key: &'static str) -> Option<(f64, f64, f64)> {
+    let ration = limits.block(key)?;
     let window = ration.figure("window", "seconds", 0.001..=LONG);
     if !ration.has("window") {
         ration.missing("window", "10");
     }
-    let free = ration.figure("free", "orders", 0.0..=1e9).unwrap_or(0.0);
-    Some((window?, free, ration.figure("share", "orders an activation", 0.0..=1e3).unwrap_or(0.0)))
+    let free = ration.figure("free", "of them", 0.0..=1e9).unwrap_or(0.0);
+    Some((window?, free, ration.figure("share", "of one an activation", 0.0..=1e3).unwrap_or(0.0)))
+}
+
+/// Shots out at one worker, over all gateways. Each needs a whole one of its own, for when it hears nobody.
+fn in_flight(limits: &Section<'_>, gateways: usize) -> Option<f64> {
+    let most = limits.figure("in_flight", "shots at one worker", 1.0..=1e9)?;
+    if most < gateways as f64 {
+        let wrong = format!("in_flight of {most} is less than one shot for each of {gateways} gateways");
+        limits.mistake(limits.place("in_flight"), wrong, format!("make it {gateways} or more"));
+    }
+    Some(most)
 }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -8,10 +8,11 @@
 use crate::roll::Roll;
 use crate::wheel::{Ticket, Wheel};
 use milletpath_charter::{Bounds, Functions, House, Kind};
-use milletpath_policy::host::{Answer, Arrival, Found, Host, Outcome, Report};
+use milletpath_policy::host::{Answer, Arrival, Budget, Found, Host, Outcome, Report};
 use milletpath_policy::policy::Router;
 use milletpath_protocol::registry::Entry;
-use std::collections::VecDeque;
+use milletpath_shares::{Meter, More};
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -158,6 +159,9 @@
 pub struct Desk<T> {
     router: Router,
     share: Option<Share>,
+    /// What it was allotted beside that, of each budget; of a worker's by the worker's name.
+    allotted: BTreeMap<Budget, More>,
+    hands: BTreeMap<Arc<str>, More>,
     books: Books<T>,
     functions: Functions,
     profiles: Vec<Kind>,
@@ -184,10 +188,21 @@
     bounds: Bounds,
     order_wait: f64,
     ration: Option<Ration>,
+    /// What was wanted and lacked of each budget that gateways share, where they do.
+    meters: Option<BTreeMap<Budget, Meter>>,
     tally: Tally,
 }
 
 impl<T> Books<T> {
+    /// A budget was wanted, so often.
+    fn want(&mut self, what: Budget, wanted: u64, lacked: u64) {
+        if let Some(meters) = &mut self.meters {
+            let meter = meters.entry(what).or_default();
+            meter.wanted += wanted;
+            meter.lacked += lacked;
+        }
+    }
+
     fn tag(&self, index: usize) -> Tag {
         Tag { index, serial: self.calls[index].as_ref().map_or(0, |c| c.serial) }
     }
@@ -271,6 +286,7 @@
     fn hold(&mut self, worker: usize, function: usize, copies: u8) {
         self.serial += 1;
         self.tally.orders += 1;
+        self.want(Budget::Orders, 1, 0);
         let index = self.free_orders.pop().unwrap_or(self.orders.len());
         let order = Tag { index, serial: self.serial };
         let ends = self.wheel.set(self.now + self.order_wait, Due::Order(order));
@@ -313,6 +329,11 @@
     fn forget_function(&mut self, function: usize) {
         self.functions.give_back(function);
     }
+
+    fn lacks(&mut self, what: Budget) {
+        let wanted = u64::from(!matches!(what, Budget::Quota(_) | Budget::Ceiling(_)));
+        self.want(what, wanted, 1);
+    }
 }
 
 /// One call as it came through the door.
@@ -342,9 +363,14 @@
         let (serial, life) = (self.books.serial, self.books.roll.life());
         // Past any number that was given out amid what broke.
         let desk = Self::from(house, epoch, now, serial + 1, life + 1);
-        let Self { books: Books { calls, mut tally, ration, .. }, share, .. } = std::mem::replace(self, desk);
-        self.books.ration = ration;
+        let former = std::mem::replace(self, desk);
+        let Self { books: Books { calls, mut tally, ration, meters, .. }, share, allotted, hands, .. } =
+            former;
+        (self.books.ration, self.books.meters, self.hands) = (ration, meters, hands);
         share.into_iter().for_each(|share| self.share(share));
+        // Of workers it is told by name, once a list is known again.
+        let such = |what: &Budget| !matches!(what, Budget::Hand(_));
+        allotted.into_iter().filter(|(what, _)| such(what)).for_each(|(what, more)| self.allot(what, more));
         let open: Vec<_> =
             calls.into_iter().flatten().filter(|c| c.open).map(|c| (c.what, c.begun)).collect();
         let begun = open.iter().filter(|(_, begun)| *begun).count() as u64;
@@ -377,11 +403,13 @@
             bounds: house.bounds.clone(),
             order_wait: house.policy.order_wait,
             ration: house.policy.ration.map(Ration::new),
+            meters: None,
             tally: Tally::default(),
         };
         let router = Router::new(house.policy.clone(), now, &mut books);
         let (functions, profiles) = (house.functions.clone(), house.profiles.clone());
-        Self { router, share: None, books, functions, profiles }
+        let (allotted, hands) = (BTreeMap::new(), BTreeMap::new());
+        Self { router, share: None, allotted, hands, books, functions, profiles }
     }
 
     /// Goes by what gateways that know of each other say, until they say otherwise.
@@ -392,6 +420,49 @@
         self.books.ration.iter_mut().for_each(|r| r.share(part, until));
     }
 
+    /// What there is of a budget beside the part by the count, as gateways that share it say.
+    pub fn allot(&mut self, what: Budget, more: More) {
+        let (figures, until) = ([more.more, more.after], more.until);
+        self.allotted.insert(what, more);
+        if let Budget::Hand(worker) = what {
+            self.hands.insert(self.books.roll.name(worker), more);
+        }
+        self.router.allot(what, figures, until);
+        if what == Budget::Orders {
+            self.books.ration.iter_mut().for_each(|r| r.allot(figures, until));
+        }
+    }
+
+    /// What a budget was wanted for so far, and what is in use of it. Counted from the first time on that this is asked.
+    pub fn meter(&mut self, now: f64, what: Budget) -> Meter {
+        let meters = self.books.meters.get_or_insert_default();
+        let meter = meters.get(&what).copied().unwrap_or_default();
+        let used = match what {
+            Budget::Orders => self.books.ration.as_mut().map_or(0.0, |r| r.used(now)),
+            other => self.router.in_use(now, other),
+        };
+        Meter { used, ..meter }
+    }
+
+    /// Changes with the worker list, and with each desk that takes the place of another.
+    pub fn list_edition(&self) -> (u64, u64) {
+        (self.books.roll.life(), self.books.roll.edition())
+    }
+
+    /// Workers that are listed, by their names.
+    pub fn workers(&self) -> Vec<(usize, Arc<str>)> {
+        self.books.roll.listed()
+    }
+
+    /// What functions keep busy here, in lanes by the hash of their names; and what they do at other gateways.
+    pub fn busy(&self, now: f64) -> Vec<(u64, f64)> {
+        self.router.busy(now).collect()
+    }
+
+    pub fn elsewhere(&mut self, now: f64, busy: &BTreeMap<u64, f64>) {
+        self.router.elsewhere(now, busy);
+    }
+
     /// The next thing to do.
     pub fn act(&mut self) -> Option<Act> {
         let act = self.books.acts.pop_front();
@@ -441,6 +512,16 @@
             self.router.list_renewed();
         }
         self.books.roll.take(now, whole, entries, |listing| self.router.listed(listing));
+        let listed = self.books.roll.listed();
+        if self.hands.len() > 2 * listed.len() + 64 {
+            self.hands.retain(|name, _| listed.iter().any(|(_, known)| known == name));
+        }
+        for (worker, name) in listed {
+            // What it was before this desk, or before another index was its own.
+            if let Some(more) = self.hands.get(&name).copied() {
+                self.router.allot(Budget::Hand(worker), [more.more, more.after], more.until);
+            }
+        }
         self.router.list_complete(now, &mut self.books);
         self.settle();
     }
@@ -465,6 +546,8 @@
         if let Some(ration) = &mut books.ration {
             ration.take(now);
         }
+        books.want(Budget::Ceiling(come.client), 1, 0);
+        books.want(Budget::Quota(come.client), u64::from(!come.repeat), 0);
         let patience = come.patience.min(self.profiles[come.profile].cut_off);
         let function = books.functions.take(come.function);
         let call = Call {
@@ -544,7 +627,7 @@
         let open = self.books.call(tag).is_some_and(|c| c.open && now < c.until);
         let Some(s) = self.books.shot(tag, shot) else { return false };
         let (worker, connects) = (s.worker, s.connects);
-        let ready = self.books.roll.ready(worker);
+        let ready = self.books.roll.ready(worker) && self.router.may_begin(now, tag.index, worker);
         let s = self.books.shot(tag, shot).filter(|s| open && ready && now < s.until);
         if let Some(s) = s {
             s.stage = Stage::Begun;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,9 +24,10 @@
 mod pool;
 mod ration;
 mod serve;
+mod sharing;
 mod shell;
 mod shot;
 
 pub use keeper::{listen, serve, serve_stirred};
 pub use office::Stir;
-pub use peering::{Link, Plant, ask, key_of};
+pub use peering::{Link, Plant, Told, ask, key_of};
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -4,9 +4,12 @@
 
 use crate::desk::Share;
 use crate::office::Office;
+use crate::sharing::Sharing;
 use milletpath_charter::{House, Peers as Stated};
 use milletpath_peers::letter::{self, Key, LARGEST, Letter, Page, Who, matter};
-use milletpath_peers::{Event, Peers, Terms, View};
+use milletpath_peers::{Event, Parts, Peers, Terms, View};
+use milletpath_shares::{Seen, Tally};
+use serde::{Deserialize, Serialize};
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
@@ -65,11 +68,24 @@
     };
     let at = if stated.advertise.port() == 0 { link.address()? } else { stated.advertise };
     let who = who(&office.house, &stated, at);
-    std::thread::Builder::new().name("peers".into()).spawn(move || {
-        let (seed, now) = (who.life, office.now());
-        let peers = Peers::new(who, terms(&office.house, &stated), stated.seeds, seed, now);
-        Running { peers, office, link, told: None, asks: 0 }.run();
-    })
+    let (life, now) = (who.life, office.now());
+    let sharing = Sharing::new(&office.house, life, stated.lease, now);
+    let peers = Peers::new(who, terms(&office.house, &stated), stated.seeds, life, now);
+    let mut running =
+        Running { peers, sharing, office, link, told: None, shared: f64::NEG_INFINITY, asks: 0 };
+    // Before the first call is taken: what a former process of this name may have lent is not used.
+    running.tell();
+    std::thread::Builder::new().name("peers".into()).spawn(move || running.run())
+}
+
+/// What a gateway tells an operator.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    #[serde(flatten)]
+    pub view: View,
+    /// Budgets that it shares with the others, the most moved first.
+    pub budgets: Vec<Seen>,
+    pub sharing: Tally,
 }
 
 fn who(house: &House, stated: &Stated, at: SocketAddr) -> Who {
@@ -86,10 +102,13 @@
 
 struct Running {
     peers: Peers,
+    sharing: Sharing,
     office: Arc<Office>,
     link: Link,
     /// What the desk was told last, and when.
     told: Option<(f64, Share)>,
+    /// When what is shared was last looked after.
+    shared: f64,
     /// Questions of operators answered in this second.
     asks: u32,
 }
@@ -107,7 +126,7 @@
             if now >= second + 1.0 {
                 (second, self.asks) = (now, 0);
             }
-            let wait = (self.peers.next() - now).clamp(0.001, LOOK);
+            let wait = (self.peers.next().min(self.sharing.next()) - now).clamp(0.001, LOOK);
             // Whatever came while this thread stood still is heard before anybody is accused.
             let timed = self.link.socket.set_read_timeout(Some(Duration::from_secs_f64(wait)));
             match timed.and_then(|()| self.link.socket.recv_from(&mut buffer)) {
@@ -129,13 +148,13 @@
                 read = 0;
                 self.peers.turn(now);
             }
-            self.post();
             self.tell();
+            self.post();
             self.log();
         }
         self.peers.leave(self.office.now());
-        self.post();
         self.tell();
+        self.post();
     }
 
     fn take(&mut self, datagram: &[u8], from: SocketAddr) {
@@ -162,8 +181,10 @@
         if self.asks > ASKS {
             return;
         }
-        let view = self.peers.view(self.office.now());
-        let Ok(text) = serde_json::to_vec(&view) else { return };
+        let now = self.office.now();
+        let (budgets, sharing) = self.sharing.view(now);
+        let told = Told { view: self.peers.view(now), budgets, sharing };
+        let Ok(text) = serde_json::to_vec(&told) else { return };
         let chunks: Vec<_> = text.chunks(PAGE).collect();
         for (number, chunk) in chunks.iter().enumerate() {
             let mut told = Letter::new(ask.from.clone(), 0, matter::TOLD, ask.number);
@@ -175,6 +196,9 @@
     }
 
     fn post(&mut self) {
+        while let Some((life, note)) = self.sharing.out() {
+            self.peers.post(life, note);
+        }
         while let Some(sent) = self.peers.out() {
             let datagram = letter::seal(&self.link.key, &sent.letter);
             let tally = self.peers.tally();
@@ -208,6 +232,25 @@
             self.told = Some((now, share));
             self.office.tell(None, |desk, _| desk.share(share));
         }
+        self.share(parts);
+    }
+
+    /// Takes what others say of budgets, and does what is due there; all of it inside the desk.
+    fn share(&mut self, parts: Parts) {
+        /// Seconds between two looks at what is wanted and lacked: asked for as soon as it is seen.
+        const METERS: f64 = 0.04;
+        let others = self.peers.others();
+        let notes: Vec<_> = std::iter::from_fn(|| self.peers.posted()).collect();
+        let now = self.office.now();
+        if notes.is_empty() && now < self.sharing.next().min(self.shared + METERS) {
+            return;
+        }
+        self.shared = now;
+        let sharing = &mut self.sharing;
+        self.office.tell(None, |desk, now| {
+            notes.iter().for_each(|(life, note)| sharing.heard(desk, now, *life, note));
+            sharing.turn(desk, now, &parts, others);
+        });
     }
 
     fn log(&mut self) {
@@ -240,7 +283,7 @@
 const PAGE: usize = 1100;
 
 /// Asks the gateway of a charter what it knows of the others. Waits for some seconds at most.
-pub fn ask(house: &House) -> io::Result<View> {
+pub fn ask(house: &House) -> io::Result<Told> {
     /// Times that it is asked, and seconds for each.
     const TRIES: u64 = 4;
     const WAIT: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/roll.rs
+++ b/crates/gateway/src/roll.rs
@@ -5,6 +5,7 @@
 use milletpath_policy::host::{Listing, State};
 use milletpath_protocol::registry::{Entry, Standing};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Workers that may be known at a time; a list that goes on inventing names is not followed further.
@@ -60,6 +61,16 @@
         self.life
     }
 
+    /// Workers that are not gone, and their names.
+    pub fn listed(&self) -> Vec<(usize, Arc<str>)> {
+        let there = (0..self.state.len()).filter(|&w| self.state[w] != State::Gone);
+        there.map(|w| (w, self.names.name(w))).collect()
+    }
+
+    pub fn name(&self, worker: usize) -> Arc<str> {
+        self.names.name(worker)
+    }
+
     pub fn ready(&self, worker: usize) -> bool {
         self.state.get(worker) == Some(&State::Ready)
     }
--- /dev/null
+++ b/crates/gateway/src/sharing.rs
@@ -0,0 +1,138 @@
+//! Budgets that the gateways share, between the core of `milletpath-shares` and the desk: which there are, what of them is
+//! wanted and in use, what the decisions are allotted. Each method is called inside the desk: what is lent is subtracted
+//! there before anything else is decided, and before any note of it goes out.
+
+use crate::desk::Desk;
+use milletpath_charter::House;
+use milletpath_peers::Parts;
+use milletpath_policy::host::Budget;
+use milletpath_shares::{Form, Right, Seen, Shares, Tally};
+
+/// One budget that is open.
+struct Open {
+    what: Budget,
+    slot: usize,
+    /// A worker's, while it is listed.
+    here: bool,
+}
+
+pub struct Sharing {
+    shares: Shares,
+    open: Vec<Open>,
+    /// The list by which workers' budgets were last opened.
+    edition: (u64, u64),
+    /// Of a worker's: this gateway's part of the shots that may be out there, and seconds that one may be out.
+    hand: (f64, f64),
+}
+
+impl Sharing {
+    /// All budgets that the charter bounds, but those of workers, which come with the list.
+    pub fn new(house: &House, life: u64, lease: f64, now: f64) -> Self {
+        /// Seconds past its cut-off after which a shot has ended for certain.
+        const LATE: f64 = 0.5;
+        let mut shares = Shares::new(life, lease, life, now);
+        let (policy, gateways) = (&house.policy, house.policy.routers.max(1) as f64);
+        let mut open = Vec::new();
+        let mut add = |what, name: String, form, part: f64| {
+            if part.is_finite() && part > 0.0 {
+                open.push(Open { what, slot: shares.open(now, &name, form, part), here: true });
+            }
+        };
+        for (n, name) in house.clients.iter().enumerate() {
+            add(Budget::Quota(n), format!("quota {name}"), Form::Rate, policy.quotas[n] / gateways);
+            add(Budget::Ceiling(n), format!("ceiling {name}"), Form::Rate, policy.ceilings[n] / gateways);
+        }
+        if let Some((window, free, _)) = policy.ration {
+            add(Budget::Orders, "orders".into(), Form::Window(window), free);
+        }
+        if let Some((window, free, _)) = policy.retries {
+            add(Budget::Retries, "retries".into(), Form::Window(window), free);
+        }
+        let longest = house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max);
+        Self { shares, open, edition: (0, 0), hand: (policy.hand / gateways, longest + LATE) }
+    }
+
+    /// When [`turn`](Self::turn) is wanted next.
+    pub fn next(&self) -> f64 {
+        self.shares.next()
+    }
+
+    /// Opens budgets of workers that came, closes those of workers that are gone.
+    fn follow<T>(&mut self, desk: &mut Desk<T>, now: f64) {
+        let edition = desk.list_edition();
+        if edition == self.edition {
+            return;
+        }
+        if edition.0 != self.edition.0 {
+            self.shares.tell_anew();
+        }
+        self.edition = edition;
+        let (part, longest) = self.hand;
+        if !part.is_finite() {
+            return;
+        }
+        self.open.iter_mut().for_each(|o| o.here = !matches!(o.what, Budget::Hand(_)));
+        for (worker, name) in desk.workers() {
+            let slot = self.shares.open(now, &format!("in flight {name}"), Form::Hand(longest), part);
+            let what = Budget::Hand(worker);
+            match self.open.iter_mut().find(|o| o.slot == slot) {
+                Some(known) => (known.what, known.here) = (what, true),
+                None => self.open.push(Open { what, slot, here: true }),
+            }
+        }
+    }
+
+    fn meter<T>(&mut self, desk: &mut Desk<T>, now: f64) {
+        for open in self.open.iter().filter(|o| o.here) {
+            self.shares.meter(now, open.slot, desk.meter(now, open.what));
+        }
+    }
+
+    /// Does what is due, with what is one's own by the count and those who can be asked.
+    pub fn turn<T>(&mut self, desk: &mut Desk<T>, now: f64, parts: &Parts, others: Vec<u64>) {
+        self.follow(desk, now);
+        let Parts { part, floor, until, .. } = *parts;
+        self.shares.right(now, Right { part, floor, until }, others);
+        self.meter(desk, now);
+        self.shares.turn(now);
+        let shares = &mut self.shares;
+        self.open.retain(|o| o.here || !shares.close(now, o.slot));
+        self.tell(desk, now);
+    }
+
+    /// A note came of another process.
+    pub fn heard<T>(&mut self, desk: &mut Desk<T>, now: f64, life: u64, note: &[u8]) {
+        let open = &self.open;
+        self.shares.heard(now, life, note, &mut |slot| {
+            let open = open.iter().find(|o| o.slot == slot && o.here)?;
+            Some(desk.meter(now, open.what))
+        });
+        self.tell(desk, now);
+    }
+
+    fn tell<T>(&mut self, desk: &mut Desk<T>, now: f64) {
+        for (slot, more) in self.shares.changes(now) {
+            if let Some(open) = self.open.iter().find(|o| o.slot == slot && o.here) {
+                desk.allot(open.what, more);
+            }
+        }
+    }
+
+    /// What to send next, and to which process.
+    pub fn out(&mut self) -> Option<(u64, Vec<u8>)> {
+        self.shares.out()
+    }
+
+    /// Budgets as an operator sees them: those of which something is wanted, lent or borrowed come first.
+    pub fn view(&mut self, now: f64) -> (Vec<Seen>, Tally) {
+        /// Budgets that are told.
+        const TOLD: usize = 48;
+        let mut seen = self.shares.view(now);
+        seen.sort_by(|a, b| {
+            let moved = |s: &Seen| s.need / s.part.max(1e-9) + s.lent + s.borrowed;
+            moved(b).total_cmp(&moved(a)).then(a.name.cmp(&b.name))
+        });
+        seen.truncate(TOLD);
+        (seen, self.shares.tally())
+    }
+}
--- a/crates/milletpath/src/peers.rs
+++ b/crates/milletpath/src/peers.rs
@@ -1,6 +1,7 @@
 //! `milletpath peers`: what a gateway knows of the others, for operators in trouble.
 
-use milletpath_peers::{Hears, View};
+use milletpath_gateway::Told;
+use milletpath_peers::Hears;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -14,15 +15,15 @@
         return ExitCode::from(2);
     }
     match milletpath_gateway::ask(&house) {
-        Ok(view) if json => match serde_json::to_string(&view) {
+        Ok(told) if json => match serde_json::to_string(&told) {
             Ok(text) => {
                 println!("{text}");
                 ExitCode::SUCCESS
             }
             Err(_) => ExitCode::FAILURE,
         },
-        Ok(view) => {
-            print(&view);
+        Ok(told) => {
+            print(&told);
             ExitCode::SUCCESS
         }
         Err(e) => {
@@ -32,7 +33,8 @@
     }
 }
 
-fn print(view: &View) {
+fn print(told: &Told) {
+    let view = &told.view;
     let hears = match view.hears {
         Hears::Majority => "hears a majority",
         Hears::Some => "hears some, no majority",
@@ -55,6 +57,23 @@
         let (state, since) = (&m.state, m.since);
         println!("{:<24} {state:<8} {since:>9.1} {age:>9} {:>11}  {}{twice}", m.name, m.incarnation, m.at);
     }
+    if !told.budgets.is_empty() {
+        println!(
+            "{:<32} {:>10} {:>10} {:>10} {:>10} {:>10}",
+            "budget", "its part", "allowed", "needed", "lent", "borrowed"
+        );
+    }
+    for b in &told.budgets {
+        println!(
+            "{:<32} {:>10.3} {:>10.3} {:>10.3} {:>10.3} {:>10.3}",
+            b.name, b.part, b.allowed, b.need, b.lent, b.borrowed
+        );
+    }
+    let s = &told.sharing;
+    println!(
+        "notes on budgets: {} sent, {} held back for want of bytes, {} unreadable; asks {}, grants {}",
+        s.notes, s.held_back, s.unread, s.asks, s.grants
+    );
     let t = &view.tally;
     println!("letters: {} sent ({} bytes), {} taken, {} repeated", t.sent, t.bytes, t.taken, t.repeated);
     println!(
--- a/crates/milletpath/tests/fleet/mod.rs
+++ b/crates/milletpath/tests/fleet/mod.rs
@@ -91,6 +91,7 @@
   key       = "{n}.key"
   period    = 0.2
   lease     = 1.2
+  floor     = 0.5
 }}
 "#,
             self.relay.address(n),
--- a/crates/peers/benches/fleet.rs
+++ b/crates/peers/benches/fleet.rs
@@ -17,7 +17,7 @@
 fn settled(size: usize, seed: u64) -> Net {
     // In a larger fleet words go round more slowly: the lease that an operator would choose.
     let lease = if size > 50 { 12.0 } else { 3.0 };
-    let mut net = Net::new(size, 1.max(size / 8), Terms { lease, ..Terms::default() }, seed);
+    let mut net = Net::new(size, 1.max(size / 8), Terms { lease, floor: 0.5, ..Terms::default() }, seed);
     net.begin_all();
     net.play(if size > 50 { 100.0 } else { 20.0 });
     net
--- a/crates/peers/src/letter.rs
+++ b/crates/peers/src/letter.rs
@@ -38,6 +38,8 @@
     pub const TELL: u8 = 8;
     /// The answer to an answer.
     pub const THANKS: u8 = 11;
+    /// A note of what gateways share: `milletpath-shares` reads it.
+    pub const NOTE: u8 = 12;
     /// An operator asks what is known here; answered by pages of text.
     pub const ASK: u8 = 9;
     pub const TOLD: u8 = 10;
@@ -130,12 +132,26 @@
     pub sayings: Vec<Saying>,
     #[n(9)]
     pub page: Option<Page>,
+    #[cbor(n(10), with = "minicbor::bytes")]
+    pub note: Option<Vec<u8>>,
 }
 
 impl Letter {
     pub fn new(from: Who, to: u64, matter: u8, number: u64) -> Self {
         let (rumours, sayings) = (Vec::new(), Vec::new());
-        Self { from, serial: 0, to, matter, number, about: 0, digest: 0, rumours, sayings, page: None }
+        Self {
+            from,
+            serial: 0,
+            to,
+            matter,
+            number,
+            about: 0,
+            digest: 0,
+            rumours,
+            sayings,
+            page: None,
+            note: None,
+        }
     }
 }
 
--- a/crates/peers/src/peers.rs
+++ b/crates/peers/src/peers.rs
@@ -25,10 +25,9 @@
 
 impl Default for Terms {
     /// Two and a half probes a second find a death within some seconds at some 2 kB/s; in three seconds words go round
-    /// among dozens of gateways; half is what a gateway gets by with for the length of a cut, and leaves as much for
-    /// the others.
+    /// among dozens of gateways; who hears nobody keeps what it would have if it shared nothing.
     fn default() -> Self {
-        Self { period: 0.4, lease: 3.0, floor: 0.5, window: 10.0 }
+        Self { period: 0.4, lease: 3.0, floor: 1.0, window: 10.0 }
     }
 }
 
@@ -54,6 +53,8 @@
     serial: u64,
     pub(crate) number: u64,
     out: VecDeque<Sent>,
+    /// Notes that came, and from whom.
+    notes: VecDeque<(u64, Vec<u8>)>,
     /// Questions sent lately, by number.
     pub(crate) asked: VecDeque<Asked>,
     pub(crate) probe: Option<Probe>,
@@ -84,6 +85,9 @@
 /// Letters that wait to be sent at most; what comes beyond is as if it were lost on the way.
 const OUT: usize = 1024;
 
+/// Notes that wait to be read at most.
+const NOTES: usize = 256;
+
 impl Peers {
     /// `who` tells of this process: its `life` must be drawn by chance. `seeds` are places where others may be found.
     pub fn new(who: Who, terms: Terms, seeds: Vec<SocketAddr>, seed: u64, now: f64) -> Self {
@@ -100,6 +104,7 @@
             serial: 0,
             number: 0,
             out: VecDeque::new(),
+            notes: VecDeque::new(),
             asked: VecDeque::new(),
             probe: None,
             round: Vec::new(),
@@ -130,6 +135,25 @@
         self.out.pop_front()
     }
 
+    /// The next note that came, and the life that it is from.
+    pub fn posted(&mut self) -> Option<(u64, Vec<u8>)> {
+        self.notes.pop_front()
+    }
+
+    /// Sends a note to a process that is there; as if lost where it is not.
+    pub fn post(&mut self, life: u64, note: Vec<u8>) {
+        let Some(at) = self.there(life) else { return };
+        let mut letter = self.letter(life, matter::NOTE, 0);
+        letter.note = Some(note);
+        self.send(at, letter);
+    }
+
+    /// Processes of which there is a word that is fresh by proof: those to share things with.
+    pub fn others(&self) -> Vec<u64> {
+        let fresh = |m: &Member| m.state.there() && self.now - m.last_word() < self.terms.lease;
+        self.members.iter().filter(|(_, m)| fresh(m)).map(|(life, _)| *life).collect()
+    }
+
     /// When [`turn`](Self::turn) is wanted next, on the caller's clock.
     pub fn next(&self) -> f64 {
         let ends = self.members.values().map(|m| m.ends).fold(f64::INFINITY, f64::min);
@@ -218,6 +242,9 @@
             matter::FOUND => self.answered(life, letter.about, &letter),
             matter::EXCHANGE => self.exchange(life, number, letter.digest),
             matter::LEAVE => self.gone(life),
+            matter::NOTE if self.notes.len() < NOTES => {
+                self.notes.extend(letter.note.map(|note| (life, note)));
+            }
             // Of a later version, or no more than who it is and rumours.
             _ => {}
         }
--- a/crates/peers/tests/fleet.rs
+++ b/crates/peers/tests/fleet.rs
@@ -9,7 +9,7 @@
 
 /// Budgets with the shortest window, so that the sum of the parts is looked at as sharply as it can be.
 fn sharp() -> Terms {
-    Terms { window: 0.0, ..Terms::default() }
+    Terms { window: 0.0, floor: 0.5, ..Terms::default() }
 }
 
 fn settled(size: usize, seed: u64) -> Net {
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/peers/tests/net/mod.rs
@@ -41,7 +41,7 @@
 
 enum What {
     Turn(usize, u64),
-    Come(usize, Letter),
+    Come(usize, Box<Letter>),
 }
 
 struct Due(f64, u64, What);
@@ -219,7 +219,7 @@
             *self.matters.entry(sent.letter.matter).or_default() += datagram.len() as u64;
             let Some(to) = self.nodes.iter().position(|node| node.at == sent.to) else { continue };
             for delay in (self.rule)(now, n, to, &mut self.chance) {
-                self.put(now + delay, What::Come(to, sent.letter.clone()));
+                self.put(now + delay, What::Come(to, Box::new(sent.letter.clone())));
             }
         }
         let next = next.max(now + 1e-6);
@@ -240,7 +240,7 @@
             if self.nodes[n].still > at {
                 let still = self.nodes[n].still;
                 match what {
-                    What::Come(_, letter) => self.nodes[n].inbox.push(letter),
+                    What::Come(_, letter) => self.nodes[n].inbox.push(*letter),
                     What::Turn(..) => {
                         self.nodes[n].armed = still;
                         self.put(still, what);
@@ -261,7 +261,7 @@
                     node.armed = f64::INFINITY;
                     peers.turn(clock);
                 }
-                What::Come(_, letter) => peers.heard(clock, letter),
+                What::Come(_, letter) => peers.heard(clock, *letter),
             }
             self.after(n);
             if self.watch {
--- a/crates/policy/src/host.rs
+++ b/crates/policy/src/host.rs
@@ -26,6 +26,23 @@
     fn forget(&mut self, activation: usize);
     /// The router knows nothing of this function any more; its index may be given to another.
     fn forget_function(&mut self, function: usize);
+    /// Something was not done for want of a budget that all routers share.
+    fn lacks(&mut self, _what: Budget) {}
+}
+
+/// What all routers together may use of something, and this one a part of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Budget {
+    /// Activations a second of a client group within its share.
+    Quota(usize),
+    /// Activations a second of a client group that may be sent at all.
+    Ceiling(usize),
+    /// Free orders to load within the ration's window.
+    Orders,
+    /// Free further shots within their window.
+    Retries,
+    /// Shots out at a worker.
+    Hand(usize),
 }
 
 /// How harmful it is to run an activation twice.
@@ -64,6 +81,13 @@
     pub profiles: Vec<Profile>,
     /// Activations a second, over all routers, within the share of each client group.
     pub quotas: Vec<f64>,
+    /// Activations a second, over all routers, that each client group may have sent at all; boundless where it is not
+    /// stated.
+    pub ceilings: Vec<f64>,
+    /// Further shots of activations: window, free ones, and for each activation taken; boundless where not stated.
+    pub retries: Option<(f64, f64, f64)>,
+    /// Shots out at a worker, over all routers.
+    pub hand: f64,
     /// The importance of an activation beyond its client group's share.
     pub over_share: f64,
     /// Shots an activation may have.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,5 +2,7 @@
 //!
 //! [`policy::Router`] makes every decision; [`host`] is the interface it is reached through.
 
+pub mod fading;
 pub mod host;
 pub mod policy;
+pub mod ration;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -6,35 +6,13 @@
 //! it. What comes back runs the other way: `shoot` books it on the worker, `place` on the function, `admit`
 //! ends it or sends it round again. `may_shoot` and `order` are the only doors for shots and orders to load.
 
+use crate::fading::Fading;
 use crate::host::*;
+use crate::ration::Ration;
 use oorandom::Rand64;
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// A figure that fades: each addition loses half its weight in `half` seconds.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    sum: f64,
-    at: f64,
-}
-
-impl Fading {
-    fn now(&self, now: f64, half: f64) -> f64 {
-        self.sum * (-(now - self.at).max(0.0) / half).exp2()
-    }
-
-    fn add(&mut self, now: f64, half: f64, x: f64) {
-        self.sum = self.now(now, half) + x;
-        self.at = now;
-    }
-
-    /// Events a second when 1 is added at each; `age` corrects for a count that is still young.
-    fn rate(&self, now: f64, half: f64, age: f64) -> f64 {
-        let full = half / std::f64::consts::LN_2;
-        self.now(now, half) / (full * (1.0 - (-age.max(0.5) / full).exp()))
-    }
-}
-
 /// Figures about workers, in parallel arrays under the host's index.
 #[derive(Default)]
 struct Fleet {
@@ -107,6 +85,9 @@
     since: f64,
     /// Mean time that its shots are out, by so much over the mean of all.
     slow: f64,
+    /// Time that answers of instances took, and what the function keeps busy at other routers, in lanes.
+    busy: Fading,
+    elsewhere: f64,
     /// Workers in the set, and since when the set could be smaller.
     set: usize,
     roomy_since: f64,
@@ -152,11 +133,15 @@
 struct Activation {
     function: usize,
     profile: usize,
+    client: usize,
     taken: f64,
     until: f64,
     /// The final answer is owed.
     open: bool,
     over_share: bool,
+    /// When its client group's ceiling let it through, and how long to stay away where it does not.
+    passed: f64,
+    away: Option<f64>,
     shots: Vec<Shot>,
 }
 
@@ -188,7 +173,10 @@
     keep: f64,
     /// Memory of each kind of worker, in MB.
     memory: Vec<f64>,
-    ration: Option<(f64, f64, f64)>,
+    ration: Option<Ration>,
+    retries: Option<Ration>,
+    /// Shots that may be out at a worker, of this router's part.
+    hand: f64,
     order_wait: f64,
     cold_share: f64,
     warm_up: f64,
@@ -204,10 +192,15 @@
     activations: Vec<Option<Activation>>,
     live: Vec<usize>,
     kept: Vec<usize>,
-    /// What each client group may still send within its share, as of when.
+    /// What each client group may still send within its share, as of when; and the same under its ceiling.
     clients: Vec<(f64, f64)>,
-    taken: VecDeque<f64>,
-    ordered: VecDeque<f64>,
+    ceilings: Vec<f64>,
+    under: Vec<(f64, f64)>,
+    /// What it was allotted beside its parts by the count, until when and from then on; and what it lacked.
+    allotted: BTreeMap<Budget, ([f64; 2], f64)>,
+    lacked: Vec<Budget>,
+    /// When this router was last told what the functions keep busy at others.
+    told: f64,
     /// Orders not answered yet.
     loading: f64,
     ready: f64,
@@ -253,10 +246,15 @@
 /// A worker's highest rate gives way this slowly, so that no lull or slow spell shuts the door for good.
 const PEAK_HALF: f64 = 30.0;
 
+/// Seconds for which what a ceiling let through may go out: what stood still for longer asks anew.
+const LAPSE: f64 = 0.5;
+
 impl Router {
     pub fn new(charter: Charter, now: f64, host: &mut dyn Host) -> Self {
         /// For an activation of no stated profile: the wariest.
         const NONE: Profile = Profile { due: 1.0, effect: Effect::Effectful };
+        /// What is at a window's edge, but for a clock's rounding, counts as done but not as taken.
+        const HAIR: f64 = 1e-5;
         if charter.asks {
             host.follow();
         }
@@ -266,6 +264,8 @@
             most: charter.routers.max(1) as f64,
             part: ([1.0; 2], f64::INFINITY),
             clients: vec![(0.0, now - 1.0); charter.quotas.len()],
+            under: vec![(0.0, now); charter.ceilings.len()],
+            ceilings: charter.ceilings.iter().map(|c| c / charter.routers.max(1) as f64).collect(),
             // A router's part of what its client groups may use.
             quotas: charter.quotas.iter().map(|q| q / charter.routers.max(1) as f64).collect(),
             profiles: if charter.profiles.is_empty() { vec![NONE] } else { charter.profiles },
@@ -280,7 +280,10 @@
             come_back: charter.come_back,
             keep: charter.keep,
             memory: charter.memory,
-            ration: charter.ration,
+            ration: charter.ration.map(|r| Ration::new(r, HAIR)),
+            retries: charter.retries.map(|r| Ration::new(r, HAIR)),
+            hand: charter.hand / charter.routers.max(1) as f64,
+            told: f64::NEG_INFINITY,
             order_wait: charter.order_wait,
             cold_share: charter.cold_share.clamp(0.0, 1.0),
             warm_up: charter.warm_up,
@@ -297,8 +300,8 @@
         }
     }
 
-    /// Routers that know of each other say how many there likely are, and this one's part of what bounds harm:
-    /// of what it has by the charter so much until then, and so much afterwards. Where nobody says so the
+    /// Routers that know of each other say how many there likely are, and this one's part of what bounds
+    /// harm: of what it has by the charter so much until then, and so much afterwards. Where nobody says so the
     /// charter's count holds.
     pub fn share(&mut self, likely: f64, part: [f64; 2], until: f64) {
         self.routers = likely.max(1.0);
@@ -310,6 +313,39 @@
         part[usize::from(now >= until)]
     }
 
+    /// Allots more or less of a budget than this router's part by the count, until then and from then on.
+    pub fn allot(&mut self, what: Budget, more: [f64; 2], until: f64) {
+        self.allotted.insert(what, (more, until));
+    }
+
+    /// What this router may use of a budget now, of which it has so much by the charter.
+    fn allowed(&self, now: f64, what: Budget, own: f64) -> f64 {
+        let more = self.allotted.get(&what).map_or(0.0, |(more, until)| more[usize::from(now >= *until)]);
+        (own * self.part(now) + more).max(0.0)
+    }
+
+    /// Other routers said what functions keep busy there, in lanes by name; all else is next to nothing.
+    pub fn elsewhere(&mut self, now: f64, busy: &BTreeMap<u64, f64>) {
+        self.told = now;
+        for f in self.functions.iter_mut().flatten() {
+            f.elsewhere = busy.get(&f.name).copied().unwrap_or(0.0);
+        }
+    }
+
+    /// What functions keep busy here: lanes by name.
+    pub fn busy(&self, now: f64) -> impl Iterator<Item = (u64, f64)> {
+        let busy = move |f: &Function| (f.name, f.busy.rate(now, RATE_HALF, now - f.since));
+        self.functions.iter().flatten().map(busy)
+    }
+
+    /// How far what others said still holds: it fades into this router's own guess.
+    fn faith(&self, now: f64) -> f64 {
+        /// Seconds for which a word is as good as new, and in which it then loses half.
+        const NEW: f64 = 2.0;
+        const HALF: f64 = 2.0;
+        (-(now - self.told - NEW).max(0.0) / HALF).exp2()
+    }
+
     fn luck(&mut self) -> f64 {
         self.chance.as_mut().map_or(0.5, Rand64::rand_float)
     }
@@ -371,12 +407,7 @@
     pub fn arrived(&mut self, now: f64, id: usize, a: Arrival, host: &mut dyn Host) {
         self.activations.resize_with(self.activations.len().max(id + 1), || None);
         self.functions.resize_with(self.functions.len().max(a.function + 1), || None);
-        if let Some((window, ..)) = self.ration {
-            self.taken.push_back(now);
-            while self.taken.front().is_some_and(|&t| now - t >= window) {
-                self.taken.pop_front();
-            }
-        }
+        self.ration.iter_mut().chain(&mut self.retries).for_each(|r| r.take(now));
         let function = self.functions[a.function].get_or_insert_with(|| Function {
             name: a.name,
             memory: a.memory.max(0.0),
@@ -395,9 +426,9 @@
                 count.add(now, half, 1.0);
             }
             // A client group may use a second of its share at once.
-            let part = self.part(now);
+            let own = self.quotas.get(a.client).copied().unwrap_or(0.0);
+            let quota = self.allowed(now, Budget::Quota(a.client), own);
             if let Some((left, at)) = self.clients.get_mut(a.client) {
-                let quota = self.quotas[a.client] * part;
                 *left = (*left + (now - *at) * quota).min(quota.max(1.0));
                 *at = now;
                 over_share = self.sheds && *left < 1.0;
@@ -409,10 +440,13 @@
         self.activations[id] = Some(Activation {
             function: a.function,
             profile: a.profile.min(self.profiles.len().saturating_sub(1)),
+            client: a.client,
             taken: now,
             until: now + a.patience,
             open: true,
             over_share,
+            passed: f64::NEG_INFINITY,
+            away: None,
             shots: Vec::new(),
         });
         self.live.push(id);
@@ -451,6 +485,7 @@
             Stage::End => self.give_up(id, host),
             Stage::Keep => self.kept.push(id),
         }
+        self.lacked.drain(..).for_each(|what| host.lacks(what));
         self.kept.last() != Some(&id)
     }
 
@@ -480,7 +515,7 @@
         const WAIT: f64 = 0.15;
         /// The same of its client's own time, which may be shorter: what is left must do for a try elsewhere.
         const OWN: f64 = 0.4;
-        if !self.may_go_on(now, id) {
+        if !self.may_go_on(now, id) || !self.may_pass(now, id) || !self.may_repeat(now, id) {
             return Stage::End;
         }
         match if stuck { Stage::Keep } else { self.place(now, id, host) } {
@@ -497,6 +532,62 @@
         if now - a.taken > wait { Stage::End } else { Stage::Keep }
     }
 
+    /// Whether its client group's ceiling over all routers lets an activation through; if not, its client is
+    /// told when there is room again.
+    fn may_pass(&mut self, now: f64, id: usize) -> bool {
+        /// Seconds of its ceiling that a group may use at once.
+        const AT_ONCE: f64 = 0.5;
+        let Some(a) = self.activations[id].as_mut() else { return false };
+        let (client, passed) = (a.client, a.passed);
+        let Some(&own) = self.ceilings.get(client).filter(|c| c.is_finite()) else { return true };
+        if now - passed < LAPSE {
+            return true;
+        }
+        let rate = self.allowed(now, Budget::Ceiling(client), own);
+        let (left, at) = &mut self.under[client];
+        *left = (*left + (now - *at) * rate).min((rate * AT_ONCE).max(1.0));
+        *at = now;
+        let (left, luck) = (*left, self.luck());
+        let may = left >= 1.0;
+        // Told when there is room again, not all in step.
+        let away = (1.0 - left) / rate.max(1e-3) * (1.0 + luck);
+        self.activations[id].iter_mut().for_each(|a| a.away = (!may).then_some(away));
+        self.lacked.extend((!may).then_some(Budget::Ceiling(client)));
+        may
+    }
+
+    /// Whether an activation may have a further shot as far as the budget of those goes.
+    fn may_repeat(&mut self, now: f64, id: usize) -> bool {
+        let first = self.activations[id].as_ref().is_none_or(|a| a.shots.is_empty());
+        let own = self.retries.as_ref().map_or(0.0, |r| r.free);
+        let free = self.allowed(now, Budget::Retries, own);
+        let may = first || self.retries.as_mut().is_none_or(|r| r.may(now, free));
+        self.lacked.extend((!may).then_some(Budget::Retries));
+        may
+    }
+
+    /// Whether so many shots of ours may be out at a worker, as far as the bound on all that are goes.
+    fn may_hold(&self, now: f64, w: usize, out: usize) -> bool {
+        self.hand.is_infinite() || out as f64 <= self.allowed(now, Budget::Hand(w), self.hand)
+    }
+
+    /// Whether a shot that was decided before may begin, by what this router is allotted now.
+    pub fn may_begin(&self, now: f64, id: usize, w: usize) -> bool {
+        let a = self.activations.get(id).and_then(Option::as_ref);
+        let under = |a: &Activation| self.ceilings.get(a.client).is_some_and(|c| c.is_finite());
+        let lapsed = a.is_some_and(|a| under(a) && now - a.passed >= LAPSE);
+        !lapsed && self.may_hold(now, w, self.fleet.out[w])
+    }
+
+    /// What of a budget's units is in use here.
+    pub fn in_use(&mut self, now: f64, what: Budget) -> f64 {
+        match what {
+            Budget::Retries => self.retries.as_mut().map_or(0.0, |r| r.used(now)),
+            Budget::Hand(w) => self.fleet.out.get(w).map_or(0.0, |out| *out as f64),
+            Budget::Orders | Budget::Quota(_) | Budget::Ceiling(_) => 0.0,
+        }
+    }
+
     /// Second stage: the least loaded of the function's set. A member without an instance is ordered one and
     /// joins once it stands; where all members are above the common load the walk goes on past the set.
     fn place(&mut self, now: f64, id: usize, host: &mut dyn Host) -> Stage {
@@ -530,7 +621,9 @@
         let live = |s: &&Stand| stands(s) && self.fleet.state[s.worker] == State::Ready;
         let live = function.stands.iter().filter(live).count();
         // Lanes are left free for the chance in what others send: a moment's crowd would begin one more load.
-        let unseen = LUCK * (1.0 - 1.0 / self.routers);
+        // Sets that are sized by what all see need none of that.
+        let faith = self.faith(now);
+        let unseen = LUCK * (1.0 - 1.0 / self.routers) * (1.0 - faith);
         let lanes = function.lanes + unseen / 2.0 - (unseen * (function.lanes + unseen / 4.0)).sqrt();
         let (mut room, mut members, mut needed, mut somewhere, mut on_way) = (0.0, 0, 0, 0, None);
         let mut pressed = false;
@@ -563,7 +656,9 @@
             let warm = copies > 0.0;
             somewhere += usize::from(warm || coming);
             // Beyond the lanes that stand there a worker loads one more, at cost of others' memory.
-            if out >= function.lanes * copies.max(1.0) && (!warm || waited < LANE_WAIT * due) {
+            // Of those of an instance on its way others want theirs as well.
+            let own = if warm || faith < 0.5 { function.lanes * copies.max(1.0) } else { 1.0 };
+            if out >= own && (!warm || waited < LANE_WAIT * due) {
                 continue;
             }
             // What is over its bound takes nothing: the walk goes on past the set, or it waits here.
@@ -663,18 +758,12 @@
         if ahead && (full || self.loading > self.ready * AHEAD / self.most * self.part(now)) {
             return;
         }
-        if let Some((window, free, share)) = self.ration {
-            /// What is at the window's edge, but for a clock's rounding, counts as order but not as taken.
-            const HAIR: f64 = 1e-5;
-            while self.ordered.front().is_some_and(|&t| now - t > window + HAIR) {
-                self.ordered.pop_front();
-            }
-            let taken = self.taken.iter().filter(|&&t| now - t < window - HAIR).count();
-            if self.ordered.len() as f64 + 1.0 > free * self.part(now) + share * taken as f64 {
-                return;
-            }
-            self.ordered.push_back(now);
+        let own = self.ration.as_ref().map_or(0.0, |r| r.free);
+        let free = self.allowed(now, Budget::Orders, own);
+        if self.ration.as_mut().is_some_and(|r| !r.may(now, free)) {
+            return self.lacked.push(Budget::Orders);
         }
+        self.ration.iter_mut().for_each(|r| r.done(now));
         if let Some(f) = self.functions[key].as_mut() {
             f.stand(w).coming = now + self.order_wait;
         }
@@ -692,7 +781,14 @@
             count.rate(now, half, now - f.since) * (1.0 - n.max(1.0).sqrt() / n.max(1.0))
         };
         let rate = f.arrivals.iter().zip(DEMAND_HALVES).map(rate).fold(0.0, f64::max);
-        rate * self.routers * self.latency * f.slow
+        let (guess, faith) = (rate * self.routers * self.latency * f.slow, self.faith(now));
+        if faith == 0.0 {
+            return guess;
+        }
+        // Nothing is taken off the own part for chance, which is small beside the whole.
+        let own = |(count, half): (&Fading, f64)| count.rate(now, half, now - f.since);
+        let own = f.arrivals.iter().zip(DEMAND_HALVES).map(own).fold(0.0, f64::max);
+        guess + faith * (own * self.latency * f.slow + f.elsewhere - guess)
     }
 
     /// Brings a function's walk up to the present ring.
@@ -764,7 +860,10 @@
         // A worker that may have failed this activation is not asked again.
         let fresh = |s: &Shot| s.worker != w || s.never_ran;
         let allowed = self.may_go_on(now, id) && f.state[w] == State::Ready;
-        allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w)
+        let allowed = allowed && a.shots.iter().all(|s| known(s) && fresh(s)) && self.cold_room(now, w);
+        let held = allowed && !self.may_hold(now, w, self.fleet.out[w] + 1);
+        self.lacked.extend(held.then_some(Budget::Hand(w)));
+        allowed && !held
     }
 
     /// What warm workers handle a second for their size: at least that is known to be within their capacity.
@@ -825,6 +924,13 @@
         if !warm {
             stand.coming = stand.coming.max(now + SLOW * self.load);
         }
+        if let Some(retries) = self.retries.as_mut().filter(|_| !a.shots.is_empty()) {
+            retries.done(now);
+        }
+        if let Some((left, _)) = self.under.get_mut(a.client).filter(|_| now - a.passed >= LAPSE) {
+            *left -= 1.0;
+            a.passed = now;
+        }
         a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
@@ -925,6 +1031,7 @@
                     self.load += WEIGHT * (answer.latency - self.load);
                 }
                 if !cold {
+                    f.busy.add(now, RATE_HALF, answer.latency);
                     self.latency += 0.02 * (answer.latency - self.latency);
                 }
             }
@@ -971,7 +1078,7 @@
         let Profile { due, effect } = self.profiles[a.profile];
         let harmless = matches!(effect, Effect::Pure | Effect::Receipted { group: Group::All, .. });
         if harmless || a.shots.iter().all(|s| s.never_ran) {
-            host.bounce(id, self.come_back.map(|most| most.min(AWAY * due)));
+            host.bounce(id, self.come_back.map(|most| most.min(a.away.unwrap_or(AWAY * due))));
         } else {
             host.terminate(id);
         }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -21,6 +21,8 @@
     pub wakes: Vec<f64>,
     pub forgotten: Vec<usize>,
     pub forgotten_functions: Vec<usize>,
+    pub lacked: Vec<Budget>,
+    pub away: Vec<Option<f64>>,
 }
 
 impl Host for Fake {
@@ -30,7 +32,11 @@
     fn cancel(&mut self, id: usize, shot: usize) {
         self.did.push((self.now, Did::Cancel { id, shot }));
     }
-    fn bounce(&mut self, id: usize, _come_back: Option<f64>) {
+    fn lacks(&mut self, what: Budget) {
+        self.lacked.push(what);
+    }
+    fn bounce(&mut self, id: usize, come_back: Option<f64>) {
+        self.away.push(come_back);
         self.did.push((self.now, Did::Bounce { id }));
     }
     fn terminate(&mut self, id: usize) {
@@ -75,6 +81,9 @@
         routers: 1,
         profiles: vec![profile],
         quotas: vec![],
+        ceilings: vec![],
+        retries: None,
+        hand: f64::INFINITY,
         over_share: 1.0,
         shots: 4,
         cancels: true,
--- a/crates/shares/src/shares.rs
+++ b/crates/shares/src/shares.rs
@@ -206,11 +206,25 @@
         slot
     }
 
-    /// Closes a budget: nothing more is lent of it, and what is borrowed is not used any more.
-    pub fn close(&mut self, slot: usize) {
+    /// Closes a budget that is not used here any more; not while something of it is lent, as that must stay subtracted
+    /// until it has ended, whoever opens it again. Tells whether it is closed.
+    pub fn close(&mut self, now: f64, slot: usize) -> bool {
+        let now = self.pass(now);
+        let lent = self.line(slot).map(|line| line.account.lent(now));
+        if lent.is_some_and(|lent| lent > 0.0) {
+            return false;
+        }
         if let Some(line) = self.lines.get_mut(slot).and_then(Option::take) {
             self.slots.remove(&line.key);
         }
+        true
+    }
+
+    /// Whoever carries out the decisions has forgotten what it was told: all of it is told anew.
+    pub fn tell_anew(&mut self) {
+        // Not the same as anything.
+        let unknown = More { more: f64::NAN, after: 0.0, until: f64::INFINITY };
+        self.lines.iter_mut().flatten().for_each(|line| line.told = Some(unknown));
     }
 
     fn line(&mut self, slot: usize) -> Option<&mut Line> {
@@ -237,7 +251,13 @@
     }
 
     /// A note came from another process. `meters` is asked for what is in use of a slot at this moment.
-    pub fn heard(&mut self, now: f64, life: u64, bytes: &[u8], meters: &dyn Fn(usize) -> Option<Meter>) {
+    pub fn heard(
+        &mut self,
+        now: f64,
+        life: u64,
+        bytes: &[u8],
+        meters: &mut dyn FnMut(usize) -> Option<Meter>,
+    ) {
         let now = self.pass(now);
         let Some(note) = Note::read(bytes) else {
             self.tally.unread += 1;
--- a/crates/shares/tests/town/mod.rs
+++ b/crates/shares/tests/town/mod.rs
@@ -178,7 +178,7 @@
         let (clock, meter) = (self.clock(to), self.meter(to));
         if let Some(node) = self.nodes[to].as_mut() {
             node.shares.meter(clock, node.slot, meter);
-            node.shares.heard(clock, from, &bytes, &|_| Some(meter));
+            node.shares.heard(clock, from, &bytes, &mut |_| Some(meter));
         }
         self.tell(to);
     }
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -200,8 +200,11 @@
     };
     let shared = Shared {
         gateways: day.gateways,
-        floor: milletpath_peers::Terms::default().floor,
         ration: day.terms.ration,
+        retries: day.terms.retries,
+        ceilings: day.groups.iter().map(|g| g.ceiling).collect(),
+        in_flight: day.terms.in_flight,
+        terms,
         lag: stage.lag,
     };
     let quotas = day.groups.iter().map(|g| g.quota).collect();
@@ -278,8 +281,9 @@
         });
     }
     for group in &day.groups {
-        let quota = group.quota.map_or(String::new(), |q| format!(" quota = {q} "));
-        line(format!("client \"{}\" {{{quota}}}", group.name));
+        let quota = group.quota.map_or(String::new(), |q| format!("  quota = {q}\n"));
+        let ceiling = group.ceiling.map_or(String::new(), |c| format!("  ceiling = {c}\n"));
+        line(format!("client \"{}\" {{\n{quota}{ceiling}}}", group.name));
     }
     let Day { pack, make, terms, .. } = day;
     let load = pack.fetch + pack.start;
@@ -289,8 +293,11 @@
     line(format!("  cold_share = {}\n  warm_up = {}", make.cold_share, make.warm_up));
     line(format!("  tip_multiple = {}\n  tip_window = {}\n}}", make.tip_multiple, make.tip_window));
     line(format!("limits {{\n  over_share = {}", terms.over_share));
-    if let Some((window, free, share)) = terms.ration {
-        line(format!("  ration {{\n    window = {window}\n    free = {free}\n    share = {share}\n  }}"));
+    terms.in_flight.into_iter().for_each(|most| line(format!("  in_flight = {most}")));
+    for (name, rationed) in [("ration", terms.ration), ("retries", terms.retries)] {
+        if let Some((window, free, share)) = rationed {
+            line(format!("  {name} {{\n    window = {window}\n    free = {free}\n    share = {share}\n  }}"));
+        }
     }
     line("}".into());
     if let Some(links) = links {
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -68,6 +68,8 @@
     pub name: String,
     pub share: f64,
     pub quota: Option<f64>,
+    /// Calls a second that it may have sent at all, over all gateways.
+    pub ceiling: Option<f64>,
 }
 
 /// What the rules and the account state.
@@ -75,6 +77,10 @@
 pub struct Terms {
     pub grace: f64,
     pub ration: Option<(f64, f64, f64)>,
+    /// Gateways' own further shots, over all gateways: window, free ones, share of one for each try.
+    pub retries: Option<(f64, f64, f64)>,
+    /// Shots at one worker, over all gateways.
+    pub in_flight: Option<f64>,
     /// Seconds for which receipts are known.
     pub receipts: f64,
     pub late: f64,
@@ -315,17 +321,21 @@
     let uneven = of(front.as_ref(), "uneven", "times the mean", 1e6, 1.0);
     let rules = top.block("rules");
     let rules = rules.as_ref();
-    let ration = rules.and_then(|r| r.block("ration")).map(|r| {
-        let r = Some(&r);
-        (
-            of(r, "window", "seconds", LONG, 10.0),
-            of(r, "free", "orders", 1e9, 10.0),
-            of(r, "share", "orders an activation", 1e3, 0.1),
-        )
-    });
+    let rationed = |key| {
+        rules.and_then(|r| r.block(key)).map(|r| {
+            let r = Some(&r);
+            (
+                of(r, "window", "seconds", LONG, 10.0),
+                of(r, "free", "of them", 1e9, 10.0),
+                of(r, "share", "of one an activation", 1e3, 0.1),
+            )
+        })
+    };
     let terms = Terms {
         grace: of(rules, "drain_grace", "seconds", LONG, 1.0),
-        ration,
+        ration: rationed("ration"),
+        retries: rationed("retries"),
+        in_flight: rules.and_then(|r| r.figure("in_flight", "shots at one worker", 1.0..=1e9)),
         receipts: of(rules, "receipts", "seconds", LONG, 30.0),
         late: of(rules, "late", "importance", 1.0, 0.1),
         over_share: of(rules, "over_share", "importance", 1.0, 0.05),
@@ -379,10 +389,11 @@
         name: s.label.clone(),
         share: s.figure("share", "of the calls", 0.0..=1e6).unwrap_or(1.0),
         quota: s.figure("quota", "calls a second", 0.0..=1e9),
+        ceiling: s.figure("ceiling", "calls a second", 0.0..=1e9),
     };
     let mut groups: Vec<_> = top.blocks("client", true).into_iter().map(read).collect();
     if groups.is_empty() {
-        groups.push(Group { name: "all".into(), share: 1.0, quota: None });
+        groups.push(Group { name: "all".into(), share: 1.0, quota: None, ceiling: None });
     }
     groups
 }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -291,6 +291,7 @@
             .unwrap_or((u64::MAX, 0));
         let work = figure(&fields::WORK).unwrap_or(0.0);
         self.hall.note(Saw::Came { call, attempt, gateway, worker: self.number, work });
+        let _over = Over { hall: self.hall.clone(), gateway, worker: self.number };
         let Ok(body) = Limited::new(body, BODY).collect().await else {
             return plain(StatusCode::BAD_REQUEST);
         };
@@ -366,6 +367,19 @@
     }
 }
 
+/// Notes that a shot is over, however its handling ends: also when its connection is gone.
+struct Over {
+    hall: Rc<Hall>,
+    gateway: usize,
+    worker: usize,
+}
+
+impl Drop for Over {
+    fn drop(&mut self) {
+        self.hall.note(Saw::Over { gateway: self.gateway, worker: self.worker });
+    }
+}
+
 type Answer = Response<Full<Bytes>>;
 
 fn plain(status: StatusCode) -> Answer {
--- /dev/null
+++ b/crates/witness/src/budgets.rs
@@ -0,0 +1,247 @@
+//! Budgets of the whole fleet, judged from what workers, clients and the days themselves saw. Each bound is the budget and
+//! a slack that follows from how gateways keep it (`docs/design/shares.md`).
+
+use crate::fleet::{Bound, Shared};
+use crate::{Record, Saw};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Seconds for which loans last at most.
+const LOAN: f64 = 2.1;
+
+/// Times of what happened, within some seconds.
+#[derive(Default)]
+struct Lately(VecDeque<f64>);
+
+impl Lately {
+    fn add(&mut self, at: f64) {
+        self.0.push_back(at);
+    }
+
+    fn within(&mut self, at: f64, seconds: f64) -> f64 {
+        while self.0.front().is_some_and(|when| at - when > seconds) {
+            self.0.pop_front();
+        }
+        self.0.len() as f64
+    }
+}
+
+/// What is rationed within a window, over all gateways: the free ones, and a share of what all took. An account counts
+/// what was taken when something is done; at another moment as much of that may have left the window as is in the one
+/// before it. For each process that was killed there is once more the part of the one that takes its place, whose account
+/// begins empty; until what was borrowed of the former has ended as well.
+struct Rationed<'s> {
+    shared: &'s Shared,
+    window: f64,
+    free: f64,
+    part: f64,
+    share: f64,
+    taken: Lately,
+    done: Lately,
+    killed: Lately,
+}
+
+impl<'s> Rationed<'s> {
+    fn new(shared: &'s Shared, (window, free, share): (f64, f64, f64), part: f64) -> Self {
+        let [taken, done, killed] = [(); 3].map(|()| Lately::default());
+        Self { shared, window, free, part, share, taken, done, killed }
+    }
+
+    /// One more is done; gives how many that are within the window, and how many may be.
+    fn did(&mut self, at: f64) -> (f64, f64) {
+        let (window, lag) = (self.window, self.shared.lag);
+        self.done.add(at);
+        // What lags behind may have been sent up to so much earlier, within another window.
+        let done = self.done.within(at, window - lag);
+        let earned =
+            self.share * self.taken.within(at, if self.share > 0.0 { 2.0 * window + lag } else { 0.0 });
+        let killed = self.killed.within(at, window + LOAN + lag);
+        (done, self.free + earned + self.part * killed)
+    }
+}
+
+/// Orders of the whole fleet in any window.
+pub fn orders(records: &[Record], shared: &Shared, (window, free, share): (f64, f64, f64)) -> Bound {
+    let mut bound = Bound::default();
+    let mut rationed = Rationed::new(shared, (window, free * shared.gateways as f64, share), free);
+    for Record { at, saw } in records {
+        match saw {
+            Saw::Asked { .. } => rationed.taken.add(*at),
+            Saw::Killed { .. } => rationed.killed.add(*at),
+            Saw::Ordered { .. } => {
+                let (orders, most) = rationed.did(*at);
+                bound.see(*at, orders, most, || {
+                    format!(
+                        "all gateways together gave {orders} orders within {window} s, for {most:.1} at most"
+                    )
+                });
+            }
+            _ => {}
+        }
+    }
+    bound
+}
+
+/// Shots beyond the first of each try, of the whole fleet in any window.
+pub fn retries(records: &[Record], shared: &Shared, (window, free, share): (f64, f64, f64)) -> Bound {
+    let mut bound = Bound::default();
+    let mut rationed = Rationed::new(shared, (window, free, share), free / shared.gateways as f64);
+    let mut came = BTreeSet::new();
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Asked { .. } => rationed.taken.add(*at),
+            Saw::Killed { .. } => rationed.killed.add(*at),
+            Saw::Came { call, attempt, .. } if !came.insert((call, attempt)) => {
+                let (shots, most) = rationed.did(*at);
+                bound.see(*at, shots, most, || {
+                    format!("{shots} further shots within {window} s, for {most:.1} at most")
+                });
+            }
+            _ => {}
+        }
+    }
+    bound
+}
+
+/// Calls of each client group that reached a worker, in any ten seconds. A gateway may use half a second of what it may
+/// at once, or one call where that is less; what it let through is sent within half a second, or the time for a
+/// connection after that.
+pub fn ceilings(records: &[Record], shared: &Shared) -> Bound {
+    const WINDOW: f64 = 10.0;
+    const AT_ONCE: f64 = 0.5;
+    const SENT: f64 = 0.75;
+    let mut bound = Bound::default();
+    let mut groups: BTreeMap<u64, usize> = BTreeMap::new();
+    let mut came = BTreeSet::new();
+    let mut lately: BTreeMap<usize, Lately> = BTreeMap::new();
+    for Record { at, saw } in records {
+        match *saw {
+            Saw::Call { call, group, .. } => {
+                groups.insert(call, group);
+            }
+            Saw::Came { call, attempt, .. } if came.insert((call, attempt)) => {
+                let Some(&group) = groups.get(&call) else { continue };
+                let Some(ceiling) = shared.ceilings.get(group).copied().flatten() else { continue };
+                let calls = lately.entry(group).or_default();
+                calls.add(*at);
+                let calls = calls.within(*at, WINDOW);
+                let seconds = WINDOW + AT_ONCE + SENT + 2.0 * shared.lag;
+                let most = ceiling * seconds + shared.gateways as f64;
+                bound.see(*at, calls, most, || {
+                    format!("{calls} calls of group {group} within {WINDOW} s, for {most:.1} at most")
+                });
+            }
+            _ => {}
+        }
+    }
+    bound
+}
+
+/// Shots at each worker at a time. What ended a moment ago may not have been noticed there.
+pub fn in_flight(records: &[Record], shared: &Shared, most: f64) -> Bound {
+    let mut bound = Bound::default();
+    let ended = |r: &Record| match r.saw {
+        Saw::Over { worker, .. } => Some((r.at - 2.0 * shared.lag, worker, -1.0)),
+        _ => None,
+    };
+    let began = |r: &Record| match r.saw {
+        Saw::Came { worker, .. } => Some((r.at, worker, 1.0)),
+        _ => None,
+    };
+    let mut events: Vec<(f64, usize, f64)> =
+        records.iter().filter_map(|r| ended(r).or_else(|| began(r))).collect();
+    events.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut out: BTreeMap<usize, f64> = BTreeMap::new();
+    for (at, worker, change) in events {
+        let out = out.entry(worker).or_default();
+        *out += change;
+        let shots = *out;
+        if change > 0.0 {
+            bound.see(at, shots, most, || format!("{shots} shots at worker {worker}, for {most} at most"));
+        }
+    }
+    bound
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Effect, Terms, bounds};
+    use test_case::test_case;
+
+    fn shared() -> Shared {
+        let terms = Terms {
+            grace: 1.0,
+            cold_share: 0.2,
+            warm_up: 8.0,
+            tip_multiple: 2.5,
+            tip_window: 1.0,
+            ration: None,
+            lag: 0.0,
+        };
+        Shared {
+            gateways: 2,
+            ration: Some((10.0, 2.0, 0.0)),
+            retries: Some((10.0, 3.0, 0.0)),
+            ceilings: vec![Some(10.0)],
+            in_flight: Some(3.0),
+            terms,
+            lag: 0.0,
+        }
+    }
+
+    fn broken(name: &str, mut records: Vec<Record>) -> u64 {
+        records.sort_by(|a, b| a.at.total_cmp(&b.at));
+        bounds(&records, &shared())[name].broken
+    }
+
+    fn ordered(times: &[f64]) -> Vec<Record> {
+        times.iter().map(|at| Record { at: *at, saw: Saw::Ordered { gateway: 0, worker: 0 } }).collect()
+    }
+
+    fn killed(at: f64) -> Record {
+        Record { at, saw: Saw::Killed { gateway: 0 } }
+    }
+
+    /// One may use what the other leaves; together they have no more than their sum, and one part more for each process
+    /// that begins anew.
+    #[test]
+    fn orders_count_for_the_fleet() {
+        assert_eq!(broken("orders", ordered(&[1.0, 2.0, 3.0, 4.0])), 0);
+        assert_eq!(broken("orders", ordered(&[1.0, 2.0, 3.0, 4.0, 10.5])), 1);
+        assert_eq!(broken("orders", ordered(&[1.0, 2.0, 3.0, 4.0, 11.5])), 0);
+        let mut records = ordered(&[1.0, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0]);
+        records.push(killed(4.5));
+        assert_eq!(broken("orders", records), 1);
+    }
+
+    fn call(call: u64, at: f64, shots: usize) -> Vec<Record> {
+        let (importance, due, trouble, effect) = (1.0, 1.0, None, Effect::Pure);
+        let mut saw = vec![Saw::Call { call, group: 0, importance, due, effect, trouble }];
+        saw.resize(1 + shots, Saw::Came { call, attempt: 0, gateway: 0, worker: 0, work: 0.01 });
+        saw.into_iter().map(|saw| Record { at, saw }).collect()
+    }
+
+    #[test_case(5, 1, 0; "one shot each")]
+    #[test_case(3, 2, 0; "as many further shots as there may be")]
+    #[test_case(4, 2, 1; "one more")]
+    fn further_shots_count_for_the_fleet(calls: u64, shots: usize, wrong: u64) {
+        let records = (0..calls).flat_map(|n| call(n, n as f64, shots)).collect();
+        assert_eq!(broken("retries", records), wrong);
+    }
+
+    /// Ten a second with half a second at once, and one call of each gateway.
+    #[test_case(110, 0; "as many as there may be")]
+    #[test_case(116, 2; "more")]
+    fn calls_under_a_ceiling_count_for_the_fleet(calls: u64, wrong: u64) {
+        let records = (0..calls).flat_map(|n| call(n, n as f64 / 20.0, 1)).collect();
+        assert_eq!(broken("ceiling", records), wrong);
+    }
+
+    #[test]
+    fn shots_at_a_worker_count_until_they_are_over() {
+        let mut records: Vec<_> = (0..4).flat_map(|n| call(n, n as f64, 1)).collect();
+        assert_eq!(broken("in-flight", records.clone()), 1);
+        records.push(Record { at: 2.5, saw: Saw::Over { gateway: 0, worker: 0 } });
+        assert_eq!(broken("in-flight", records), 0);
+    }
+}
--- a/crates/witness/src/fleet.rs
+++ b/crates/witness/src/fleet.rs
@@ -1,19 +1,26 @@
 //! What gateways that share things keep together: bounds over the whole fleet, and what it costs them to know each
 //! other. Like the rules it goes by what passed on the sockets of clients, workers and links alone.
 
-use crate::{Broken, Record, Saw};
+use crate::rules::cold;
+use crate::{Broken, Record, Saw, Terms, budgets};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What the gateways of a day share.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Shared {
     /// Gateways that there may be.
     pub gateways: usize,
-    /// Part of its own that a gateway keeps which hears no majority.
-    pub floor: f64,
     /// The ration of each: window, free orders, orders for each activation taken. The fleet's is their sum.
     pub ration: Option<(f64, f64, f64)>,
+    /// Further shots of all: window, free ones, a share of one for each try taken.
+    pub retries: Option<(f64, f64, f64)>,
+    /// Calls a second that each client group may have sent at all.
+    pub ceilings: Vec<Option<f64>>,
+    /// Shots at one worker.
+    pub in_flight: Option<f64>,
+    /// What a worker that started lately may be sent.
+    pub terms: Terms,
     /// Seconds by which a stand-in's reading may lag behind what was written.
     pub lag: f64,
 }
@@ -37,7 +44,7 @@
     /// Places that are told.
     const PLACES: usize = 5;
 
-    fn see(&mut self, at: f64, seen: f64, bound: f64, what: impl FnOnce() -> String) {
+    pub(crate) fn see(&mut self, at: f64, seen: f64, bound: f64, what: impl FnOnce() -> String) {
         if self.bound == 0.0 || seen - bound > self.most - self.bound {
             (self.most, self.bound) = (seen, bound);
         }
@@ -55,47 +62,20 @@
     let mut bounds =
         BTreeMap::from([("letter-bytes", Bound::default()), ("letters-a-second", Bound::default())]);
     letters(records, &mut bounds);
-    if let Some(ration) = shared.ration {
-        bounds.insert("orders", orders(records, shared, ration));
+    let mut intake = Bound::default();
+    cold(records, &shared.terms, |at, worker, sum, most| {
+        intake.see(at, sum, most, || format!("worker {worker} was sent {sum:.2} s of work for {most:.2}"));
+    });
+    bounds.insert("cold", intake);
+    bounds.extend(shared.ration.map(|ration| ("orders", budgets::orders(records, shared, ration))));
+    bounds.extend(shared.retries.map(|retries| ("retries", budgets::retries(records, shared, retries))));
+    bounds.extend(shared.in_flight.map(|most| ("in-flight", budgets::in_flight(records, shared, most))));
+    if shared.ceilings.iter().any(Option::is_some) {
+        bounds.insert("ceiling", budgets::ceilings(records, shared));
     }
     bounds
 }
 
-/// Orders of the whole fleet in any window: the free ones of all gateways that there may be, a share of what all took,
-/// and for each process that was killed within the window the floor of the one that takes its place, whose account
-/// begins empty.
-fn orders(records: &[Record], shared: &Shared, (window, free, share): (f64, f64, f64)) -> Bound {
-    let mut bound = Bound::default();
-    let (mut taken, mut ordered, mut killed) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
-    for Record { at, saw } in records {
-        match saw {
-            Saw::Asked { .. } => taken.push_back(*at),
-            Saw::Killed { .. } => killed.push_back(*at),
-            Saw::Ordered { .. } => {
-                ordered.push_back(*at);
-                // What lags behind may have been sent up to so much earlier, within another window.
-                let since = |from: &mut VecDeque<f64>, window: f64| {
-                    while from.front().is_some_and(|when| at - when > window) {
-                        from.pop_front();
-                    }
-                    from.len() as f64
-                };
-                let orders = since(&mut ordered, window - shared.lag);
-                let taken = since(&mut taken, window + shared.lag);
-                let killed = since(&mut killed, window + shared.lag);
-                let most = free * shared.gateways as f64 + share * taken + shared.floor * free * killed;
-                bound.see(*at, orders, most, || {
-                    format!(
-                        "all gateways together gave {orders} orders within {window} s, for {most:.1} at most"
-                    )
-                });
-            }
-            _ => {}
-        }
-    }
-    bound
-}
-
 /// The size of each letter, and what each gateway sends within ten seconds.
 fn letters(records: &[Record], bounds: &mut BTreeMap<&'static str, Bound>) {
     const WINDOW: f64 = 10.0;
@@ -239,39 +219,3 @@
     }));
     known
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn orders_at(times: &[(usize, f64)], killed: &[f64]) -> Bound {
-        let ordered = |(gateway, at): &(usize, f64)| Record {
-            at: *at,
-            saw: Saw::Ordered { gateway: *gateway, worker: 0 },
-        };
-        let mut records: Vec<_> = times.iter().map(ordered).collect();
-        records.extend(killed.iter().map(|at| Record { at: *at, saw: Saw::Killed { gateway: 0 } }));
-        records.sort_by(|a, b| a.at.total_cmp(&b.at));
-        let shared = Shared { gateways: 2, floor: 0.5, ration: Some((10.0, 2.0, 0.0)), lag: 0.0 };
-        bounds(&records, &shared).remove("orders").expect("there is a ration")
-    }
-
-    /// One may use what the other leaves; together they have no more than their sum.
-    #[test]
-    fn orders_count_for_the_fleet() {
-        let four = [(0, 1.0), (0, 2.0), (0, 3.0), (1, 4.0)];
-        assert_eq!((orders_at(&four, &[]).most, orders_at(&four, &[]).broken), (4.0, 0));
-        let five = [&four[..], &[(1, 10.5)]].concat();
-        assert_eq!(orders_at(&five, &[]).broken, 1);
-        let later = [&four[..], &[(1, 11.5)]].concat();
-        assert_eq!(orders_at(&later, &[]).broken, 0);
-    }
-
-    /// A process that begins anew has its floor whatever its former self used.
-    #[test]
-    fn who_was_killed_leaves_a_floor_to_the_next() {
-        let five = [(0, 1.0), (0, 2.0), (1, 3.0), (1, 4.0), (0, 6.0)];
-        assert_eq!(orders_at(&five, &[]).broken, 1);
-        assert_eq!(orders_at(&five, &[5.0]).broken, 0);
-    }
-}
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -2,6 +2,7 @@
 //! read and wrote: the client's side, the worker's side, the registry's; never by a gateway's own word.
 //! Where gateways share things, bounds over all of them come beside the rules.
 
+mod budgets;
 mod fleet;
 mod rules;
 mod service;
@@ -77,6 +78,11 @@
         worker: usize,
         work: f64,
     },
+    /// A shot that came is over at its worker: answered, or its connection is gone.
+    Over {
+        gateway: usize,
+        worker: usize,
+    },
     /// A worker ran the call: its effect happened, and was no repeat that it knew.
     Ran {
         call: u64,
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -191,6 +191,18 @@
 /// Rule 4: what all gateways send a worker that started lately stays, over any window, within the multiple of what
 /// it can do at that moment.
 fn cold_not_pushed_over(records: &[Record], terms: &Terms, broken: &mut Vec<Broken>) {
+    let mut fallen: BTreeMap<usize, f64> = BTreeMap::new();
+    cold(records, terms, |at, worker, sum, most| {
+        // It has fallen once, until it starts anew.
+        if sum > most && fallen.insert(worker, at).is_none_or(|before| at - before > terms.warm_up) {
+            let what = format!("worker {worker} was sent {sum:.2} s of work while cold, for {most:.2}");
+            broken.push(Broken { rule: 4, at, what });
+        }
+    });
+}
+
+/// What workers that started lately were sent within the stated window, and what they may be: at each shot that came.
+pub(crate) fn cold(records: &[Record], terms: &Terms, mut see: impl FnMut(f64, usize, f64, f64)) {
     /// Shots of chance beyond the budget: work is known by its mean alone.
     const CHANCE: f64 = 3.0;
     struct Cold {
@@ -198,20 +210,21 @@
         capacity: f64,
         sent: VecDeque<(f64, f64)>,
         sum: f64,
-        fallen: bool,
     }
     let mut cold: BTreeMap<usize, Cold> = BTreeMap::new();
     let (mut works, mut shots) = (0.0, 0.0);
     for Record { at, saw } in records {
         match *saw {
-            Saw::Started { worker, capacity, warm } => {
-                let new = Cold { started: *at, capacity, sent: VecDeque::new(), sum: 0.0, fallen: warm };
-                cold.insert(worker, new);
+            Saw::Started { worker, warm: true, .. } => {
+                cold.remove(&worker);
+            }
+            Saw::Started { worker, capacity, warm: false } => {
+                cold.insert(worker, Cold { started: *at, capacity, sent: VecDeque::new(), sum: 0.0 });
             }
             Saw::Came { worker, work, .. } => {
                 works += work;
                 shots += 1.0;
-                let Some(c) = cold.get_mut(&worker).filter(|c| !c.fallen) else { continue };
+                let Some(c) = cold.get_mut(&worker) else { continue };
                 let age = at - c.started;
                 if age > terms.warm_up {
                     cold.remove(&worker);
@@ -224,14 +237,7 @@
                 }
                 let warmth = terms.cold_share + (1.0 - terms.cold_share) * age / terms.warm_up.max(1e-9);
                 let budget = terms.tip_multiple * c.capacity * warmth * terms.tip_window;
-                if c.sum > budget + CHANCE * works / shots {
-                    c.fallen = true;
-                    let sum = c.sum;
-                    let what = format!(
-                        "worker {worker}, {age:.1} s old, was sent {sum:.2} s of work for {budget:.2}"
-                    );
-                    broken.push(Broken { rule: 4, at: *at, what });
-                }
+                see(*at, worker, c.sum, budget + CHANCE * works / shots);
             }
             _ => {}
         }
