Gateways add up what functions keep busy over all of them; sets are sized by that

Need: own rate times count stretches sets by chance, and at a process's start by its first guess of how long things take. Change: crates/shares counts what functions keep busy (lanes, from answers that met an instance), in 16 buckets, each added up by one gateway; one that does not answer is passed over; a word counts for seconds and fades into own rate times count. A gateway that begins goes by its own traffic until the first word or until time has passed without one. The lab plays it with the cores as they are.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,7 @@
 mod pool;
 mod ration;
 mod serve;
-mod sharing;
+pub mod sharing;
 mod shell;
 mod shot;
 
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -7,6 +7,7 @@
 use milletpath_peers::Parts;
 use milletpath_policy::host::Budget;
 use milletpath_shares::{Form, Right, Seen, Shares, Tally};
+use std::collections::BTreeMap;
 
 /// One budget that is open.
 struct Open {
@@ -21,6 +22,8 @@
     open: Vec<Open>,
     /// The list by which workers' budgets were last opened.
     edition: (u64, u64),
+    /// When the decisions were last told what functions keep busy elsewhere.
+    counted: f64,
     /// Of a worker's: this gateway's part of the shots that may be out there, and seconds that one may be out.
     hand: (f64, f64),
 }
@@ -49,12 +52,18 @@
             add(Budget::Retries, "retries".into(), Form::Window(window), free);
         }
         let longest = house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max);
-        Self { shares, open, edition: (0, 0), hand: (policy.hand / gateways, longest + LATE) }
+        Self {
+            shares,
+            open,
+            edition: (0, 0),
+            counted: f64::NEG_INFINITY,
+            hand: (policy.hand / gateways, longest + LATE),
+        }
     }
 
     /// When [`turn`](Self::turn) is wanted next.
     pub fn next(&self) -> f64 {
-        self.shares.next()
+        self.shares.next().min(self.shares.next_report())
     }
 
     /// Opens budgets of workers that came, closes those of workers that are gone.
@@ -95,11 +104,32 @@
         self.shares.right(now, Right { part, floor, until }, others);
         self.meter(desk, now);
         self.shares.turn(now);
+        self.count(desk, now);
         let shares = &mut self.shares;
         self.open.retain(|o| o.here || !shares.close(now, o.slot));
         self.tell(desk, now);
     }
 
+    /// Tells others what functions keep busy here, and the decisions what they do elsewhere.
+    fn count<T>(&mut self, desk: &mut Desk<T>, now: f64) {
+        /// Seconds between two words to the decisions.
+        const AGAIN: f64 = 0.5;
+        self.shares.report(now, || desk.busy(now));
+        if self.counted == f64::NEG_INFINITY {
+            // Whoever has just begun sees little and knows nothing of how long things take: times the count that would stretch
+            // sets over all workers. Until the first word comes, or time has passed without one, others have what they need.
+            desk.elsewhere(now, &BTreeMap::new());
+            self.counted = now;
+        }
+        if now < self.counted + AGAIN {
+            return;
+        }
+        if let Some(busy) = self.shares.elsewhere(now) {
+            self.counted = now;
+            desk.elsewhere(now, &busy);
+        }
+    }
+
     /// A note came of another process.
     pub fn heard<T>(&mut self, desk: &mut Desk<T>, now: f64, life: u64, note: &[u8]) {
         let open = &self.open;
--- a/crates/lab/examples/fleet.rs
+++ b/crates/lab/examples/fleet.rs
@@ -1,5 +1,6 @@
 //! Plays a day in simulated time with other numbers of gateways: service, fetches, refusals of the store, over seeds from 1.
-//! `cargo run --release -p milletpath-lab --example fleet -- days/town.hcl 10 1 24`: a day, seeds, numbers of gateways.
+//! `cargo run --release -p milletpath-lab --example fleet -- days/town.hcl 10 1 24`: a day, seeds, numbers of gateways. Each
+//! is played sharing nothing and, where there are several, sharing.
 
 use milletpath_lab::play;
 use milletpath_standin::script;
@@ -20,23 +21,27 @@
         }
     };
     let sizes: Vec<usize> = asked.filter_map(|n| n.parse().ok()).collect();
-    println!("gateways  service  fetches  refusals  warm    rules broken");
-    for gateways in if sizes.is_empty() { vec![day.gateways] } else { sizes } {
+    println!("gateways  sharing  service  fetches  refusals  warm    bytes/s  rules broken");
+    let sizes = if sizes.is_empty() { vec![day.gateways] } else { sizes };
+    let both =
+        sizes.into_iter().flat_map(|n| if n > 1 { vec![(n, false), (n, true)] } else { vec![(n, false)] });
+    for (gateways, sharing) in both {
         let came: Vec<_> = (1..=seeds)
             .map(|seed| {
                 let mut day = day.clone();
-                day.gateways = gateways;
+                (day.gateways, day.sharing) = (gateways, sharing);
                 play(&day, seed, None)
             })
             .collect();
         let mean =
             |of: &dyn Fn(&milletpath_lab::Came) -> f64| came.iter().map(of).sum::<f64>() / seeds as f64;
         println!(
-            "{gateways:>8} {:>8.4} {:>8.0} {:>9.0} {:>7.4} {:>8}",
+            "{gateways:>8} {sharing:>8} {:>8.4} {:>8.0} {:>9.0} {:>7.4} {:>8.0} {:>8}",
             mean(&|c| c.whole.service()),
             mean(&|c| c.fetches as f64),
             mean(&|c| c.refusals as f64),
             mean(&|c| c.warm),
+            mean(&|c| c.bytes),
             came.iter().map(|c| c.broken.len()).sum::<usize>(),
         );
         for b in came.iter().flat_map(|c| &c.broken).take(3) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! clients, under one clock and from one seed. No sockets: what takes a minute in processes takes a second here.
 
 mod clients;
+mod links;
 pub mod town;
 mod workers;
 
--- /dev/null
+++ b/crates/lab/src/links.rs
@@ -0,0 +1,77 @@
+//! What gateways share in simulated time: the cores as they are around the desks, and notes that take their way or are lost.
+//! Who is there is known to all; that a part of them may not be known is played by `milletpath-peers` and in processes.
+
+use crate::town::{Next, Town, WAY};
+use milletpath_charter::House;
+use milletpath_gateway::sharing::Sharing;
+use milletpath_peers::Parts;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+pub(crate) struct Links {
+    sharing: Vec<Sharing>,
+    /// When each is to be looked after next.
+    armed: Vec<f64>,
+    /// Part of the notes that is lost.
+    pub lost: f64,
+    sent: f64,
+    chance: ChaCha8Rng,
+}
+
+/// A process's number of chance: the gateway's own, as none begins anew here.
+fn life(gateway: usize) -> u64 {
+    gateway as u64 + 1
+}
+
+impl Links {
+    pub fn new(houses: &[House], seed: u64) -> Self {
+        /// Seconds for which words count as proof: the usual.
+        const LEASE: f64 = 3.0;
+        let sharing = houses.iter().enumerate().map(|(n, house)| Sharing::new(house, life(n), LEASE, 0.0));
+        let chance = ChaCha8Rng::seed_from_u64(seed ^ 0x11_4b5);
+        Self { sharing: sharing.collect(), armed: vec![0.0; houses.len()], lost: 0.0, sent: 0.0, chance }
+    }
+
+    pub fn bytes(&self) -> f64 {
+        self.sent
+    }
+}
+
+impl Town<'_> {
+    pub(crate) fn share(&mut self, gateway: usize) {
+        let others = (0..self.desks.len()).filter(|other| *other != gateway).map(life).collect();
+        let parts = Parts { likely: self.desks.len() as f64, part: 1.0, floor: 1.0, until: f64::INFINITY };
+        let Some(mut links) = self.links.take() else { return };
+        if links.armed[gateway] <= self.now {
+            links.armed[gateway] = f64::INFINITY;
+            self.at_desk(gateway, |desk, now| links.sharing[gateway].turn(desk, now, &parts, others));
+            self.post(gateway, &mut links);
+        }
+        self.links = Some(links);
+    }
+
+    pub(crate) fn noted(&mut self, gateway: usize, life: u64, note: &[u8]) {
+        let Some(mut links) = self.links.take() else { return };
+        self.at_desk(gateway, |desk, now| links.sharing[gateway].heard(desk, now, life, note));
+        self.post(gateway, &mut links);
+        self.links = Some(links);
+    }
+
+    /// Sends what there is to send, and sets the clock: as often as the link's thread looks.
+    fn post(&mut self, gateway: usize, links: &mut Links) {
+        /// Bytes of a letter around its note; seconds between two looks at most.
+        const AROUND: f64 = 120.0;
+        const LOOK: f64 = 0.05;
+        while let Some((to, note)) = links.sharing[gateway].out() {
+            links.sent += AROUND + note.len() as f64;
+            if !links.chance.random_bool(links.lost) {
+                self.put(self.now + WAY, Next::Note(to as usize - 1, life(gateway), note));
+            }
+        }
+        let next = links.sharing[gateway].next().clamp(self.now + 0.001, self.now + LOOK);
+        if next < links.armed[gateway] {
+            links.armed[gateway] = next;
+            self.put(next, Next::Share(gateway));
+        }
+    }
+}
--- a/crates/lab/src/town.rs
+++ b/crates/lab/src/town.rs
@@ -2,6 +2,7 @@
 //! seed gives the same history.
 
 use crate::clients::Call;
+use crate::links::Links;
 use crate::workers::Worker;
 use milletpath_charter::House;
 use milletpath_gateway::desk::{Act, Come, Desk, End, Tag, Tally};
@@ -34,6 +35,8 @@
     pub warm: f64,
     /// What the gateways did, all together.
     pub tally: Tally,
+    /// Bytes of notes that a gateway sent to others, a second.
+    pub bytes: f64,
 }
 
 /// What happens at a time.
@@ -89,6 +92,9 @@
         outcome: Outcome,
         report: Option<Report>,
     },
+    /// Something is due of what a gateway shares; a note of another comes.
+    Share(usize),
+    Note(usize, u64, Vec<u8>),
     List(Vec<Entry>),
     /// A trouble begins, goes on to its next step, ends.
     Begins(usize),
@@ -141,6 +147,7 @@
     pub(crate) struck: BTreeMap<usize, Vec<usize>>,
     pub(crate) warm: (u64, u64),
     look: Option<Look<'l>>,
+    pub(crate) links: Option<Links>,
 }
 
 /// Plays a day.
@@ -163,7 +170,9 @@
                 day::charter(day, gateway, any, SocketAddr::from((Ipv4Addr::LOCALHOST, 1)), None, seed);
             milletpath_charter::read(&text).unwrap_or_else(|m| panic!("a day's charter: {m:?}"))
         };
-        let desks: Vec<Desk<Kept>> = (0..day.gateways).map(|g| Desk::new(&house(g), 0.0)).collect();
+        let houses: Vec<House> = (0..day.gateways).map(house).collect();
+        let desks: Vec<Desk<Kept>> = houses.iter().map(|house| Desk::new(house, 0.0)).collect();
+        let links = day.sharing.then(|| Links::new(&houses, seed));
         let entries: Vec<Entry> =
             (0..day.workers).map(|w| Entry { address: place(w, 0), ..day::entry(w, None) }).collect();
         let mut town = Self {
@@ -184,6 +193,7 @@
             struck: BTreeMap::new(),
             warm: (0, 0),
             look: None,
+            links,
         };
         for worker in 0..day.workers {
             town.note(Saw::Started { worker, capacity: Engine::capacity(&day.make), warm: true });
@@ -201,6 +211,9 @@
         for (number, trouble) in day.troubles.iter().enumerate() {
             town.put(trouble.at, Next::Begins(number));
         }
+        for gateway in (0..day.gateways).filter(|_| day.sharing) {
+            town.put(0.0, Next::Share(gateway));
+        }
         town.put(0.0, Next::Look);
         town
     }
@@ -252,6 +265,7 @@
             refusals: self.store.refusals,
             warm: self.warm.0 as f64 / self.warm.1.max(1) as f64,
             tally,
+            bytes: self.links.as_ref().map_or(0.0, Links::bytes) / end / day.gateways as f64,
             records: self.records,
         }
     }
@@ -298,6 +312,8 @@
             Next::Probed { gateway, worker, serial, outcome, report } => {
                 self.at_desk(gateway, |desk, now| desk.probed(now, worker, serial, outcome, report));
             }
+            Next::Share(gateway) => self.share(gateway),
+            Next::Note(gateway, life, note) => self.noted(gateway, life, &note),
             Next::List(entries) => {
                 for gateway in 0..self.desks.len() {
                     self.at_desk(gateway, |desk, now| desk.list(now, false, &entries));
--- a/crates/shares/src/lib.rs
+++ b/crates/shares/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 
+mod counts;
 mod need;
 mod note;
 mod shares;
--- a/crates/shares/src/note.rs
+++ b/crates/shares/src/note.rs
@@ -35,6 +35,16 @@
     pub left: u64,
 }
 
+/// What a function keeps busy, in thousandths of a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct Count {
+    /// A hash of its name.
+    #[n(0)]
+    pub function: u64,
+    #[n(1)]
+    pub busy: u32,
+}
+
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 #[cbor(map)]
 pub struct Note {
@@ -48,6 +58,16 @@
     /// Milliseconds for which the grants hold from when they were asked for.
     #[n(3)]
     pub lasts: u32,
+    /// A bucket of functions; with it what they keep busy at the sender, or, where `of` gateways added up, at all but the
+    /// receiver.
+    #[n(4)]
+    pub bucket: Option<u8>,
+    #[n(5)]
+    pub counts: Vec<Count>,
+    #[n(6)]
+    pub sums: Vec<Count>,
+    #[n(7)]
+    pub of: u16,
 }
 
 impl Note {
@@ -59,6 +79,7 @@
     /// None for what is no note.
     pub fn read(bytes: &[u8]) -> Option<Self> {
         let note: Self = minicbor::decode(bytes).ok()?;
-        (note.asks.len() <= ENTRIES && note.grants.len() <= ENTRIES).then_some(note)
+        let lengths = [note.asks.len(), note.grants.len(), note.counts.len(), note.sums.len()];
+        (lengths.iter().all(|n| *n <= ENTRIES)).then_some(note)
     }
 }
--- a/crates/shares/src/shares.rs
+++ b/crates/shares/src/shares.rs
@@ -4,6 +4,7 @@
 //! ([`Shares::changes`]) before any note goes out ([`Shares::out`]).
 
 use crate::account::{Account, Form, GRAIN, Right};
+use crate::counts::Counts;
 use crate::need::Need;
 use crate::note::{AROUND, Ask, ENTRIES, ENTRY, Grant, Note};
 use oorandom::Rand64;
@@ -104,6 +105,7 @@
     lacking: bool,
     bytes: (f64, f64),
     chance: Rand64,
+    counts: Counts,
     tally: Tally,
     faults: Faults,
 }
@@ -141,6 +143,7 @@
             lacking: false,
             bytes: (BYTES, now),
             chance: Rand64::new(u128::from(seed)),
+            counts: Counts::new(me, now),
             tally: Tally::default(),
             faults: Faults::default(),
         }
@@ -174,6 +177,7 @@
     pub fn right(&mut self, now: f64, right: Right, others: Vec<u64>) {
         self.pass(now);
         self.right = Right { until: right.until + self.shift, ..right };
+        self.counts.others(&others);
         self.others = others;
     }
 
@@ -263,6 +267,14 @@
             self.tally.unread += 1;
             return;
         };
+        match note.bucket {
+            Some(bucket) if note.of == 0 => {
+                let told = self.counts.reported(now, life, bucket, note.counts);
+                told.into_iter().for_each(|told| _ = self.send(life, told));
+            }
+            Some(bucket) => self.counts.summed(now, life, bucket, note.of, note.sums),
+            None => {}
+        }
         let lasts = (f64::from(note.lasts) / 1e3).min(self.loan);
         for grant in &note.grants {
             let figures = (grant.level as f64 * GRAIN, grant.left as f64 * GRAIN);
@@ -302,7 +314,8 @@
     fn send(&mut self, life: u64, note: Note) -> bool {
         let (left, at) = self.bytes;
         let left = (left + BYTES * (self.now - at).max(0.0)).min(BYTES);
-        let cost = AROUND + ENTRY * (note.asks.len() + note.grants.len()) as f64;
+        let entries = note.asks.len() + note.grants.len() + note.counts.len() + note.sums.len();
+        let cost = AROUND + ENTRY * entries as f64;
         let goes = left >= cost && self.out.len() < OUT;
         self.bytes = (if goes { left - cost } else { left }, self.now);
         if goes {
@@ -313,6 +326,26 @@
         goes
     }
 
+    /// Reports what functions keep busy here, in lanes by the hash of their names, where that is due.
+    pub fn report(&mut self, now: f64, busy: impl FnOnce() -> Vec<(u64, f64)>) {
+        let now = self.pass(now);
+        let luck = self.chance.rand_float();
+        for (life, note) in self.counts.turn(now, luck, busy) {
+            self.send(life, note);
+        }
+    }
+
+    /// When [`report`](Self::report) is wanted next.
+    pub fn next_report(&self) -> f64 {
+        self.counts.next() - self.shift
+    }
+
+    /// What functions keep busy at all other gateways; none while that is not known.
+    pub fn elsewhere(&mut self, now: f64) -> Option<BTreeMap<u64, f64>> {
+        let now = self.pass(now);
+        self.counts.elsewhere(now)
+    }
+
     /// Does what is due: a round of asks, and forgetting what has ended.
     pub fn turn(&mut self, now: f64) {
         let now = self.pass(now);
