--- a/crates/platform/src/frames.rs
+++ b/crates/platform/src/frames.rs
@@ -24,10 +24,26 @@
     to.extend_from_slice(&check.to_be_bytes());
 }
 
+/// What a shot is made of, as its client put it.
+pub struct Shot<'s> {
+    pub id: u64,
+    pub profile: &'s str,
+    pub function: &'s str,
+    /// The mark by which a repeat is known; empty for none.
+    pub mark: &'s str,
+    pub body: &'s [u8],
+}
+
 /// A shot; `left` are the seconds until it is given up.
-pub fn shot(to: &mut Vec<u8>, id: u64, profile: &str, function: &str, left: f64, body: &[u8]) {
+pub fn shot(to: &mut Vec<u8>, shot: &Shot<'_>, left: f64) {
+    let Shot { id, profile, function, mark, body } = *shot;
     let budget = (left * 1e3).max(1.0) as u64;
-    frame(to, 2, id, &format!("queue={profile},path={function},budget={budget}"), body);
+    let mut fields = format!("queue={profile},path={function},budget={budget}");
+    if !mark.is_empty() {
+        fields += ",uniq=";
+        fields += mark;
+    }
+    frame(to, 2, id, &fields, body);
 }
 
 /// Gives a shot up; nothing answers.
--- a/crates/platform/src/lines.rs
+++ b/crates/platform/src/lines.rs
@@ -15,6 +15,8 @@
 const MOST_PATIENT: f64 = 3_600_000.0;
 /// Figures of a function past this are senseless: MB, lanes or ms.
 const LARGEST: f64 = 1e7;
+/// Bytes of a mark: twice what clients are seen to send.
+const MARK: usize = 64;
 
 const REFUSED: i64 = -32066;
 const FAILED: i64 = -32069;
@@ -31,6 +33,8 @@
     /// Seconds that the client waits.
     pub patience: f64,
     pub repeat: bool,
+    /// The mark by which workers know a repeat of a receipted activation, passed on as it is; empty for none.
+    pub mark: String,
     /// Memory of one instance in MB, activations that it runs at a time, the usual seconds of a load.
     pub memory: f64,
     pub lanes: f64,
@@ -97,6 +101,16 @@
     if body.len() > BODY {
         return Err(Fault::new("content", "is too long"));
     }
+    let mark = match &params["k"] {
+        Value::Null => "",
+        // It becomes the value of a field in a list of such: what ends one would let it name others.
+        Value::String(s)
+            if s.len() <= MARK && s.bytes().all(|b| b.is_ascii_graphic() && !b",=".contains(&b)) =>
+        {
+            s
+        }
+        _ => return Err(Fault::new("k", "is no mark of up to 64 visible characters")),
+    };
     let client = match &params["t"] {
         Value::Null => "",
         Value::String(s) => s,
@@ -110,6 +124,7 @@
         function: function.to_owned(),
         patience: patience.ok_or_else(|| Fault::new("d", "is no time to wait"))? / 1e3,
         repeat,
+        mark: mark.to_owned(),
         memory: 0.0,
         lanes: 1.0,
         load: None,
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -37,6 +37,9 @@
 #[test_case("512=>1e99", "info.memory_mb"; "a figure past sense")]
 #[test_case("aGk==>a", "content"; "no base64")]
 #[test_case(r#""r":1=>"r":[]"#, "r"; "a mark that is none")]
+#[test_case(r#""r":1=>"k":7"#, "k"; "a mark that is no text")]
+#[test_case(r#""r":1=>"k":"a,queue=q""#, "k"; "a mark that would name other fields")]
+#[test_case(r#""r":1=>"k":"0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0""#, "k"; "a mark past its bound")]
 #[test_case("2.0=>1.0", "jsonrpc"; "another protocol")]
 #[test_case("{=>", "line"; "no json")]
 fn a_call_that_is_unsound_is_told_where(change: &str, place: &str) {
@@ -44,6 +47,19 @@
     assert_eq!(fault.place, place);
 }
 
+/// Calls of receipted profiles bear a mark; without it no worker knows a repeat. It was left out of every shot.
+#[test_case(r#""r":1=>"k":"51c47357e4320fd8""#, ",uniq=51c47357e4320fd8"; "marked")]
+#[test_case("", ""; "unmarked")]
+fn a_mark_goes_on_to_the_worker(change: &str, field: &str) {
+    let Ok(Said::Call(ask)) = lines::read(call(change).as_bytes()) else { panic!("it is sound") };
+    let lines::Ask { id, profile, function, mark, body, .. } = &*ask;
+    let mut made = Vec::new();
+    frames::shot(&mut made, &frames::Shot { id: *id, profile, function, mark, body }, 1.5);
+    let fields = usize::from(u16::from_be_bytes([made[2], made[3]]));
+    let wanted = format!("queue=p,path=7f3a9c21e0b4d655,budget=1500{field}");
+    assert_eq!(std::str::from_utf8(&made[16..16 + fields]), Ok(wanted.as_str()));
+}
+
 #[test_case(lines::BODY, true; "at the bound")]
 #[test_case(lines::BODY + 1, false; "one past it")]
 fn bodies_are_bounded(length: usize, fits: bool) {
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -253,7 +253,8 @@
 
     fn ask(&mut self, key: usize, ask: Ask) {
         let now = self.now();
-        let Ask { number, id, profile, client, function, patience, repeat, memory, lanes, load, body } = ask;
+        let Ask { number, id, profile, client, function, patience, repeat, mark, memory, lanes, load, body } =
+            ask;
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(usize::MAX);
         let profile = place(&self.profiles, &profile);
         let come = Come {
@@ -265,8 +266,17 @@
             instance: Some((lanes, memory, load)),
         };
         let Some(serial) = self.clients.get(key).map(|c| c.serial) else { return };
-        let asker =
-            Asker { client: (key, serial), number, id, profile, body, came: now, begun: now, at: Vec::new() };
+        let asker = Asker {
+            client: (key, serial),
+            number,
+            id,
+            profile,
+            mark,
+            body,
+            came: now,
+            begun: now,
+            at: Vec::new(),
+        };
         let tag = self.desk.arrive(now, come, asker);
         let Some(client) = self.clients.get_mut(key) else { return };
         match tag {
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -3,7 +3,7 @@
 //! sent. What can't be read ends its connection and all that was open on it.
 
 use crate::outbox::Outbox;
-use crate::station::{Shared, Station};
+use crate::station::{Asker, Shared, Station};
 use milletpath_gateway::desk::{End, Tag};
 use milletpath_platform::{frames, lines};
 use milletpath_policy::host::Outcome;
@@ -346,7 +346,9 @@
         let function = self.desk.function(tag)?;
         let asker = self.desk.what(tag)?;
         asker.begun = now;
-        frames::shot(out, asker.id, &self.profiles[asker.profile], &function, left, &asker.body);
+        let Asker { id, mark, body, .. } = &*asker;
+        let profile = &self.profiles[asker.profile];
+        frames::shot(out, &frames::Shot { id: *id, profile, function: &function, mark, body }, left);
         Some((asker.id, Sent::Shot(tag, shot)))
     }
 
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -32,6 +32,7 @@
     pub number: u64,
     pub id: u64,
     pub profile: usize,
+    pub mark: String,
     pub body: Vec<u8>,
     /// When it came in, and when its last shot was begun.
     pub came: f64,
