Receipts are asked about when a shot's first byte goes, and stay with the zone they were given in

Seen, by reading and by stories at the desk: a repeat of a receipted call was checked against the window of its receipt when it was decided; its connection may come up a second later, and with a window of half a second it went after the receipt was forgotten. At fault: may_begin, which asked about ceilings and hands alone. And may_shoot looked up the zone or cell of the first shot's worker at the time of the repeat: a worker that is back under its name elsewhere passed its receipts on to where nobody knows them. Ruled out: may_go_on itself (the window runs from the decision of the first shot that may have run, which is before it began). Tests: two stories fail with the module before (begun: true; a second shot to the other zone); every order of eight events around one call, 40,320 for each kind of profile, with one end, nothing begun after it, no second effect, nothing left.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -642,6 +642,20 @@
         false
     }
 
+    /// A shot that [`begin`](Self::begin) let go was not begun after all: no byte of it was taken. It waits as for its
+    /// connection, and is asked about anew.
+    pub fn put_back(&mut self, now: f64, tag: Tag, shot: usize) {
+        self.books.now = now;
+        let connect = now + self.books.bounds.connect;
+        if self.books.shot(tag, shot).is_none_or(|s| s.stage != Stage::Begun) {
+            return;
+        }
+        let connects = self.books.wheel.set(connect, Due::Connect(tag, shot));
+        if let Some(s) = self.books.shot(tag, shot) {
+            (s.stage, s.connects) = (Stage::Connecting, connects);
+        }
+    }
+
     /// A shot ended. Tells whether what it brought is the client's final answer, which the shell then gives.
     pub fn end(&mut self, now: f64, tag: Tag, shot: usize, end: End) -> bool {
         self.books.now = now;
--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -1,5 +1,8 @@
 //! Stories at the desk, in simulated time: no sockets, no clocks. The last one plays thousands of random histories.
 
+#[path = "desk/orders.rs"]
+mod orders;
+
 use milletpath_charter::House;
 use milletpath_gateway::desk::{Act, Come, Desk, End, Tag};
 use milletpath_policy::host::Outcome;
@@ -81,6 +84,68 @@
     assert_eq!(desk.tally().kept_back, 1);
 }
 
+/// A worker's socket takes no byte of a shot that was let go: it waits as if its connection did, is proven unsent where
+/// that lasts, and is asked about anew where it goes after all. It counted as one that may have run.
+#[test_case(Standing::Ready, true; "it goes after all")]
+#[test_case(Standing::Draining, false; "word of a drain comes first")]
+fn a_shot_of_which_no_byte_was_taken(state: Standing, goes: bool) {
+    let mut desk = desk(EFFECTS[2], PROBELESS, 2);
+    let tag = arrive(&mut desk, 1.0, 2.0);
+    let (_, shot, worker) = shots(&acts(&mut desk))[0];
+    assert!(desk.begin(1.01, tag, shot));
+    desk.put_back(1.02, tag, shot);
+    desk.list(1.03, false, &[entry(worker as u16, state, None)]);
+    assert_eq!(desk.begin(1.04, tag, shot), goes);
+    if goes {
+        desk.put_back(1.05, tag, shot);
+        let did: Vec<_> = pass(&mut desk, 1.31).into_iter().map(|(_, act)| act).collect();
+        assert!(did.contains(&Act::Drop { tag, shot }));
+        assert_eq!(shots(&did)[0].2, 1 - worker);
+    } else {
+        assert_eq!(shots(&acts(&mut desk))[0].2, 1 - worker);
+    }
+}
+
+/// The receipt of a first shot is known for a second from when it went; a repeat decided within that, whose connection
+/// is made after it, is not begun. It was asked about at its decision alone.
+#[test_case(1.9, true; "within")]
+#[test_case(2.1, false; "after")]
+fn a_repeat_is_begun_while_its_receipt_is_known(made: f64, begun: bool) {
+    let mut desk = desk(EFFECTS[1], PROBELESS, 2);
+    let tag = arrive(&mut desk, 1.0, 2.9);
+    let (_, shot, _) = shots(&acts(&mut desk))[0];
+    assert!(desk.begin(1.0, tag, shot));
+    desk.end(1.5, tag, shot, End::plain(Outcome::Cut));
+    let (_, repeat, _) = shots(&acts(&mut desk))[0];
+    assert_eq!(desk.begin(made, tag, repeat), begun);
+    // What may have run in a group that is not all is not bounced.
+    assert_eq!(
+        acts(&mut desk).iter().any(|act| matches!(act, Act::Terminate { .. } | Act::Bounce { .. })),
+        !begun
+    );
+}
+
+/// A worker that has a shot out comes back under its name in another zone. Its receipt stays known where it was: a repeat
+/// to the zone of the new one was taken for one among those who know it.
+#[test]
+fn a_receipt_stays_with_the_zone_of_its_shot() {
+    let zoned = EFFECTS[1].replace("memory = 1", "memory = 2\ngroup = \"zone\"");
+    let mut desk = Desk::new(&house(&zoned, PROBELESS), 1000.0);
+    let at = |number: u16, zone: &str, started| Entry {
+        zone: zone.into(),
+        ..entry(number, Standing::Ready, started)
+    };
+    desk.list(0.0, true, &[at(0, "a", None), at(1, "b", None)]);
+    acts(&mut desk);
+    let tag = arrive(&mut desk, 10.0, 2.0);
+    let (_, shot, worker) = shots(&acts(&mut desk))[0];
+    let other = ["b", "a"][worker];
+    assert!(desk.begin(10.0, tag, shot));
+    desk.list(10.1, false, &[at(worker as u16, other, None)]);
+    desk.end(10.2, tag, shot, End::plain(Outcome::Cut));
+    assert_eq!(shots(&acts(&mut desk)), []);
+}
+
 /// A worker is replaced by another, with a name never seen, all day long: the tables stay as small as the fleet, and
 /// nothing that was believed of the one before holds for who has its index.
 #[test]
@@ -204,6 +269,7 @@
 enum Step {
     Arrive(f64),
     Begin(usize),
+    PutBack(usize),
     End(usize, Outcome),
     Leave(usize),
     List(u16, Standing),
@@ -222,6 +288,7 @@
         4 => (0..64usize).prop_map(Step::Begin),
         4 => (0..64usize, outcome).prop_map(|(n, o)| Step::End(n, o)),
         1 => (0..64usize).prop_map(Step::Leave),
+        1 => (0..9usize).prop_map(Step::PutBack),
         1 => (0..4u16, state).prop_map(|(w, s)| Step::List(w, s)),
         4 => (0.0..0.2f64).prop_map(Step::Pass),
         1 => (0.0..4.0f64).prop_map(Step::Jump),
@@ -297,6 +364,11 @@
                         books.out.remove(&(tag.serial, shot));
                     }
                 }
+                Step::PutBack(n) => if let Some((tag, shot, true)) = nth(&books, n) {
+                    desk.put_back(now, tag, shot);
+                    books.may_have_run.remove(&tag.serial);
+                    books.out.insert((tag.serial, shot), (tag, shot, false));
+                }
                 Step::End(n, outcome) => if let Some((tag, shot, begun)) = nth(&books, n) {
                     // Before it was written only one end is possible.
                     let outcome = if begun { outcome } else { Outcome::Unreached };
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -104,6 +104,8 @@
 #[derive(Clone)]
 struct Shot {
     worker: usize,
+    /// Its zone and cell then: those who know the receipt, whatever the list says of its name later.
+    parts: [usize; 2],
     sent: f64,
     out: bool,
     /// Known never to have run.
@@ -571,12 +573,13 @@
         self.hand.is_infinite() || out as f64 <= self.allowed(now, Budget::Hand(w), self.hand)
     }
 
-    /// Whether a shot that was decided before may begin, by what this router is allotted now.
+    /// Whether a shot that was decided before may begin, by what this router is allotted now, and by receipts.
     pub fn may_begin(&self, now: f64, id: usize, w: usize) -> bool {
         let a = self.activations.get(id).and_then(Option::as_ref);
         let under = |a: &Activation| self.ceilings.get(a.client).is_some_and(|c| c.is_finite());
         let lapsed = a.is_some_and(|a| under(a) && now - a.passed >= LAPSE);
-        !lapsed && self.may_hold(now, w, self.fleet.out[w])
+        let forgotten = a.is_some_and(|a| self.forgotten(now, a));
+        !lapsed && !forgotten && self.may_hold(now, w, self.fleet.out[w])
     }
 
     /// What of a budget's units is in use here.
@@ -840,7 +843,7 @@
         let repeatable = match self.profiles[a.profile].effect {
             Effect::Pure => true,
             Effect::Effectful => ran.next().is_none(),
-            Effect::Receipted { memory, .. } => ran.all(|s| now - s.sent < memory),
+            Effect::Receipted { .. } => !self.forgotten(now, a),
         };
         let strange = a.shots.iter().filter(|s| !s.out && !s.never_ran).count() >= STRANGE;
         let repeatable = repeatable && (self.sound(a.function) || !strange);
@@ -849,12 +852,18 @@
         a.open && a.shots.len() < self.shots && now < a.until && repeatable && alone
     }
 
+    /// Whether the receipt of a shot that may have run is no longer known.
+    fn forgotten(&self, now: f64, a: &Activation) -> bool {
+        let Effect::Receipted { memory, .. } = self.profiles[a.profile].effect else { return false };
+        a.shots.iter().any(|s| !s.out && !s.never_ran && now - s.sent >= memory)
+    }
+
     /// The rules that every shot keeps: number, time, repeats, list state, and the budget of a cold worker.
     fn may_shoot(&mut self, now: f64, id: usize, w: usize) -> bool {
         let (Some(a), f) = (&self.activations[id], &self.fleet) else { return false };
         let known = |s: &Shot| match self.profiles[a.profile].effect {
-            Effect::Receipted { group: Group::Zone, .. } => s.never_ran || f.zone[s.worker] == f.zone[w],
-            Effect::Receipted { group: Group::Cell, .. } => s.never_ran || f.cell[s.worker] == f.cell[w],
+            Effect::Receipted { group: Group::Zone, .. } => s.never_ran || s.parts[0] == f.zone[w],
+            Effect::Receipted { group: Group::Cell, .. } => s.never_ran || s.parts[1] == f.cell[w],
             _ => true,
         };
         // A worker that may have failed this activation is not asked again.
@@ -931,7 +940,8 @@
             *left -= 1.0;
             a.passed = now;
         }
-        a.shots.push(Shot { worker: w, sent: now, out: true, never_ran: false, warm });
+        let parts = [self.fleet.zone[w], self.fleet.cell[w]];
+        a.shots.push(Shot { worker: w, parts, sent: now, out: true, never_ran: false, warm });
         self.fleet.out[w] += 1;
         self.fleet.busy[w] += f64::from(u8::from(warm));
         self.fleet.turn[w].1 -= 1.0;
