Station: nothing begins for clients that have gone, nor into what is closed, replaced or withdrawn

Now its client's socket is looked at where that was not done for 20 ms (looked_at). - Up to 16 KiB of frames were made ahead and no longer withdrawn (AHEAD). Now frame by frame; one of which no byte has gone is taken back. - A shot was written into an idle connection that its worker had closed, and counted as one that may have run. Looked at before. - A shot that waited for its connection went to a process that the list had replaced meanwhile; hold_link looked the address up late. - A connection that broke before it took anything passed what waited to the next, again and again. Now that is unreached. - Removed connections went on dialling with a descriptor that nobody counted; want of descriptors of our own was a worker's fault; evicted clients' descriptors were still held while the next were taken in; the system's own limit was not read (getrlimit). - A router that may end now reads what lies in sockets and at the listener first; ended over it before. Floods hold it 1 s at most. - Silence of the bulletin is measured in whole lines: bytes that drip held it off for good. - A client that is condemned, sends on and reads nothing was kept for good: its unread bytes made it one about to call. - The file read again: other changes are named in the log; tries go on where it can't be read; the same address begins no new stream.

--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -1,5 +1,9 @@
 //! Stories of the router on the platform, played on loopback against workers, a bulletin and clients of our own.
 
+#[path = "platform/crossings.rs"]
+mod crossings;
+#[path = "platform/held.rs"]
+mod held;
 mod town;
 
 use nix::sys::signal::Signal;
--- a/crates/milletpath/tests/town/mod.rs
+++ b/crates/milletpath/tests/town/mod.rs
@@ -132,13 +132,27 @@
 
     /// One that starts from this file.
     pub fn by(text: &str) -> Self {
+        let path = Self::path();
+        std::fs::write(&path, text).expect("a file");
+        Self::run(Command::new(env!("CARGO_BIN_EXE_milletpath")).arg("platform"), path)
+    }
+
+    /// One to which the system grants fewer descriptors than its file states.
+    pub fn granted(descriptors: usize, text: &str) -> Self {
+        let path = Self::path();
+        std::fs::write(&path, text).expect("a file");
+        let run = format!("ulimit -n {descriptors}; exec {} platform", env!("CARGO_BIN_EXE_milletpath"));
+        Self::run(Command::new("sh").arg("-c").arg(run), path)
+    }
+
+    fn path() -> PathBuf {
         static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
         let count = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        let path =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("told-{}-{count}", std::process::id()));
-        std::fs::write(&path, text).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_milletpath"));
-        command.arg("platform").env("LB_CONFIG", &path).env_remove("LB_LISTEN").stderr(Stdio::piped());
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("told-{}-{count}", std::process::id()))
+    }
+
+    fn run(command: &mut Command, path: PathBuf) -> Self {
+        command.env("LB_CONFIG", &path).env_remove("LB_LISTEN").stderr(Stdio::piped());
         let mut child = command.spawn().expect("the router starts");
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         let address = loop {
@@ -158,6 +172,18 @@
         nix::sys::signal::kill(pid, signal).expect("it runs");
     }
 
+    /// Has it stand still until it is told to go on: what comes meanwhile lies there in the order in which it came.
+    pub fn halted(&self, meanwhile: impl FnOnce()) {
+        use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
+        self.signal(SIGSTOP);
+        let stands =
+            || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let stands = || stands().rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')).then_some(());
+        wait(stands).expect("it stands still");
+        meanwhile();
+        self.signal(SIGCONT);
+    }
+
     /// How it ended, within some seconds.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         wait(|| self.child.try_wait().expect("a child"))
@@ -191,6 +217,10 @@
         let _ = self.stream.get_mut().write_all(text.as_bytes());
     }
 
+    pub fn close(&self, how: std::net::Shutdown) {
+        self.stream.get_ref().shutdown(how).expect("it is open");
+    }
+
     /// The next line; empty where the connection ended.
     pub fn hear(&mut self) -> String {
         let mut line = String::new();
--- a/crates/platform/src/told.rs
+++ b/crates/platform/src/told.rs
@@ -6,6 +6,7 @@
 use milletpath_protocol::Fault;
 use milletpath_protocol::registry::Entry;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// What a router starts from.
@@ -29,10 +30,36 @@
     address.ok_or_else(|| Fault::new(key, "is missing or no address with a port"))
 }
 
-/// Where the bulletin is now: all that a router takes from the file when it is read again.
-pub fn bulletin(text: &[u8]) -> Result<SocketAddr, Fault> {
-    let value: Value = serde_json::from_slice(text).map_err(|e| Fault::new("file", e.to_string()))?;
-    address(&value, "bulletin")
+/// Where the bulletin is now: all that a router takes from the file when it is read again. Beside it, what else the
+/// file says otherwise than the one that the router started from: it holds from the next start.
+pub fn again(text: &[u8], first: &[u8]) -> Result<(SocketAddr, Vec<String>), Fault> {
+    /// What is new with each file, and tells a running router nothing.
+    const NEW: [&str; 3] = ["bulletin", "known", "seed"];
+    let read = |text| serde_json::from_slice::<Value>(text).map_err(|e| Fault::new("file", e.to_string()));
+    let (value, first) = (read(text)?, read(first)?);
+    let address = address(&value, "bulletin")?;
+    let mut other = Vec::new();
+    differ("", &first, &value, &mut other);
+    other.retain(|place| !NEW.contains(&place.split('.').next().unwrap_or_default()));
+    Ok((address, other))
+}
+
+/// The places at which two values differ, each as deep as both have it.
+fn differ(place: &str, one: &Value, other: &Value, places: &mut Vec<String>) {
+    /// More say no more.
+    const MOST: usize = 16;
+    match (one, other) {
+        _ if places.len() >= MOST => {}
+        (Value::Object(a), Value::Object(b)) => {
+            let keys: BTreeSet<_> = a.keys().chain(b.keys()).collect();
+            for key in keys {
+                let deeper = if place.is_empty() { key.clone() } else { format!("{place}.{key}") };
+                differ(&deeper, &one[key.as_str()], &other[key.as_str()], places);
+            }
+        }
+        _ if one != other => places.push(place.to_owned()),
+        _ => {}
+    }
 }
 
 pub fn read(text: &[u8]) -> Result<Told, Fault> {
--- a/crates/platform/tests/codecs.rs
+++ b/crates/platform/tests/codecs.rs
@@ -6,6 +6,7 @@
 use milletpath_platform::events::{self, Line};
 use milletpath_platform::frames;
 use milletpath_platform::lines::{self, Said};
+use milletpath_platform::told;
 use milletpath_policy::host::Outcome;
 use pen::frame;
 use proptest::prelude::*;
@@ -131,3 +132,20 @@
         prop_assert!(lines::read(&bytes).is_err());
     }
 }
+
+/// A file read again: the bulletin's address is taken, and what else differs is named; the list so far and the seed are
+/// new with every file.
+#[test_case("", &[]; "the same")]
+#[test_case(r#""no":1=>"no":9"#, &[]; "a longer list so far")]
+#[test_case(r#""memory_mb":64=>"memory_mb":32"#, &["limits.memory_mb"]; "another limit")]
+#[test_case(r#""Tick":1000=>"Tock":1000"#, &["settings.Tick", "settings.Tock"]; "a key for another")]
+#[test_case(r#""Effect":"free"=>"Effect":"single_shot""#, &["settings.Classes"]; "another effect")]
+fn what_a_file_read_again_says(change: &str, places: &[&str]) {
+    let first = r#"{"listen":"127.0.0.1:1","seed":"5","bulletin":"127.0.0.1:2","known":{"no":1},"limits":{"memory_mb":64},
+        "settings":{"Classes":[{"Name":"p","Effect":"free"}],"Tick":1000}}"#;
+    let (from, to) = change.split_once("=>").unwrap_or(("", ""));
+    let again = first.replacen(from, to, 1).replace("127.0.0.1:2", "127.0.0.1:3");
+    let (bulletin, other) = told::again(again.as_bytes(), first.as_bytes()).expect("sound");
+    assert_eq!((bulletin.port(), other.iter().map(String::as_str).collect::<Vec<_>>()), (3, places.to_vec()));
+    assert!(told::again(&again.as_bytes()[..40], first.as_bytes()).is_err());
+}
--- a/crates/station/src/bulletin.rs
+++ b/crates/station/src/bulletin.rs
@@ -8,9 +8,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-/// The bulletin says something every second; past this it has fallen silent. Well within the 4 s after which what
-/// it would have told counts as told.
+/// The bulletin ends a line every second; past this it has fallen silent, whatever drips in. Well within the 4 s
+/// after which what it would have told counts as told.
 const SILENCE: Duration = Duration::from_millis(1800);
 /// For a connection to be made.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -50,8 +51,9 @@
         return format!("it could not be asked: {e}");
     }
     let mut rest = Vec::new();
+    let mut spoke = Instant::now();
     loop {
-        match tokio::time::timeout(SILENCE, stream.read_buf(&mut rest)).await {
+        match tokio::time::timeout_at(spoke + SILENCE, stream.read_buf(&mut rest)).await {
             Ok(Ok(0)) => return "it ended".into(),
             Ok(Ok(_)) => {}
             Ok(Err(e)) => return format!("it broke: {e}"),
@@ -59,6 +61,7 @@
         }
         while let Some(end) = rest.iter().position(|&b| b == b'\n') {
             let line: Vec<u8> = rest.drain(..=end).collect();
+            spoke = Instant::now();
             tracing::trace!("bulletin: {}", String::from_utf8_lossy(&line).trim());
             match events::read(line.trim_ascii()) {
                 // Told before.
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -2,13 +2,12 @@
 //! answers written whole. Who says what can't be used gets an error and is closed, and nothing of his goes on.
 
 use crate::numbers::Numbers;
-use crate::outbox::{KEPT, Outbox};
+use crate::outbox::{KEPT, Look, Outbox, look};
 use crate::station::{Asker, Shared, Station};
 use milletpath_gateway::desk::{Come, Tag};
 use milletpath_platform::lines::{self, Ask, Said};
 use milletpath_protocol::Fault;
 use socket2::SockRef;
-use std::mem::MaybeUninit;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -17,8 +16,13 @@
 
 /// Calls that may be open on one connection.
 const OPEN: usize = 32;
+/// Connections that may queue at the listener, as the gateway listens.
+const QUEUE: usize = 1024;
 /// Bytes of answers that wait for a slow reader: some of the usual size, and small against the least memory granted.
 const WAITING: usize = 128 << 10;
+/// Seconds for which a look at what a client has said or whether it has closed holds, before a shot of its begins: a
+/// fifth of the 0.1 s after which nothing may begin for one that has gone.
+const LOOKED: f64 = 0.02;
 /// Seconds by which an answer leaves before its client's time is up: what a crowded machine takes from the client's
 /// write to our read, and back.
 const MARGIN: f64 = 0.015;
@@ -35,6 +39,8 @@
     /// Whether it ever sent a whole line that could be used, and when something passed last.
     said: bool,
     since: f64,
+    /// When its socket was last read or looked at.
+    looked: f64,
     /// It said what can't be used: it gets what is written and is closed.
     condemned: bool,
 }
@@ -42,21 +48,23 @@
 impl Client {
     /// Whether nothing of its lies unread: a call that did would be lost with the connection.
     fn quiet(&self) -> bool {
-        let mut one = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream).peek(&mut one);
-        !matches!(peeked, Ok(1..))
+        look(&self.stream) != Look::Bytes
     }
 }
 
-pub async fn accept(station: Shared, listener: TcpListener) {
+pub async fn accept(station: Shared, listener: Rc<TcpListener>) {
     /// Pause after a failure to accept: for want of descriptors it would fail again at once.
     const PAUSE: Duration = Duration::from_millis(20);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let mut s = station.borrow_mut();
-                s.welcome(stream);
-                s.carry_out();
+                {
+                    let mut s = station.borrow_mut();
+                    s.welcome(stream);
+                    s.carry_out();
+                }
+                // Who made room for it lets go of its descriptor first, before another is taken.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 tracing::warn!("a connection could not be taken in: {e}");
@@ -109,6 +117,7 @@
             numbers: Numbers::default(),
             said: false,
             since: self.now(),
+            looked: f64::NEG_INFINITY,
             condemned: false,
         };
         let key = self.clients.insert(client);
@@ -137,13 +146,46 @@
     }
 
     pub fn client_reads(&mut self, key: usize) {
-        let Some(stream) = self.clients.get(key).map(|c| c.stream.clone()) else { return };
+        self.look_into(key);
+        self.carry_out();
+    }
+
+    /// Reads one fair turn of what a client has said.
+    pub fn look_into(&mut self, key: usize) {
+        let now = self.now();
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.looked = now;
+        let stream = client.stream.clone();
+        if client.condemned {
+            return;
+        }
         self.read(&stream, |station, read| match read {
             Ok(bytes) => station.hear(key, bytes),
             Err(why) => station.part(key, &why),
         });
     }
 
+    /// Whether a shot of a call may begin as far as its client goes: what that one says is read in its turn, and after
+    /// a standstill that can come after the turn in which the shot's connection is ready. False where something of
+    /// it lies unread: it is read first, and the link written then.
+    pub fn looked_at(&mut self, tag: Tag, link: usize, now: f64) -> bool {
+        let Some((key, serial)) = self.desk.what(tag).map(|a| a.client) else { return true };
+        let Some(client) = self.clients.get_mut(key).filter(|c| c.serial == serial) else { return true };
+        if now - client.looked < LOOKED {
+            return true;
+        }
+        match look(&client.stream) {
+            Look::Nothing => client.looked = now,
+            // Its connection ends here, with all that was called on it.
+            Look::Closed => self.part(key, "it was closed"),
+            Look::Bytes => {
+                self.unread.push((key, link));
+                return false;
+            }
+        }
+        true
+    }
+
     /// Bytes of a client. All lines among them are checked before the first is acted on: what comes with a line
     /// that can't be used is not acted on either.
     fn hear(&mut self, key: usize, mut bytes: &[u8]) {
@@ -346,14 +388,41 @@
     pub fn tidy_clients(&mut self, now: f64) {
         let over = |c: &Client| {
             let unsaid = !c.said || !c.rest.is_empty() || c.out.left() > 0;
-            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since) && c.quiet()
+            // Of one that said what can't be used nothing more is read, however much it sends.
+            let quiet = c.condemned || c.quiet();
+            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since) && quiet
         };
         let over: Vec<_> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
         over.into_iter().for_each(|key| self.part(key, "silent for too long"));
     }
 
+    /// Takes in all that has come and is not read yet, and tells whether there was nothing of the kind: no connection,
+    /// no bytes, and no line that has begun.
+    pub fn nobody_waits(&mut self, listener: &TcpListener) -> bool {
+        let mut waits = false;
+        // One that fails is nobody's. No more than may queue at the listener: a flood comes to its end elsewhere.
+        for (socket, _) in (0..QUEUE).map_while(|_| SockRef::from(listener).accept().ok()) {
+            let stream = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket.into()));
+            if let Ok(stream) = stream {
+                waits = true;
+                self.welcome(stream);
+            }
+        }
+        let unread: Vec<_> =
+            self.clients.iter().filter(|(_, c)| !c.condemned && !c.quiet()).map(|(k, _)| k).collect();
+        for key in unread {
+            waits = true;
+            self.client_reads(key);
+        }
+        self.carry_out();
+        !waits && self.owed() == 0 && self.clients.iter().all(|(_, c)| c.condemned || c.rest.is_empty())
+    }
+
     /// Answers that are owed or not written yet.
     pub fn owed(&self) -> usize {
         self.desk.open() + self.clients.iter().filter(|(_, c)| c.out.left() > 0).count()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/station/src/leave.rs
+++ b/crates/station/src/leave.rs
@@ -4,6 +4,9 @@
 /// machine reads them a little late.
 const COMING: f64 = 0.75;
 
+/// Seconds after that for which what comes still holds it: a flood that does not end must not.
+const LAG: f64 = 1.0;
+
 #[derive(Default)]
 pub struct Leave {
     since: Option<f64>,
@@ -18,22 +21,17 @@
         self.since.is_some()
     }
 
-    /// Whether it may end, with so many answers owed or not yet on their way.
+    /// Whether it may end, with so many answers owed or not yet on their way, as far as is known without looking into
+    /// the sockets.
     pub fn over(&self, now: f64, owed: usize) -> bool {
         self.since.is_some_and(|since| now - since >= COMING) && owed == 0
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn it_waits_for_those_on_their_way_and_for_what_it_owes() {
-        let mut leave = Leave::default();
-        assert!(!leave.over(9.0, 0));
-        leave.begin(10.0);
-        leave.begin(10.5);
-        assert!(leave.begun() && !leave.over(10.6, 0) && !leave.over(11.0, 3) && leave.over(11.0, 0));
+    /// Whether it ends without regard to what comes still: nobody who keeps the platform's times comes any more.
+    pub fn past(&self, now: f64) -> bool {
+        self.since.is_some_and(|since| now - since >= COMING + LAG)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -2,12 +2,13 @@
 //! first byte can go; only then the desk is asked whether it still may, so that what is withdrawn before was never
 //! sent. What can't be read ends its connection and all that was open on it.
 
-use crate::outbox::Outbox;
+use crate::outbox::{Look, Outbox, look};
 use crate::station::{Asker, Shared, Station};
 use milletpath_gateway::desk::{End, Tag};
 use milletpath_platform::{frames, lines};
 use milletpath_policy::host::Outcome;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +16,6 @@
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
-/// Bytes of frames that are made before the socket takes them: all begun ones that may wait there.
-const AHEAD: usize = 16 << 10;
 /// Ids that are remembered on a connection after their end: a second copy of an answer comes soon or not at all.
 const PAST: usize = 64;
 
@@ -60,6 +59,7 @@
 
 pub struct Link {
     worker: usize,
+    /// The process that it was made for: what the list says later may be of another.
     process: u64,
     stream: Option<Rc<TcpStream>>,
     wake: Rc<Notify>,
@@ -69,6 +69,8 @@
     made: u64,
     written: u64,
     waiting: VecDeque<Load>,
+    /// What the last frame was made of.
+    made_of: Option<Load>,
     open: Vec<Open>,
     /// What was open last.
     past: VecDeque<u64>,
@@ -89,6 +91,7 @@
             made: 0,
             written: 0,
             waiting: VecDeque::new(),
+            made_of: None,
             open: Vec::new(),
             past: VecDeque::new(),
             used: now,
@@ -113,6 +116,11 @@
         self.open.iter().any(|o| o.id == id) || self.past.contains(&id)
     }
 
+    /// Whether the worker has closed it, as far as can be seen now.
+    fn closed(&self) -> bool {
+        self.stream.as_ref().is_some_and(|stream| look(stream) == Look::Closed)
+    }
+
     fn end(&mut self, at: usize) -> Open {
         let open = self.open.swap_remove(at);
         if self.past.len() >= PAST {
@@ -123,30 +131,32 @@
     }
 }
 
-async fn hold_link(station: Shared, key: usize, wake: Rc<Notify>, connect: f64) {
-    let (address, _) = {
-        let s = station.borrow();
-        match s.links.get(key).filter(|l| Rc::ptr_eq(&l.wake, &wake)) {
-            Some(link) => s.desk.address(link.worker),
-            None => return,
-        }
-    };
+/// Whether a connection could not be made for want of something of our own: it says nothing about the worker.
+fn own_fault(error: &std::io::Error) -> bool {
+    use nix::errno::Errno::{EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS, ENOMEM};
+    let own = [EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL];
+    error.raw_os_error().is_some_and(|raw| own.iter().any(|errno| *errno as i32 == raw))
+}
+
+async fn hold_link(station: Shared, key: usize, address: SocketAddr, wake: Rc<Notify>, connect: f64) {
     let connecting = async {
         let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_nodelay(true)?;
         socket.connect(address).await
     };
-    let connected = tokio::time::timeout(Duration::from_secs_f64(connect), connecting).await;
+    let connected = tokio::select! {
+        connected = tokio::time::timeout(Duration::from_secs_f64(connect), connecting) => connected,
+        // Before it stands it is woken only where it was removed: its descriptor is wanted for another.
+        () = wake.notified() => return,
+    };
+    let connected = connected.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()));
     let stream = match connected {
-        Ok(Ok(stream)) => Rc::new(stream),
-        other => {
-            let why = match other {
-                Ok(Err(e)) => e.to_string(),
-                _ => "no connection in time".into(),
-            };
+        Ok(stream) => Rc::new(stream),
+        Err(e) => {
+            let outcome = if own_fault(&e) { Outcome::Unsent } else { Outcome::Unreached };
             let mut s = station.borrow_mut();
             if s.links.get(key).is_some_and(|l| Rc::ptr_eq(&l.wake, &wake)) {
-                s.unreached(key, &why);
+                s.unreached(key, &e.to_string(), outcome);
                 s.carry_out();
             }
             return;
@@ -163,7 +173,7 @@
     }
     loop {
         let writes = match station.borrow().links.get(key).filter(|l| Rc::ptr_eq(&l.wake, &wake)) {
-            Some(link) => link.out.left() > 0,
+            Some(link) => link.out.left() > 0 || !link.waiting.is_empty(),
             None => return,
         };
         tokio::select! {
@@ -181,7 +191,7 @@
 impl Station {
     /// The link on which one more frame for a worker goes; a new one where that is wanted.
     fn link(&mut self, worker: usize, id: Option<u64>) -> usize {
-        let (_, process) = self.desk.address(worker);
+        let (address, process) = self.desk.address(worker);
         let known = self.reach.get(&worker).into_iter().flatten();
         // What went to an earlier process of the name is not for this one; and two shots of an activation bear the
         // same id, by which their answers could not be told apart.
@@ -206,7 +216,7 @@
         let key = self.links.insert(link);
         self.reach.entry(worker).or_default().push(key);
         if let Some(station) = self.me.upgrade() {
-            spawn_local(hold_link(station, key, wake, self.connect));
+            spawn_local(hold_link(station, key, address, wake, self.connect));
         }
         key
     }
@@ -261,7 +271,8 @@
         }
     }
 
-    /// Writes what waits for a worker, as far as the socket takes it.
+    /// Writes what waits for a worker, as far as the socket takes it: frame by frame, so that what is withdrawn before
+    /// its first byte has gone is not sent, however long the worker takes nothing.
     pub fn link_writes(&mut self, key: usize) {
         loop {
             let now = self.now();
@@ -276,33 +287,71 @@
                 Err(e) => return self.broken(key, &e.to_string()),
             }
             if link.out.left() > 0 {
-                return link.wake.notify_one();
+                link.wake.notify_one();
+                return self.take_back(key, now);
             }
+            link.made_of = None;
             if link.waiting.is_empty() {
                 return;
             }
-            while let Some(load) = self.links.get_mut(key).and_then(|l| l.waiting.pop_front()) {
-                self.make(key, load, now);
-                if self.links.get(key).is_none_or(|l| l.out.left() >= AHEAD) {
-                    break;
-                }
+            // Written into a connection that its worker has closed, a shot would count as one that may have run.
+            if link.closed() {
+                return self.broken(key, "it was closed");
+            }
+            if let Some(load) = link.waiting.pop_front()
+                && !self.make(key, load, now)
+            {
+                return;
             }
         }
     }
 
-    /// Makes the frame of something whose turn has come, if it still may go.
-    fn make(&mut self, key: usize, load: Load, now: f64) {
+    /// A frame of which no byte has gone was never begun: it waits again, to be asked about anew.
+    fn take_back(&mut self, key: usize, now: f64) {
+        let Some(link) = self.links.get_mut(key).filter(|l| !l.out.begun()) else { return };
+        let Some(load) = link.made_of.take() else { return };
+        let made = link.out.left() as u64;
+        link.out.bytes.clear();
+        link.made -= made;
+        if load.awaits().is_some() {
+            link.open.pop();
+        }
+        match load {
+            Load::Shot(tag, shot) => {
+                link.waiting.push_front(load);
+                self.desk.put_back(now, tag, shot);
+            }
+            // It has its place in the ration: given again it would have two.
+            Load::Hold(order, ..) => self.desk.order_ended(now, order, Outcome::Unsent, 0),
+            Load::Unload(_) | Load::Probe(_) | Load::GiveUp(_) => link.waiting.push_front(load),
+        }
+    }
+
+    /// Makes the frame of something whose turn has come, if it still may go. False where it waits for a look at what
+    /// its client has said meanwhile.
+    fn make(&mut self, key: usize, load: Load, now: f64) -> bool {
+        let (worker, process) = (self.links[key].worker, self.links[key].process);
+        if let Some(what) = load.awaits().filter(|_| self.desk.address(worker).1 != process) {
+            // Another process has the worker's name by now; what was meant for that one was not meant for this.
+            self.unanswered(worker, what, Outcome::Unsent);
+            return true;
+        }
+        if let Load::Shot(tag, _) = load
+            && !self.looked_at(tag, key, now)
+        {
+            self.links[key].waiting.push_front(load);
+            return false;
+        }
         let mut out = std::mem::take(&mut self.links[key].out.bytes);
-        let from = out.len();
-        let open = match load {
-            Load::Shot(tag, shot) => self.make_shot(&mut out, tag, shot, now),
-            Load::Hold(order, function, copies) => self.desk.begin_order(now, order).then(|| {
+        let open = match &load {
+            Load::Shot(tag, shot) => self.make_shot(&mut out, *tag, *shot, now),
+            Load::Hold(order, function, copies) => self.desk.begin_order(now, *order).then(|| {
                 let id = self.own_id(key);
-                frames::hold(&mut out, id, &function, copies);
-                (id, Sent::Order(order))
+                frames::hold(&mut out, id, function, *copies);
+                (id, Sent::Order(*order))
             }),
             Load::Unload(function) => {
-                if let Some(id) = milletpath_platform::hex(&function) {
+                if let Some(id) = milletpath_platform::hex(function) {
                     frames::unload(&mut out, id);
                 }
                 None
@@ -310,20 +359,22 @@
             Load::Probe(serial) => {
                 let id = self.own_id(key);
                 frames::probe(&mut out, id, self.reports);
-                Some((id, Sent::Probe(serial)))
+                Some((id, Sent::Probe(*serial)))
             }
             Load::GiveUp(id) => {
-                frames::give_up(&mut out, id);
+                frames::give_up(&mut out, *id);
                 None
             }
         };
-        let Some(link) = self.links.get_mut(key) else { return };
-        link.made += (out.len() - from) as u64;
+        let Some(link) = self.links.get_mut(key) else { return false };
+        link.made += out.len() as u64;
+        link.made_of = (!out.is_empty()).then_some(load);
         link.out.bytes = out;
         if let Some((id, what)) = open {
             let whole = link.made;
             link.open.push(Open { id, what, whole, at: now });
         }
+        true
     }
 
     /// The id of a frame of our own, which no client is likely to have chosen, and none has open here.
@@ -358,6 +409,7 @@
             Ok(bytes) => station.heard(key, bytes),
             Err(why) => station.broken(key, &why),
         });
+        self.carry_out();
     }
 
     fn heard(&mut self, key: usize, bytes: &[u8]) {
@@ -445,11 +497,12 @@
     }
 
     /// A connection was not made: nothing of what waited for it ran.
-    fn unreached(&mut self, key: usize, why: &str) {
+    fn unreached(&mut self, key: usize, why: &str, outcome: Outcome) {
         let Some(link) = self.remove(key) else { return };
         tracing::debug!(worker = link.worker, why, "a worker is not reached");
-        for what in link.waiting.iter().filter_map(Load::awaits) {
-            self.unanswered(link.worker, what, Outcome::Unreached);
+        let open = link.open.iter().map(|open| open.what);
+        for what in open.chain(link.waiting.iter().filter_map(Load::awaits)) {
+            self.unanswered(link.worker, what, outcome);
         }
     }
 
@@ -466,8 +519,11 @@
     }
 
     /// A connection broke or is of no more use: what was written whole may have run; the rest did not, and what
-    /// waited goes on another.
+    /// waited goes on another, unless this one broke before it took anything: the next would as well.
     fn broken(&mut self, key: usize, why: &str) {
+        if self.links.get(key).is_some_and(|l| l.written == 0) {
+            return self.unreached(key, why, Outcome::Unreached);
+        }
         let Some(link) = self.remove(key) else { return };
         tracing::debug!(worker = link.worker, why, open = link.open.len(), "a connection to a worker ended");
         for open in link.open {
@@ -495,19 +551,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// A worker that turned a shot away said so twice; the second copy would have ended the next shot of the same id.
-    #[test]
-    fn an_id_is_not_used_again_where_a_second_copy_may_come() {
-        let mut link = Link::new(0, 1, 0.0);
-        for id in 0..=PAST as u64 {
-            link.open.push(Open { id, what: Sent::Probe(id), whole: 0, at: 0.0 });
-            assert!(link.bears(id));
-            link.end(0);
-            assert!(link.bears(id));
-        }
-        assert!(!link.bears(0) && link.past.len() == PAST);
-    }
-}
+mod tests;
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -9,6 +9,7 @@
 use milletpath_gateway::signals::{Heard, SIGHUP, SIGTERM};
 use milletpath_platform::lines;
 use milletpath_platform::told::{self, Told};
+use nix::sys::resource::{Resource, getrlimit};
 use slab::Slab;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -62,6 +63,8 @@
     /// The longest advice to come back, for what the desk has no room for.
     pub come_back: Option<f64>,
     pub scratch: Vec<u8>,
+    /// Clients whose sockets are read before the link beside them is written on.
+    pub unread: Vec<(usize, usize)>,
     pub serial: u64,
     begun: Instant,
     /// The time for which the time keeper is set, and how it hears of an earlier one.
@@ -95,6 +98,7 @@
                 cancels: house.policy.cancels,
                 come_back: house.policy.come_back,
                 scratch: vec![0; TURN],
+                unread: Vec::new(),
                 serial: 0,
                 begun,
                 armed: f64::INFINITY,
@@ -109,6 +113,19 @@
 
     /// Does what the desk wants done, until it wants no more.
     pub fn carry_out(&mut self) {
+        loop {
+            self.carry_out_acts();
+            let Some((client, link)) = self.unread.pop() else { break };
+            self.look_into(client);
+            self.carry_out_acts();
+            self.link_writes(link);
+        }
+        if self.desk.next().is_some_and(|at| at < self.armed) {
+            self.alarm.notify_one();
+        }
+    }
+
+    fn carry_out_acts(&mut self) {
         while let Some(act) = self.desk.act() {
             match act {
                 Act::Shoot { tag, shot, worker } => self.shoot(tag, shot, worker),
@@ -124,9 +141,6 @@
                 Act::Follow => {}
             }
         }
-        if self.desk.next().is_some_and(|at| at < self.armed) {
-            self.alarm.notify_one();
-        }
     }
 
     /// Gives the client its final answer.
@@ -141,7 +155,8 @@
     }
 
     /// Reads one fair turn from a socket and passes it on, or why there will be no more. Whoever calls has looked up
-    /// whose socket it is: the room to read into is given back on every way out of here.
+    /// whose socket it is, and carries out what comes of it: the room to read into is given back on every way out of
+    /// here.
     pub fn read(&mut self, stream: &TcpStream, hear: impl FnOnce(&mut Self, Result<&[u8], String>)) {
         let mut scratch = std::mem::take(&mut self.scratch);
         match stream.try_read(&mut scratch) {
@@ -151,7 +166,6 @@
             Err(e) => hear(self, Err(e.to_string())),
         }
         self.scratch = scratch;
-        self.carry_out();
     }
 
     /// Time has passed.
@@ -211,13 +225,24 @@
         }
     };
     let read = std::fs::read(file).map_err(|e| e.to_string());
-    let told = match read.and_then(|text| told::read(&text).map_err(|e| e.to_string())) {
-        Ok(told) => told,
+    let read = read.and_then(|text| told::read(&text).map(|told| (told, text)).map_err(|e| e.to_string()));
+    let (mut told, first) = match read {
+        Ok((told, text)) => (told, Rc::<[u8]>::from(text)),
         Err(e) => {
             tracing::error!("{}: {e}; LB_CONFIG must name the platform's file", file.display());
             return ExitCode::from(2);
         }
     };
+    if let Ok((granted, _)) = getrlimit(Resource::RLIMIT_NOFILE)
+        && granted < told.descriptors as u64
+    {
+        tracing::warn!(
+            granted,
+            stated = told.descriptors,
+            "the system grants fewer descriptors than the file states"
+        );
+        told.descriptors = granted as usize;
+    }
     let address = address.unwrap_or(told.house.listen);
     let listener = match milletpath_gateway::listen(address) {
         Ok(listener) => listener,
@@ -235,14 +260,15 @@
     spawn_local(crate::bulletin::follow(station.clone(), bulletin, told.last));
     spawn_local(keep_time(station.clone()));
     spawn_local(keep_tidy(station.clone()));
-    spawn_local(crate::door::accept(station.clone(), listener));
+    let listener = Rc::new(listener);
+    spawn_local(crate::door::accept(station.clone(), listener.clone()));
     loop {
         /// Seconds between two looks whether a leaving router may end.
         const LOOK: Duration = Duration::from_millis(20);
         let leaving = station.borrow().leave.begun();
         tokio::select! {
             () = hangup.next() => {
-                spawn_local(read_again(file.to_owned(), moved.clone()));
+                spawn_local(read_again(file.to_owned(), first.clone(), moved.clone()));
             }
             () = terminate.next() => {
                 tracing::info!("asked to end: what still comes is taken, what was taken is answered");
@@ -251,8 +277,10 @@
                 s.leave.begin(now);
             }
             () = tokio::time::sleep(LOOK), if leaving => {
-                let s = station.borrow();
-                if s.leave.over(s.now(), s.owed()) {
+                let mut s = station.borrow_mut();
+                // What lies unread when it ends is lost: a busy machine may not have come to it yet.
+                let (now, owed) = (s.now(), s.owed());
+                if s.leave.over(now, owed) && (s.leave.past(now) || s.nobody_waits(&listener)) {
                     tracing::info!("nothing is owed any more; the router ends");
                     return ExitCode::SUCCESS;
                 }
@@ -262,39 +290,33 @@
 }
 
 /// Reads the file again, whole or not at all; one that is caught half-replaced is tried again shortly.
-async fn read_again(file: std::path::PathBuf, moved: watch::Sender<SocketAddr>) {
-    const TRIES: u32 = 20;
-    const PAUSE: Duration = Duration::from_millis(50);
-    for _ in 0..TRIES {
+async fn read_again(file: std::path::PathBuf, first: Rc<[u8]>, moved: watch::Sender<SocketAddr>) {
+    /// Tries soon, as the file may be caught half-replaced, and then for as long as that may take where descriptors or
+    /// a disk are wanted for: 4 s after the signal what the new address tells counts as told.
+    const TRIES: u32 = 60;
+    const PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+    let [mut pause, longest] = PAUSES;
+    for n in 0..TRIES {
         let read = std::fs::read(&file).map_err(|e| e.to_string());
-        match read.and_then(|text| told::bulletin(&text).map_err(|e| e.to_string())) {
-            Ok(bulletin) => {
+        match read.and_then(|text| told::again(&text, &first).map_err(|e| e.to_string())) {
+            Ok((bulletin, other)) => {
                 tracing::info!(%bulletin, "the file was read again");
-                moved.send_replace(bulletin);
+                if !other.is_empty() {
+                    tracing::warn!(
+                        "the file also says otherwise: {}; it holds from the next start",
+                        other.join(", ")
+                    );
+                }
+                // A stream that stands is not begun anew for the same address.
+                moved.send_if_modified(|at| std::mem::replace(at, bulletin) != bulletin);
                 return;
             }
             Err(e) => tracing::warn!("{}: {e}; what it said before stands", file.display()),
         }
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = if n < TRIES / 3 { pause } else { (2 * pause).min(longest) };
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const FILE: &str = r#"{"listen":"127.0.0.1:0","seed":"05","bulletin":"127.0.0.1:1","known":{"no":0},"settings":{
-        "Balancers":1,"Classes":[],"Limits":{"MaxAttempts":4,"ConnectTimeout":250000,"Keepalive":30000000},"Tick":1000,
-        "Rules":{"DrainGrace":1,"StartCapacity":0.2,"WarmUp":1,"TipMultiple":2.5,"OverloadFor":1}}}"#;
-
-    /// A connection was closed in the same turn in which its socket had become readable. The room to read into went
-    /// with it, and every socket read after that looked closed.
-    #[test]
-    fn a_socket_that_is_gone_takes_no_room_along() {
-        let station = Station::new(&told::read(FILE.as_bytes()).expect("sound"));
-        let mut station = station.borrow_mut();
-        station.client_reads(7);
-        station.link_reads(7);
-        assert_eq!(station.scratch.len(), TURN);
-    }
-}
+pub mod tests;
