Station: all buffers together keep to half of the memory that the configuration grants

Need: bounds were by connection alone (128 KiB unwritten to a client, 256 KiB begun from a worker, 16 KiB a body of up to 20,000 calls); their sum was bounded by nothing and memory_mb was not read. At fault: told.rs, and door.rs, ask(). Change: room.rs counts bodies, begun lines, unwritten answers and begun answers by what they take; past half of the memory a call is bounced with advice, a line past 4 KiB is refused, a client that does not read and a worker whose answer is begun are cut off. A story on loopback fails without it (the second client's calls were taken), and a unit story of the count.

--- a/crates/milletpath/tests/platform/crossings.rs
+++ b/crates/milletpath/tests/platform/crossings.rs
@@ -84,6 +84,34 @@
     assert!(client.hear().contains(DONE));
 }
 
+fn hangs(_: usize, _: u64, _: &mut std::net::TcpStream) {}
+
+/// Calls with full bodies to workers that answer nothing, more than half of the memory holds: those past it are bounced
+/// at once and told when to come back, and when some have left there is room again. There was no bound on the sum.
+#[test]
+fn calls_that_fill_the_memory() {
+    let (at, seen) = worker(hangs);
+    let text = file(&[at], bulletin(vec![]).0, 256).replace("\"memory_mb\":64", "\"memory_mb\":1");
+    let router = Router::by(&text);
+    let body = "A".repeat(4 * (15 << 10) / 3);
+    let big = |number| call(number, 100 + number).replace("aGk=", &body);
+    let mut client = Client::new(&router);
+    client.say(&(1..=20).map(|n| big(n).replace("2500", "1500")).collect::<String>());
+    let mut other = Client::new(&router);
+    other.say(&(33..=64).map(big).collect::<String>());
+    let heard = other.hear();
+    assert!(heard.contains("-32066") && heard.contains("\"w\":1000"), "{heard}");
+    // Those of less time have not ended yet: it was not given up for want of time.
+    assert!(!client.has_heard());
+    drop((client, other));
+    let taken = wait(|| {
+        let mut next = Client::new(&router);
+        next.say(&call(1, 7));
+        wait(|| Some(seen.lock().unwrap().iter().any(|(code, id)| (*code, *id) == (2, 7))))?.then_some(())
+    });
+    assert!(taken.is_some());
+}
+
 /// Each connection to a worker is reset as soon as it stands: its calls go elsewhere or are bounced, at once and not with
 /// one connection after the other for as long as they have time.
 #[test]
--- a/crates/milletpath/tests/town/mod.rs
+++ b/crates/milletpath/tests/town/mod.rs
@@ -221,6 +221,15 @@
         self.stream.get_ref().shutdown(how).expect("it is open");
     }
 
+    /// Whether something lies there to be heard.
+    pub fn has_heard(&self) -> bool {
+        let stream = self.stream.get_ref();
+        stream.set_nonblocking(true).expect("a socket");
+        let there = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).expect("a socket");
+        there
+    }
+
     /// The next line; empty where the connection ended.
     pub fn hear(&mut self) -> String {
         let mut line = String::new();
--- a/crates/platform/src/told.rs
+++ b/crates/platform/src/told.rs
@@ -17,6 +17,8 @@
     /// The number of the last event told, and the lists so far: whether each is whole, and its entries.
     pub last: u64,
     pub lists: Vec<(bool, Vec<Entry>)>,
+    /// Bytes of memory that the router may use.
+    pub memory: usize,
     /// Descriptors that the router may hold.
     pub descriptors: usize,
     /// Shots that one connection carries at a time.
@@ -65,6 +67,8 @@
 pub fn read(text: &[u8]) -> Result<Told, Fault> {
     /// For want of a stated one: the least that the platform grants.
     const DESCRIPTORS: u64 = 256;
+    /// The same of memory, in MB.
+    const MEMORY: f64 = 32.0;
     /// Past 20,000 activations in hand memory would be the end before descriptors are.
     const OPEN: usize = 20_000;
     let value: Value = serde_json::from_slice(text).map_err(|e| Fault::new("file", e.to_string()))?;
@@ -105,6 +109,8 @@
         bulletin: address(&value, "bulletin")?,
         last,
         lists,
+        memory: (value["limits"]["memory_mb"].as_f64().filter(|mb| *mb > 0.0).unwrap_or(MEMORY) * 1e6)
+            as usize,
         descriptors: value["limits"]["sockets"].as_u64().unwrap_or(DESCRIPTORS) as usize,
         lanes: milletpath_terms::count(settings, "StreamsPerConn", 1),
         reports: !milletpath_terms::report_names(settings).is_empty(),
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -3,6 +3,7 @@
 
 use crate::numbers::Numbers;
 use crate::outbox::{KEPT, Look, Outbox, look};
+use crate::room::Holds;
 use crate::station::{Asker, Shared, Station};
 use milletpath_gateway::desk::{Come, Tag};
 use milletpath_platform::lines::{self, Ask, Said};
@@ -34,6 +35,7 @@
     /// A line that has begun.
     rest: Vec<u8>,
     pub out: Outbox,
+    holds: Holds,
     pub open: Vec<(u64, Tag)>,
     numbers: Numbers,
     /// Whether it ever sent a whole line that could be used, and when something passed last.
@@ -46,6 +48,10 @@
 }
 
 impl Client {
+    fn count(&mut self) {
+        self.holds.now(self.rest.capacity() + self.out.bytes.capacity());
+    }
+
     /// Whether nothing of its lies unread: a call that did would be lost with the connection.
     fn quiet(&self) -> bool {
         look(&self.stream) != Look::Bytes
@@ -113,6 +119,7 @@
             wake: wake.clone(),
             rest: Vec::new(),
             out: Outbox::default(),
+            holds: self.room.holds(0),
             open: Vec::new(),
             numbers: Numbers::default(),
             said: false,
@@ -217,6 +224,9 @@
         if fault.is_none() && rest.len() + bytes.len() > lines::LONGEST {
             fault = Some((None, Fault::new("line", "is too long")));
         }
+        if fault.is_none() && rest.len() + bytes.len() > KEPT && self.room.full() {
+            fault = Some((None, Fault::new("line", "finds no memory, too many are open")));
+        }
         if let Some((number, fault)) = fault {
             let numbers = said.iter().filter_map(|s| match s {
                 Said::Call(ask) => Some(ask.number),
@@ -230,6 +240,7 @@
         }
         let Some(client) = self.clients.get_mut(key) else { return };
         client.rest = rest;
+        client.count();
         client.said |= !said.is_empty();
         if !said.is_empty() {
             client.since = now;
@@ -308,6 +319,10 @@
             instance: Some((lanes, memory, load)),
         };
         let Some(serial) = self.clients.get(key).map(|c| c.serial) else { return };
+        let holds = self.room.holds(body.capacity() + mark.capacity());
+        if self.room.full() {
+            return self.turn_away(key, number);
+        }
         let asker = Asker {
             client: (key, serial),
             number,
@@ -315,6 +330,7 @@
             profile,
             mark,
             body,
+            _holds: holds,
             came: now,
             begun: now,
             at: Vec::new(),
@@ -326,10 +342,15 @@
                 client.open.push((number, tag));
                 self.ids.insert(id);
             }
-            None => {
-                lines::bounced(&mut client.out.bytes, number, self.come_back);
-                self.client_writes(key);
-            }
+            None => self.turn_away(key, number),
+        }
+    }
+
+    /// There is no room for a call: it was not taken.
+    fn turn_away(&mut self, key: usize, number: u64) {
+        if let Some(client) = self.clients.get_mut(key) {
+            lines::bounced(&mut client.out.bytes, number, self.come_back);
+            self.client_writes(key);
         }
     }
 
@@ -373,9 +394,10 @@
             Ok(_) => client.since = now,
             Err(e) => return self.part(key, &e.to_string()),
         }
+        client.count();
         if client.out.left() > 0 {
             client.wake.notify_one();
-            if client.out.left() > WAITING {
+            if client.out.left() > if self.room.full() { KEPT } else { WAITING } {
                 self.part(key, "it reads too slowly");
             }
             return;
--- a/crates/station/src/link.rs
+++ b/crates/station/src/link.rs
@@ -2,7 +2,8 @@
 //! first byte can go; only then the desk is asked whether it still may, so that what is withdrawn before was never
 //! sent. What can't be read ends its connection and all that was open on it.
 
-use crate::outbox::{Look, Outbox, look};
+use crate::outbox::{KEPT, Look, Outbox, look};
+use crate::room::Holds;
 use crate::station::{Asker, Shared, Station};
 use milletpath_gateway::desk::{End, Tag};
 use milletpath_platform::{frames, lines};
@@ -65,6 +66,7 @@
     wake: Rc<Notify>,
     buf: Vec<u8>,
     out: Outbox,
+    holds: Holds,
     /// Bytes made and written so far.
     made: u64,
     written: u64,
@@ -80,7 +82,7 @@
 }
 
 impl Link {
-    fn new(worker: usize, process: u64, now: f64) -> Self {
+    fn new(worker: usize, process: u64, holds: Holds, now: f64) -> Self {
         Self {
             worker,
             process,
@@ -88,6 +90,7 @@
             wake: Rc::new(Notify::new()),
             buf: Vec::new(),
             out: Outbox::default(),
+            holds,
             made: 0,
             written: 0,
             waiting: VecDeque::new(),
@@ -211,7 +214,7 @@
             let longest = idle.min_by(|a, b| a.1.used.total_cmp(&b.1.used)).map(|(key, _)| key);
             longest.map(|key| self.remove(key));
         }
-        let link = Link::new(worker, process, now);
+        let link = Link::new(worker, process, self.room.holds(0), now);
         let wake = link.wake.clone();
         let key = self.links.insert(link);
         self.reach.entry(worker).or_default().push(key);
@@ -441,6 +444,10 @@
         if let Some(link) = self.links.get_mut(key) {
             (link.used, link.heard) = (now, now);
             link.buf = rest;
+            link.holds.now(link.buf.capacity());
+            if link.buf.len() > KEPT && self.room.full() {
+                self.broken(key, "its answer finds no memory");
+            }
         }
     }
 
--- a/crates/station/src/link/tests.rs
+++ b/crates/station/src/link/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::room::Room;
 use crate::station::tests::{listed, with};
 use milletpath_gateway::desk::Come;
 use std::io::Read;
@@ -6,7 +7,7 @@
 /// A worker that turned a shot away said so twice; the second copy would have ended the next shot of the same id.
 #[test]
 fn an_id_is_not_used_again_where_a_second_copy_may_come() {
-    let mut link = Link::new(0, 1, 0.0);
+    let mut link = Link::new(0, 1, Room::new(1).holds(0), 0.0);
     for id in 0..=PAST as u64 {
         link.open.push(Open { id, what: Sent::Probe(id), whole: 0, at: 0.0 });
         assert!(link.bears(id));
@@ -36,7 +37,7 @@
         let key = {
             let mut s = station.borrow_mut();
             let (_, process) = s.desk.address(0);
-            let mut link = Link::new(0, process, 0.0);
+            let mut link = Link::new(0, process, s.room.holds(0), 0.0);
             link.stream = Some(stream.clone());
             let key = s.links.insert(link);
             s.reach.entry(0).or_default().push(key);
@@ -72,7 +73,7 @@
         repeat: false,
         instance: Some((64.0, 1.0, None)),
     };
-    let (now, body, mark) = (s.now(), vec![1; 64], String::new());
+    let (now, body, mark, holds) = (s.now(), vec![1; 64], String::new(), s.room.holds(64));
     let asker = Asker {
         client: (999, 0),
         number: id,
@@ -80,6 +81,7 @@
         profile: 0,
         mark,
         body,
+        _holds: holds,
         came: now,
         begun: now,
         at: Vec::new(),
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -5,6 +5,7 @@
 use crate::keeping::Keeping;
 use crate::leave::Leave;
 use crate::link::Link;
+use crate::room::{Holds, Room};
 use milletpath_gateway::desk::{Act, Desk, Tag};
 use milletpath_gateway::signals::{Heard, SIGHUP, SIGTERM};
 use milletpath_platform::lines;
@@ -35,6 +36,8 @@
     pub profile: usize,
     pub mark: String,
     pub body: Vec<u8>,
+    /// What these take of the room for buffers.
+    pub _holds: Holds,
     /// When it came in, and when its last shot was begun.
     pub came: f64,
     pub begun: f64,
@@ -56,6 +59,7 @@
     /// Activations in hand, by their ids.
     pub ids: BTreeSet<u64>,
     pub keeping: Keeping,
+    pub room: Rc<Room>,
     pub leave: Leave,
     pub connect: f64,
     pub reports: bool,
@@ -92,6 +96,7 @@
                 reach: BTreeMap::new(),
                 ids: BTreeSet::new(),
                 keeping: Keeping::new(told.descriptors, told.lanes, house.bounds.idle, house.bounds.connect),
+                room: Room::new(told.memory),
                 leave: Leave::default(),
                 connect: house.bounds.connect,
                 reports: told.reports,
