--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -236,7 +236,7 @@
 /// While answers are quick the rate is what clients ask, not what it can do: so much more.
 const GROWTH: f64 = 2.0;
 
-/// Shots beyond that, for a worker whose rate is not known yet.
+/// Shots beyond that, at the least; else one for each unit of a worker's size that is done in that time.
 const FLOOR: f64 = 1.0;
 
 /// Seconds for which a worker's report says what it holds: about as long as a queue takes to change.
@@ -302,8 +302,8 @@
     }
 
     /// Routers that know of each other say how many there likely are, and this one's part of what bounds
-    /// harm: of what it has by the charter so much until then, and so much afterwards. Where nobody says so the
-    /// charter's count holds.
+    /// harm: of what it has by the charter so much until then, and so much afterwards. Where nobody says
+    /// so the charter's count holds.
     pub fn share(&mut self, likely: f64, part: [f64; 2], until: f64) {
         self.routers = likely.max(1.0);
         self.part = (part, until);
@@ -492,10 +492,9 @@
 
     /// Whether what a worker was sent takes too much of the due time at the rate for its size: our own shots,
     /// and what its report tells; by chance near the bound, as others read it too.
-    fn swamped(&mut self, now: f64, w: usize, due: f64, left: f64, warm: bool) -> bool {
-        /// Part of its client's time that may pass there on average: less than for the due time would turn
-        /// all of an impatient client group, which comes again at once, away from workers that answer in
-        /// time.
+    fn swamped(&mut self, now: f64, w: usize, slow: f64, due: f64, left: f64, warm: bool) -> bool {
+        /// Part of its client's time that may pass there on average: less would turn all of an impatient
+        /// client group, which comes again at once, away from workers that answer in time.
         const LEFT: f64 = 0.7;
         /// With less of its cores in use a worker has no queue to speak of.
         const BUSY: f64 = 0.9;
@@ -503,10 +502,11 @@
         let (time, f) = ((part * due).min(LEFT * left), &self.fleet);
         let rate = self.pace.2.now(now, PEAK_HALF) * self.routers * f.size[w];
         let work = if f.held[w] { self.latency.min(time) } else { 0.0 };
-        let growth = (time / self.latency.max(1e-3)).clamp(1.0, GROWTH);
+        let quick = time / (self.latency * slow).max(1e-3);
+        let (growth, floor) = (quick.clamp(1.0, GROWTH), (f.size[w] * quick.min(1.0)).max(FLOOR));
         let own = warm && f.busy[w] + 1.0 > (rate * time / self.routers + FLOOR) * growth;
         let told = self.told(now, w).filter(|_| f.cores[w] > BUSY);
-        let (out, bound) = (f.out[w] as f64, (rate * (time + work) + FLOOR) * growth);
+        let (out, bound) = (f.out[w] as f64, (rate * (time + work) + floor) * growth);
         own || self.routers > 1.0 && told.is_some_and(|foreign| out + foreign > bound * (0.5 + self.luck()))
     }
 
@@ -572,7 +572,7 @@
         self.hand.is_infinite() || out as f64 <= self.allowed(now, Budget::Hand(w), self.hand)
     }
 
-    /// Whether a shot that was decided before may begin, by what this router is allotted now, and by receipts.
+    /// Whether a shot that was decided before may begin, by what it is allotted now and by receipts.
     pub fn may_begin(&self, now: f64, id: usize, w: usize) -> bool {
         let a = self.activations.get(id).and_then(Option::as_ref);
         let under = |a: &Activation| self.ceilings.get(a.client).is_some_and(|c| c.is_finite());
@@ -667,7 +667,7 @@
             let rests = now - self.fleet.full[w][usize::from(warm)] < REST;
             let missed = function.stands.iter().any(|s| s.worker == w && now - s.missed < self.load);
             let rests = rests || missed && !coming && now < self.rest.1;
-            if rests || self.swamped(now, w, due, left, warm || over_share) {
+            if rests || self.swamped(now, w, function.slow, due, left, warm || over_share) {
                 pressed |= member;
                 continue;
             }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Did, Town, charter, line, pure};
-use milletpath_policy::host::{Charter, Outcome, Report, State};
+use milletpath_policy::host::{Charter, Listing, Outcome, Report, State};
 use test_case::test_case;
 
 #[test_case(2; "few routers")]
@@ -208,6 +208,23 @@
     assert_eq!(town.shots(id).contains(&home), gets);
 }
 
+/// Two wait at a worker, and an activation takes less than the time that may pass there. A worker of one core's size has
+/// a crowd; one of five works through them at once. It was taken for as crowded while its rate was not known.
+#[test_case(1.0, false; "a small worker")]
+#[test_case(5.0, true; "a large one")]
+fn a_large_worker_is_not_crowded_by_two_that_wait(size: f64, gets: bool) {
+    for seed in 0..20 {
+        let mut town = Town::new(Charter { seed, routers: 100, ..charter(pure()) }, 4);
+        town.list((0..4).map(|w| Listing { size, ..line(w, State::Ready, None) }).collect());
+        for w in 0..4 {
+            let report = Some(Report { waiting: Some(2.02), ..Report::default() });
+            town.router.probed(0.0, w, Outcome::Handled, report, &mut town.host);
+        }
+        let id = town.arrive(0, 4.0);
+        assert_eq!(!town.shots(id).is_empty(), gets, "seed {seed}");
+    }
+}
+
 #[test]
 fn after_a_failed_load_orders_rest_for_a_while() {
     // The store was pushed over by loads that every router began again at once.
