--- a/crates/station/src/link/tests.rs
+++ b/crates/station/src/link/tests.rs
@@ -88,3 +88,13 @@
     };
     s.desk.arrive(now, come, asker).expect("there is room")
 }
+
+/// Descriptors of our own had run out, and each worker that was dialled meanwhile was taken for one that is not reached.
+#[test_case::test_case(nix::errno::Errno::EMFILE, true; "no descriptor")]
+#[test_case::test_case(nix::errno::Errno::ENFILE, true; "none on the whole system")]
+#[test_case::test_case(nix::errno::Errno::EADDRNOTAVAIL, true; "no port")]
+#[test_case::test_case(nix::errno::Errno::ECONNREFUSED, false; "refused")]
+#[test_case::test_case(nix::errno::Errno::EHOSTUNREACH, false; "no way there")]
+fn want_of_our_own_says_nothing_of_a_worker(errno: nix::errno::Errno, own: bool) {
+    assert_eq!(own_fault(&std::io::Error::from_raw_os_error(errno as i32)), own);
+}
