A call that comes in pieces is borne as long as its client would wait

Read and forced in simulated time: a known client sends a call a byte at a time over 2.9 s of the 3 s that its class allows, and is closed after 2.06 s (the first call of a connection after 2.03 s of 2.4). Empty lines hold a connection open for good. Cause: door.rs, tidy_clients and hear: 2 s from a line's first byte, whether its pieces kept coming or not, and begun anew by whatever came while no line had begun. Ruled out: buffers (bounded), others (served meanwhile), the call's time (counts from its last byte). Change: a line is given up 2 s after its last piece and after the longest cut-off of the settings, the first of a connection after 2.5 s; of one that never said a whole word only the first bytes begin its time; a known client was last used by its last piece. The station goes by the runtime's clock, so that stories can pass it.

--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -26,7 +26,7 @@
 const LOOKED: f64 = 0.02;
 /// Seconds by which an answer leaves before its client's time is up: what a crowded machine takes from the client's
 /// write to our read, and back.
-const MARGIN: f64 = 0.015;
+pub const MARGIN: f64 = 0.015;
 
 pub struct Client {
     pub serial: u64,
@@ -38,9 +38,11 @@
     holds: Holds,
     pub open: Vec<(u64, Tag)>,
     numbers: Numbers,
-    /// Whether it ever sent a whole line that could be used, and when something passed last.
+    /// Whether it ever sent a whole line that could be used; when something passed last or a line began; and when
+    /// bytes came last.
     said: bool,
     since: f64,
+    heard: f64,
     /// When its socket was last read or looked at.
     looked: f64,
     /// It said what can't be used: it gets what is written and is closed.
@@ -52,6 +54,11 @@
         self.holds.now(self.rest.capacity() + self.out.bytes.capacity());
     }
 
+    /// When it was last of use: of one that never said a whole word, bytes that come in pieces are none.
+    fn used(&self) -> f64 {
+        if self.said { self.since.max(self.heard) } else { self.since }
+    }
+
     /// Whether nothing of its lies unread: a call that did would be lost with the connection.
     fn quiet(&self) -> bool {
         look(&self.stream) != Look::Bytes
@@ -102,7 +109,7 @@
         if self.clients.len() >= self.keeping.clients {
             let now = self.now();
             let all = self.clients.iter().filter(|(_, c)| c.open.is_empty());
-            let all = all.map(|(k, c)| (k, c.said, now - c.since));
+            let all = all.map(|(k, c)| (k, c.said, now - c.used()));
             let leaves = self.keeping.evict(all).find(|key| self.clients[*key].quiet());
             match leaves {
                 Some(key) => self.part(key, "room for another"),
@@ -124,6 +131,7 @@
             numbers: Numbers::default(),
             said: false,
             since: self.now(),
+            heard: f64::NEG_INFINITY,
             looked: f64::NEG_INFINITY,
             condemned: false,
         };
@@ -199,9 +207,11 @@
         let now = self.now();
         let Some(client) = self.clients.get_mut(key) else { return };
         let mut rest = std::mem::take(&mut client.rest);
-        if rest.is_empty() {
+        // Of one that never said a whole word only the first bytes count: empty lines would hold it open for good.
+        if rest.is_empty() && (client.said || client.heard == f64::NEG_INFINITY) {
             client.since = now;
         }
+        client.heard = now;
         let mut said: Vec<Said> = Vec::new();
         let mut fault = None;
         while let Some(end) = bytes.iter().position(|&b| b == b'\n') {
@@ -409,9 +419,13 @@
 
     pub fn tidy_clients(&mut self, now: f64) {
         let over = |c: &Client| {
-            let unsaid = !c.said || !c.rest.is_empty() || c.out.left() > 0;
+            let late = if c.rest.is_empty() || c.out.left() > 0 {
+                (!c.said || c.out.left() > 0) && self.keeping.silent(now, c.since)
+            } else {
+                self.keeping.unfinished(now, c.since, c.heard, c.said)
+            };
             // Of one that said what can't be used nothing more is read, however much it sends.
-            unsaid && c.open.is_empty() && self.keeping.silent(now, c.since) && (c.condemned || c.quiet())
+            late && c.open.is_empty() && (c.condemned || c.quiet())
         };
         let over: Vec<_> = self.clients.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
         over.into_iter().for_each(|key| self.part(key, "silent for too long"));
--- a/crates/station/src/keeping.rs
+++ b/crates/station/src/keeping.rs
@@ -10,6 +10,8 @@
 const CROWD: usize = 4;
 /// Seconds that a client may be connected without a whole word: the platform wants such closed within 3 s.
 const SILENT: f64 = 2.0;
+/// Seconds that the first line of a client may take: with a look each 0.2 s still closed within those 3 s.
+const SLOW: f64 = 2.5;
 /// Seconds after which a client that has not spoken is taken for a silent one, where room is wanted.
 const FRESH: f64 = 0.3;
 /// Part of the stated idle time after which a connection to a worker is closed: before the worker does.
@@ -22,13 +24,17 @@
     lanes: usize,
     idle: f64,
     connect: f64,
+    patience: f64,
 }
 
 impl Keeping {
-    pub fn new(descriptors: usize, lanes: usize, idle: f64, connect: f64) -> Self {
+    /// Within so many descriptors, with so many shots a connection to a worker. Those are closed once idle for so
+    /// many seconds and made within so many; and no client waits longer for an answer than the last says.
+    pub fn new(descriptors: usize, lanes: usize, idle: f64, connect: f64, patience: f64) -> Self {
         let room = descriptors.saturating_sub(RESERVE).max(2);
         let clients = ((room as f64 * CLIENTS) as usize).max(1);
-        Self { clients, links: (room - clients).max(1), lanes: lanes.max(1), idle: idle * IDLE, connect }
+        let (links, patience) = ((room - clients).max(1), patience.max(SLOW));
+        Self { clients, links, lanes: lanes.max(1), idle: idle * IDLE, connect, patience }
     }
 
     /// Where one more shot for a worker goes, by the shots on each of its connections and since when each is unheard;
@@ -61,11 +67,18 @@
         all.into_iter().map(|(.., key)| key)
     }
 
-    /// Whether a client that has never sent a whole word is closed, or one in the midst of another.
+    /// Whether a client that has never sent a whole word is closed, or one that does not read what it was sent.
     pub fn silent(&self, now: f64, since: f64) -> bool {
         now - since >= SILENT
     }
 
+    /// Whether a line that began at `since` is waited for no longer: its pieces, the last of them at `heard`, stopped
+    /// coming, or it takes longer than any client waits for an answer. Less is borne of one who never sent a whole
+    /// one.
+    pub fn unfinished(&self, now: f64, since: f64, heard: f64, said: bool) -> bool {
+        self.silent(now, heard) || now - since >= if said { self.patience } else { SLOW }
+    }
+
     pub fn idle(&self, now: f64, used: f64) -> bool {
         now - used >= self.idle
     }
--- a/crates/station/src/link/tests.rs
+++ b/crates/station/src/link/tests.rs
@@ -1,7 +1,6 @@
 use super::*;
 use crate::room::Room;
-use crate::station::tests::{listed, with};
-use milletpath_gateway::desk::Come;
+use crate::station::tests::{arrive, listed, with};
 use std::io::Read;
 
 /// A worker that turned a shot away said so twice; the second copy would have ended the next shot of the same id.
@@ -64,31 +63,6 @@
     });
 }
 
-fn arrive(s: &mut Station, id: u64) -> Tag {
-    let come = Come {
-        function: "00000000000000ff",
-        profile: 0,
-        client: 0,
-        patience: 2.0,
-        repeat: false,
-        instance: Some((64.0, 1.0, None)),
-    };
-    let (now, body, mark, holds) = (s.now(), vec![1; 64], String::new(), s.room.holds(64));
-    let asker = Asker {
-        client: (999, 0),
-        number: id,
-        id,
-        profile: 0,
-        mark,
-        body,
-        _holds: holds,
-        came: now,
-        begun: now,
-        at: Vec::new(),
-    };
-    s.desk.arrive(now, come, asker).expect("there is room")
-}
-
 /// Descriptors of our own had run out, and each worker that was dialled meanwhile was taken for one that is not reached.
 #[test_case::test_case(nix::errno::Errno::EMFILE, true; "no descriptor")]
 #[test_case::test_case(nix::errno::Errno::ENFILE, true; "none on the whole system")]
--- a/crates/station/src/station.rs
+++ b/crates/station/src/station.rs
@@ -19,10 +19,11 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Bytes that are read at a time from one socket: its fair turn.
 pub const TURN: usize = 64 << 10;
@@ -81,6 +82,7 @@
         let epoch = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
         let begun = Instant::now();
         let house = &told.house;
+        let patience = house.profiles.iter().map(|p| p.cut_off).fold(0.0, f64::max);
         let mut desk = Desk::new(house, epoch);
         for (whole, entries) in &told.lists {
             desk.list(0.0, *whole, entries);
@@ -95,7 +97,13 @@
                 links: Slab::new(),
                 reach: BTreeMap::new(),
                 ids: BTreeSet::new(),
-                keeping: Keeping::new(told.descriptors, told.lanes, house.bounds.idle, house.bounds.connect),
+                keeping: Keeping::new(
+                    told.descriptors,
+                    told.lanes,
+                    house.bounds.idle,
+                    house.bounds.connect,
+                    patience,
+                ),
                 room: Room::new(told.memory),
                 leave: Leave::default(),
                 connect: house.bounds.connect,
@@ -200,7 +208,7 @@
         };
         match next {
             Some(at) => tokio::select! {
-                () = tokio::time::sleep_until(at.into()) => {}
+                () = tokio::time::sleep_until(at) => {}
                 () = alarm.notified() => {}
             },
             None => alarm.notified().await,
--- a/crates/station/src/station/tests.rs
+++ b/crates/station/src/station/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use milletpath_gateway::desk::{Come, End};
+use milletpath_policy::host::Outcome;
+use test_case::test_case;
 
 /// Runs a story on one thread, as the router does.
 pub fn with(story: impl Future<Output = ()>) {
@@ -34,3 +37,60 @@
     station.link_reads(7);
     assert_eq!(station.scratch.len(), TURN);
 }
+
+/// A call of a client who waits for two seconds and of whom nothing more is known.
+pub fn arrive(s: &mut Station, id: u64) -> Tag {
+    let come = Come {
+        function: "00000000000000ff",
+        profile: 0,
+        client: 0,
+        patience: 2.0,
+        repeat: false,
+        instance: Some((64.0, 1.0, None)),
+    };
+    let (now, body, mark, holds) = (s.now(), vec![1; 64], String::new(), s.room.holds(64));
+    let asker = Asker {
+        client: (999, 0),
+        number: id,
+        id,
+        profile: 0,
+        mark,
+        body,
+        _holds: holds,
+        came: now,
+        begun: now,
+        at: Vec::new(),
+    };
+    s.desk.arrive(now, come, asker).expect("there is room")
+}
+
+/// A call is answered, or nobody ever does: its client has the final answer in its own time, and once nothing is in hand
+/// nothing is due any more. What wakes an idle router then is the look at its connections and the bulletin's heartbeat.
+#[test_case(true; "answered")]
+#[test_case(false; "by nobody")]
+fn a_router_that_nobody_calls_any_more_is_woken_for_nothing(answered: bool) {
+    let station = listed(&[SocketAddr::from(([127, 0, 0, 1], 9))]);
+    let mut s = station.borrow_mut();
+    let begun = s.now();
+    let tag = arrive(&mut s, 7);
+    assert!(s.desk.begin(begun, tag, 0));
+    if answered {
+        assert!(s.desk.end(begun + 0.1, tag, 0, End::plain(Outcome::Handled)));
+    }
+    let (mut turns, mut ended) = (0, begun);
+    while let Some(next) = s.desk.next() {
+        turns += 1;
+        // Twice as often as it looks at what is open.
+        assert!(turns < 1000, "still woken at {next}");
+        if s.desk.open() > 0 {
+            ended = next;
+        }
+        s.desk.turn(next);
+        while let Some(act) = s.desk.act() {
+            assert!(!matches!(act, Act::Probe { .. } | Act::Hold { .. }));
+        }
+    }
+    assert_eq!(s.desk.open(), 0);
+    // The door takes this off what a client says that it waits, for the module's look at what is open and the way back.
+    assert!(ended - begun < 2.0 + crate::door::MARGIN, "{ended}");
+}
