What the old bulletin had told is read before the new one is asked

Forced: the old bulletin tells that a worker has left, and in the same turn the file names another address that does not answer yet: the worker stays listed. Cause: bulletin.rs, follow: the stream was dropped as soon as the address changed, with what lay unread in it. Ruled out: with both there when the router goes on after a standstill the stream is read first. Change: the old stream is read on for 20 ms. Dialling and heeding are told apart, so that a story can play hours of heartbeats. Result: what_lies_unread_when_the_file_names_another_is_taken fails without it ([(0, "w0")] still listed, asked "after 1"); a_bulletin_that_falls_silent_after_hours: three simulated hours, two cases, held.

--- a/crates/station/src/bulletin.rs
+++ b/crates/station/src/bulletin.rs
@@ -5,7 +5,7 @@
 use milletpath_platform::events::{self, Line};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -18,6 +18,10 @@
 /// Between two tries, doubled up to the longest.
 const PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 
+/// For what the address before had told to be read, when the file names another: with a drain among it, that must not
+/// wait until the next one speaks.
+const LAST_WORDS: Duration = Duration::from_millis(20);
+
 /// Follows for the router's life, from the event after `last`; `address` changes when the file names another.
 pub async fn follow(station: Shared, mut address: watch::Receiver<SocketAddr>, mut last: u64) {
     let [shortest, longest] = PAUSES;
@@ -25,13 +29,16 @@
     loop {
         let at = *address.borrow_and_update();
         let before = last;
+        let mut stream = Box::pin(stream(&station, at, &mut last));
         let why = tokio::select! {
-            why = stream(&station, at, &mut last) => why,
+            why = &mut stream => why,
             _ = address.changed() => {
+                let _ = tokio::time::timeout(LAST_WORDS, stream).await;
                 pause = shortest;
                 continue;
             }
         };
+        drop(stream);
         tracing::info!(address = %at, last, "the bulletin is asked again: {why}");
         pause = if last > before { shortest } else { (2 * pause).min(longest) };
         tokio::select! {
@@ -42,11 +49,15 @@
 }
 
 async fn stream(station: &Shared, address: SocketAddr, last: &mut u64) -> String {
-    let mut stream = match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return format!("no connection: {e}"),
-        Err(_) => return "no connection in time".into(),
-    };
+    match tokio::time::timeout(CONNECT, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => heed(station, stream, last).await,
+        Ok(Err(e)) => format!("no connection: {e}"),
+        Err(_) => "no connection in time".into(),
+    }
+}
+
+/// Asks on a connection that stands, and takes what is told until it breaks or falls silent: why.
+async fn heed(station: &Shared, mut stream: impl AsyncRead + AsyncWrite + Unpin, last: &mut u64) -> String {
     if let Err(e) = stream.write_all(events::after(*last).as_bytes()).await {
         return format!("it could not be asked: {e}");
     }
@@ -83,3 +94,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
