--- a/crates/milletpath/tests/platform.rs
+++ b/crates/milletpath/tests/platform.rs
@@ -4,6 +4,8 @@
 mod crossings;
 #[path = "platform/held.rs"]
 mod held;
+#[path = "platform/standing.rs"]
+mod standing;
 mod town;
 
 use nix::sys::signal::Signal;
--- a/crates/milletpath/tests/platform/crossings.rs
+++ b/crates/milletpath/tests/platform/crossings.rs
@@ -58,7 +58,7 @@
 }
 
 /// One worker that may be sent a call once; what it makes of it must not be tried again where it may have run.
-fn effectful(workers: &[std::net::SocketAddr], board: std::net::SocketAddr, connect: u64) -> String {
+pub fn effectful(workers: &[std::net::SocketAddr], board: std::net::SocketAddr, connect: u64) -> String {
     let text = file(workers, board, 256).replace("\"free\"", "\"single_shot\"");
     let text = text.replace("\"PlacementCalls\":true", "\"PlacementCalls\":false");
     text.replace("\"ConnectTimeout\":250000", &format!("\"ConnectTimeout\":{connect}"))
@@ -169,7 +169,7 @@
 }
 
 /// A bulletin whose streams the story gets, once each is asked.
-fn told_later() -> (std::net::SocketAddr, std::sync::mpsc::Receiver<std::net::TcpStream>) {
+pub fn told_later() -> (std::net::SocketAddr, std::sync::mpsc::Receiver<std::net::TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let (asked, streams) = std::sync::mpsc::channel();
--- a/crates/milletpath/tests/platform/held.rs
+++ b/crates/milletpath/tests/platform/held.rs
@@ -60,10 +60,15 @@
 
     /// The next connection, within some seconds.
     pub fn connection(&self) -> Wire {
-        let (stream, _) = wait(|| self.listener.accept().ok()).expect("a connection");
+        wait(|| self.taken()).expect("a connection")
+    }
+
+    /// The next connection, if one waits.
+    pub fn taken(&self) -> Option<Wire> {
+        let (stream, _) = self.listener.accept().ok()?;
         stream.set_nonblocking(false).expect("a socket");
         stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a socket");
-        Wire { stream }
+        Some(Wire { stream })
     }
 }
 
