--- a/crates/milletpath/tests/platform/standing.rs
+++ b/crates/milletpath/tests/platform/standing.rs
@@ -1,5 +1,6 @@
-//! Crossings that the users' letter adds to the standing test, each forced by order: files read again while workers
-//! drain, whole lists, kills behind an accept, calls in pieces, calls that nobody answers, routers that sit idle.
+//! Crossings that the users' letter adds to the standing test, each forced by order: files read again while
+//! workers drain, whole lists, kills behind an accept, calls in pieces, calls that nobody answers, routers
+//! that sit idle.
 
 use crate::crossings::{effectful, told_later};
 use crate::hangs;
@@ -30,9 +31,9 @@
         + "\n"
 }
 
-/// A call is out at a worker that drains, of which the old bulletin tells in its last breath; the file is replaced, and
-/// the new bulletin is asked from there on. What it tells holds, the answer of the drained one counts, and word to end
-/// that comes with a call in hand lets it be answered.
+/// A call is out at a worker that drains, of which the old bulletin tells in its last breath; the file is
+/// replaced, and the new bulletin is asked from there on. What it tells holds, the answer of the drained one
+/// counts, and word to end that comes with a call in hand lets it be answered.
 #[test]
 fn the_file_is_replaced_while_a_worker_drains() {
     let [drains, joins] = [Held::new(), Held::new()];
@@ -75,8 +76,9 @@
     Empty,
 }
 
-/// The whole list comes past a gap of numbers, while a worker has a shot out that is not on it, drains or stands on no
-/// list at all: nothing more is sent there, its answer counts, and once it is listed again it is the same process.
+/// The whole list comes past a gap of numbers, while a worker has a shot out that is not on it, drains or
+/// stands on no list at all: nothing more is sent there, its answer counts, and once it is listed again it is
+/// the same process.
 #[test_case(Whole::Without; "it is missing")]
 #[test_case(Whole::Draining; "it drains, and the other is new")]
 #[test_case(Whole::Empty; "nobody is on it")]
@@ -126,8 +128,9 @@
     wait(taken).expect("a connection")
 }
 
-/// A worker takes a connection and is killed before it reads the call that lies there whole. Nobody can tell that from one
-/// that ran it: what may be repeated goes to the other, the rest is terminated and never sent again.
+/// A worker takes a connection and is killed before it reads the call that lies there whole. Nobody can tell
+/// that from one that ran it: what may be repeated goes to the other, the rest is terminated and never sent
+/// again.
 #[test_case("\"free\"", true; "pure")]
 #[test_case("\"guarded\",\"KeyScope\":\"all\",\"DedupWindow\":2500000", true; "receipted")]
 #[test_case("\"single_shot\"", false; "effectful")]
@@ -160,9 +163,9 @@
     }
 }
 
-/// A router is killed with a call unread in a connection that it had taken in, and one at its listener. Both clients see
-/// the end and no answer, and nothing went to a worker. The next process has the address at once, owes nothing of that,
-/// and takes the client's retry under the same id.
+/// A router is killed with a call unread in a connection that it had taken in, and one at its listener. Both
+/// clients see the end and no answer, and nothing went to a worker. The next process has the address at once,
+/// owes nothing of that, and takes the client's retry under the same id.
 #[test]
 fn a_router_is_killed_behind_its_accept() {
     // An address of its own: between the two no other story's connection may get its port.
@@ -191,8 +194,8 @@
     assert_eq!((shots(2), shots(3)), (1, 0));
 }
 
-/// Many calls come at once, a byte at a time each: whoever sends a whole one between two bytes is served meanwhile, and so
-/// are they with their last.
+/// Many calls come at once, a byte at a time each: whoever sends a whole one between two bytes is served
+/// meanwhile, and so are they with their last.
 #[test]
 fn calls_that_come_a_byte_at_a_time() {
     const MANY: u64 = 40;
@@ -227,8 +230,8 @@
     }
 }
 
-/// Nobody ever answers: each call has its final answer in its own client's time, the shorter one first, and no second one;
-/// the worker is told that neither is waited for.
+/// Nobody ever answers: each call has its final answer in its own client's time, the shorter one first, and
+/// no second one; the worker is told that neither is waited for.
 #[test]
 fn calls_that_nobody_answers() {
     let (at, seen) = worker(hangs);
@@ -256,8 +259,8 @@
     (waits.trim().parse().unwrap(), ticks)
 }
 
-/// A router that was called and is not any more, with clients that stay connected and a bulletin that speaks: it waits. It
-/// looks five times a second at what is idle, and its workers hear nothing from it.
+/// A router that was called and is not any more, with clients that stay connected and a bulletin that speaks:
+/// it waits. It looks five times a second at what is idle, and its workers hear nothing from it.
 #[test]
 fn a_router_that_sits_idle() {
     const WAKES: f64 = 40.0;
--- a/crates/station/src/bulletin.rs
+++ b/crates/station/src/bulletin.rs
@@ -18,8 +18,8 @@
 /// Between two tries, doubled up to the longest.
 const PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 
-/// For what the address before had told to be read, when the file names another: with a drain among it, that must not
-/// wait until the next one speaks.
+/// For what the address before had told to be read, when the file names another: with a drain among it, that
+/// must not wait until the next one speaks.
 const LAST_WORDS: Duration = Duration::from_millis(20);
 
 /// Follows for the router's life, from the event after `last`; `address` changes when the file names another.
--- a/crates/station/src/bulletin/tests.rs
+++ b/crates/station/src/bulletin/tests.rs
@@ -9,8 +9,8 @@
     format!(r#"{{"no":{number},"roster":{{"complete":false,"members":[{worker}]}}}}"#) + "\n"
 }
 
-/// A stream has stood for hours, with a heartbeat a second and an event every ten minutes, when it falls silent: it is
-/// given up as soon as one that never spoke, with all that it had told.
+/// A stream has stood for hours, with a heartbeat a second and an event every ten minutes, when it falls
+/// silent: it is given up as soon as one that never spoke, with all that it had told.
 #[test_case(""; "between two lines")]
 #[test_case("{\"no\":"; "amid a line")]
 fn a_bulletin_that_falls_silent_after_hours(rest: &'static str) {
@@ -41,8 +41,9 @@
     });
 }
 
-/// What the old address has told lies unread when the file names another, which does not answer yet: it is taken first.
-/// It was dropped with its stream, and a worker that was gone got shots until the new address spoke.
+/// What the old address has told lies unread when the file names another, which does not answer yet: it is
+/// taken first. It was dropped with its stream, and a worker that was gone got shots until the new address
+/// spoke.
 #[test]
 fn what_lies_unread_when_the_file_names_another_is_taken() {
     with(async {
--- a/crates/station/src/door.rs
+++ b/crates/station/src/door.rs
@@ -38,8 +38,8 @@
     holds: Holds,
     pub open: Vec<(u64, Tag)>,
     numbers: Numbers,
-    /// Whether it ever sent a whole line that could be used; when something passed last or a line began; and when
-    /// bytes came last.
+    /// Whether it ever sent a whole line that could be used; when something passed last or a line began; and
+    /// when bytes came last.
     said: bool,
     since: f64,
     heard: f64,
--- a/crates/station/src/door/tests.rs
+++ b/crates/station/src/door/tests.rs
@@ -25,7 +25,8 @@
     }
 }
 
-/// Sends a text a byte at a time, evenly over some seconds; for how many it was heard before it was closed, if it was.
+/// Sends a text a byte at a time, evenly over some seconds; for how many it was heard before it was closed,
+/// if it was.
 async fn drips(
     station: &Shared,
     to: &mut (std::net::TcpStream, usize),
@@ -47,10 +48,13 @@
 }
 
 const PROBE: &[u8] = b"{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"probe\"}\n";
-const CALL: &str = r#"{"jsonrpc":"2.0","id":2,"method":"p","params":{"i":"9b1f03aa5c7e2d41","d":1500,"o":"7f3a9c21e0b4d655"}}"#;
+const CALL: &str = concat!(
+    r#"{"jsonrpc":"2.0","id":2,"method":"p","params":{"i":"9b1f03aa5c7e2d41","#,
+    r#""d":1500,"o":"7f3a9c21e0b4d655"}}"#
+);
 
-/// A call comes a byte at a time, over as long as its client would wait for an answer: it is taken, and its time counts
-/// from its last byte. It was closed after 2 s.
+/// A call comes a byte at a time, over as long as its client would wait for an answer: it is taken, and its
+/// time counts from its last byte. It was closed after 2 s.
 #[test_case(true, 2.9; "from a known client")]
 #[test_case(false, 2.4; "as the first of its client")]
 fn a_call_that_comes_in_pieces(known: bool, seconds: f64) {
@@ -73,8 +77,8 @@
     });
 }
 
-/// What never becomes a line is closed in its time, however it comes: within 3 s where nothing of use was ever said. By
-/// empty lines a client was held open for good.
+/// What never becomes a line is closed in its time, however it comes: within 3 s where nothing of use was
+/// ever said. By empty lines a client was held open for good.
 #[test_case(false, &CALL.repeat(3), 2.5; "the first line")]
 #[test_case(true, &CALL.repeat(3), 3.0; "a later line")]
 #[test_case(false, &"\n".repeat(99), 2.0; "empty lines")]
@@ -93,8 +97,8 @@
     });
 }
 
-/// Room is wanted: a known client in the midst of a call stays, and one that has been quiet for less time than that call
-/// takes goes.
+/// Room is wanted: a known client in the midst of a call stays, and one that has been quiet for less time
+/// than that call takes goes.
 #[test]
 fn a_call_in_pieces_is_not_closed_for_room() {
     with(async {
--- a/crates/station/src/keeping.rs
+++ b/crates/station/src/keeping.rs
@@ -28,8 +28,9 @@
 }
 
 impl Keeping {
-    /// Within so many descriptors, with so many shots a connection to a worker. Those are closed once idle for so
-    /// many seconds and made within so many; and no client waits longer for an answer than the last says.
+    /// Within so many descriptors, with so many shots a connection to a worker. Those are closed once idle
+    /// for so many seconds and made within so many; and no client waits longer for an answer than the last
+    /// says.
     pub fn new(descriptors: usize, lanes: usize, idle: f64, connect: f64, patience: f64) -> Self {
         let room = descriptors.saturating_sub(RESERVE).max(2);
         let clients = ((room as f64 * CLIENTS) as usize).max(1);
@@ -67,14 +68,15 @@
         all.into_iter().map(|(.., key)| key)
     }
 
-    /// Whether a client that has never sent a whole word is closed, or one that does not read what it was sent.
+    /// Whether a client that has never sent a whole word is closed, or one that does not read what it was
+    /// sent.
     pub fn silent(&self, now: f64, since: f64) -> bool {
         now - since >= SILENT
     }
 
-    /// Whether a line that began at `since` is waited for no longer: its pieces, the last of them at `heard`, stopped
-    /// coming, or it takes longer than any client waits for an answer. Less is borne of one who never sent a whole
-    /// one.
+    /// Whether a line that began at `since` is waited for no longer: its pieces, the last of them at `heard`,
+    /// stopped coming, or it takes longer than any client waits for an answer. Less is borne of one who never
+    /// sent a whole one.
     pub fn unfinished(&self, now: f64, since: f64, heard: f64, said: bool) -> bool {
         self.silent(now, heard) || now - since >= if said { self.patience } else { SLOW }
     }
--- a/crates/station/src/station/tests.rs
+++ b/crates/station/src/station/tests.rs
@@ -64,8 +64,9 @@
     s.desk.arrive(now, come, asker).expect("there is room")
 }
 
-/// A call is answered, or nobody ever does: its client has the final answer in its own time, and once nothing is in hand
-/// nothing is due any more. What wakes an idle router then is the look at its connections and the bulletin's heartbeat.
+/// A call is answered, or nobody ever does: its client has the final answer in its own time, and once nothing
+/// is in hand nothing is due any more. What wakes an idle router then is the look at its connections and the
+/// bulletin's heartbeat.
 #[test_case(true; "answered")]
 #[test_case(false; "by nobody")]
 fn a_router_that_nobody_calls_any_more_is_woken_for_nothing(answered: bool) {
--- a/crates/station/tests/cold.rs
+++ b/crates/station/tests/cold.rs
@@ -1,6 +1,6 @@
-//! A few dozen routers and cold workers. Each router knows only what it sends itself: what all of them together send a cold
-//! worker has to stay under what that can take, however thin the traffic of each is. Played with the desk that the
-//! station runs, in simulated time.
+//! A few dozen routers and cold workers. Each router knows only what it sends itself: what all of them
+//! together send a cold worker has to stay under what that can take, however thin the traffic of each is.
+//! Played with the desk that the station runs, in simulated time.
 
 use milletpath_lab::{Cold, cold, play};
 use milletpath_standin::script;
