--- /dev/null
+++ b/crates/changes/src/message.rs
@@ -0,0 +1,413 @@
+//! What passes between authors, replicas and followers: what stands in one datagram, how it is sealed and opened.
+//!
+//! A datagram is a version, a seal of 16 bytes (a keyed hash over the rest) and a body with numbered fields. A field that
+//! is not known is skipped, a kind that is not known is passed over, a number never changes its meaning: old and new
+//! programs stand side by side.
+
+use crate::entry::{Change, Entry, Logged};
+use minicbor::decode::Decoder;
+use minicbor::{Decode, Encode};
+use std::fmt;
+
+/// The version that is written. All from 1 on are read.
+pub const VERSION: u8 = 1;
+
+/// Bytes of a datagram at most: what passes any link whole.
+pub const LARGEST: usize = 1400;
+
+/// Bytes of a follower's name.
+pub const LONGEST_NAME: usize = 64;
+
+/// Bytes of a reason why a gateway could not apply an entry.
+pub const LONGEST_WHY: usize = 200;
+
+/// Bytes that entries may take in one datagram: what is left beside a seal and the other fields of the largest reply.
+pub const ROOM: usize = 1200;
+
+const SEAL: usize = 16;
+
+/// Which attempt to lead a replica follows: grows; its last three bits are the number of the replica that made it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
+#[cbor(transparent)]
+pub struct Ballot(#[n(0)] pub u64);
+
+impl Ballot {
+    /// The lowest of that replica's that is above this one.
+    pub fn above(self, owner: usize) -> Self {
+        Self((((self.0 >> 3) + 1) << 3) | owner as u64)
+    }
+
+    pub fn owner(self) -> usize {
+        (self.0 & 7) as usize
+    }
+}
+
+/// What an acceptor accepted at a number and has not learnt to be chosen.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+#[cbor(map)]
+pub struct Vote {
+    #[n(0)]
+    pub number: u64,
+    #[n(1)]
+    pub ballot: Ballot,
+    #[n(2)]
+    pub change: Change,
+}
+
+/// How a replica stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
+#[cbor(map)]
+pub struct Standing {
+    /// Up to this number all is chosen and applied, and the digest of what is then in force.
+    #[n(0)]
+    pub head: u64,
+    #[n(1)]
+    pub digest: u64,
+    /// The highest number that it accepted anything at, or its head.
+    #[n(2)]
+    pub top: u64,
+    /// The highest ballot that it promised.
+    #[n(3)]
+    pub ballot: Ballot,
+    /// Whether it votes: one without a disk does not until it was taken in again.
+    #[n(4)]
+    pub votes: bool,
+}
+
+/// What became of a proposed change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+pub enum Outcome {
+    /// It is chosen at that number, and changed what is in force from there on.
+    #[n(0)]
+    Committed(#[n(0)] u64),
+    /// Another entry stood under the key (that number, 0 for none): it changed nothing and never will.
+    #[n(1)]
+    Superseded(#[n(0)] u64),
+    /// Not known in time: it may yet be committed, or never. The same change, with the same id, can be proposed again.
+    #[n(2)]
+    Unknown,
+    /// Key or text is longer than its bound.
+    #[n(3)]
+    TooLarge,
+    /// There is no room for one more key, or for so much text.
+    #[n(4)]
+    Full,
+    /// Too many changes wait at this replica; it was not proposed.
+    #[n(5)]
+    Busy,
+    /// The key is empty.
+    #[n(6)]
+    NoKey,
+}
+
+/// A follower's word that its gateway could not apply an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+#[cbor(map)]
+pub struct Refusal {
+    #[n(0)]
+    pub number: u64,
+    #[n(1)]
+    pub why: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Encode, Decode)]
+#[cbor(map)]
+pub enum Message {
+    /// An author proposes a change (a replica passes it on in the same form).
+    #[n(1)]
+    Propose {
+        #[n(0)]
+        change: Change,
+    },
+    /// What became of the change with that id.
+    #[n(2)]
+    Proposed {
+        #[n(0)]
+        id: u64,
+        #[n(1)]
+        outcome: Outcome,
+    },
+    /// What stands under a key?
+    #[n(3)]
+    Get {
+        #[n(0)]
+        key: String,
+    },
+    /// `number` 0: nothing ever stood there. `text` none: nothing stands there now. `age`: milliseconds since a majority
+    /// knew of nothing beyond `head`, none for never.
+    #[n(4)]
+    Got {
+        #[n(0)]
+        key: String,
+        #[n(1)]
+        number: u64,
+        #[n(2)]
+        text: Option<String>,
+        #[n(3)]
+        head: u64,
+        #[n(4)]
+        age: Option<u64>,
+    },
+    /// An operator asks for a replica's view; one page at a time, all of one `ask` from the same moment.
+    #[n(5)]
+    Status {
+        #[n(0)]
+        ask: u64,
+        #[n(1)]
+        page: u32,
+    },
+    /// A page of the view as JSON.
+    #[n(6)]
+    StatusPage {
+        #[n(0)]
+        ask: u64,
+        #[n(1)]
+        page: u32,
+        #[n(2)]
+        of: u32,
+        #[cbor(n(3), with = "minicbor::bytes")]
+        bytes: Vec<u8>,
+    },
+    /// A replica wants to lead under this ballot. `attempt` is drawn by chance and comes back, so that an answer to a
+    /// former process under the same ballot doesn't count.
+    #[n(7)]
+    Prepare {
+        #[n(0)]
+        ballot: Ballot,
+        #[n(1)]
+        attempt: u64,
+    },
+    /// It is followed from now on, and nothing below it. `slots`: all numbers above its head at which the sender
+    /// accepted; `vote`: what, at one of these. `votes` false: it has no disk, and promises nothing.
+    #[n(8)]
+    Promise {
+        #[n(0)]
+        ballot: Ballot,
+        #[n(1)]
+        attempt: u64,
+        #[n(2)]
+        votes: bool,
+        #[n(3)]
+        head: u64,
+        #[n(4)]
+        slots: Vec<u64>,
+        #[n(5)]
+        vote: Option<Vote>,
+    },
+    /// To be accepted at that number under that ballot.
+    #[n(9)]
+    Accept {
+        #[n(0)]
+        vote: Vote,
+    },
+    /// The sender accepted what that ballot's owner proposed at that number.
+    #[n(10)]
+    Accepted {
+        #[n(0)]
+        ballot: Ballot,
+        #[n(1)]
+        number: u64,
+    },
+    /// The sender promised this higher ballot.
+    #[n(11)]
+    Outvoted {
+        #[n(0)]
+        ballot: Ballot,
+    },
+    /// How do you stand? `stamp` comes back.
+    #[n(12)]
+    Ask {
+        #[n(0)]
+        stamp: u64,
+        #[n(1)]
+        standing: Standing,
+    },
+    #[n(13)]
+    Answer {
+        #[n(0)]
+        stamp: u64,
+        #[n(1)]
+        standing: Standing,
+    },
+    /// What is there after this number? Answered by so many pages at most, of the log or, where that doesn't reach
+    /// back so far, of what is in force.
+    #[n(14)]
+    Fetch {
+        #[n(0)]
+        after: u64,
+        #[n(1)]
+        pages: u8,
+        /// Pages of what is in force are wanted in any case.
+        #[n(2)]
+        compacted: bool,
+    },
+    /// Entries of the log that follow each other, each with the digest after it.
+    #[n(15)]
+    Log {
+        #[n(0)]
+        entries: Vec<Logged>,
+    },
+    /// Of the entries that are in force all with numbers above `after` and up to `upto`. Where `upto` is `head`, that
+    /// was the last page, and the digest is that of all that is in force at the head.
+    #[n(16)]
+    Page {
+        #[n(0)]
+        after: u64,
+        #[n(1)]
+        upto: u64,
+        #[n(2)]
+        entries: Vec<Entry>,
+        #[n(3)]
+        head: u64,
+        #[n(4)]
+        digest: u64,
+    },
+    /// A follower tells how it stands and asks what is new. `about`: a number at which it wants to know the digest, 0
+    /// for none. `stamp` comes back.
+    #[n(17)]
+    Poll {
+        #[n(0)]
+        name: String,
+        #[n(1)]
+        number: u64,
+        #[n(2)]
+        digest: u64,
+        #[n(3)]
+        about: u64,
+        #[n(4)]
+        stamp: u64,
+        #[n(5)]
+        refused: Option<Refusal>,
+    },
+    /// `age`: milliseconds since a majority knew of nothing beyond `head`, none for never. `entries`: what follows the
+    /// follower's number, as far as it has room; none although the head is further on where the log doesn't reach back.
+    #[n(18)]
+    Reply {
+        #[n(0)]
+        stamp: u64,
+        #[n(1)]
+        head: u64,
+        #[n(2)]
+        digest: u64,
+        #[n(3)]
+        age: Option<u64>,
+        /// The digest at the number that was asked about, where it is known.
+        #[n(4)]
+        about: Option<u64>,
+        #[n(5)]
+        entries: Vec<Logged>,
+    },
+    /// An entry as soon as it is committed.
+    #[n(19)]
+    Push {
+        #[n(0)]
+        logged: Logged,
+    },
+}
+
+/// The highest kind that this program knows.
+const LAST_KIND: u32 = 19;
+
+/// Why a datagram is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// Larger than [`LARGEST`], or too small for a seal.
+    Size,
+    /// Of a version that this program does not read.
+    Version(u8),
+    /// Sealed with another key, or changed on its way.
+    Seal,
+    /// Sealed rightly, but of a kind that this program does not know.
+    Kind(u32),
+    /// Sealed rightly, but it can't be read or breaks a bound.
+    Body,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Size => write!(f, "no message has this size"),
+            Self::Version(v) => write!(f, "its version {v} is not read here"),
+            Self::Seal => write!(f, "its seal is of another key"),
+            Self::Kind(k) => write!(f, "its kind {k} is not known here"),
+            Self::Body => write!(f, "it can't be read"),
+        }
+    }
+}
+
+/// The key of a fleet's control, from the secret that control machines, gateways and authors share.
+#[derive(Clone)]
+pub struct Key([u8; 32]);
+
+impl Key {
+    /// `secret` should have 32 bytes of chance or more.
+    pub fn new(secret: &[u8]) -> Self {
+        Self(blake3::derive_key("milletpath 2026-12 changes of configuration", secret))
+    }
+
+    fn seal(&self, version: u8, body: &[u8]) -> blake3::Hash {
+        blake3::Hasher::new_keyed(&self.0).update(&[version]).update(body).finalize()
+    }
+}
+
+impl fmt::Debug for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Key(..)")
+    }
+}
+
+/// Makes a datagram; none where it would be too large.
+pub fn seal(key: &Key, message: &Message) -> Option<Vec<u8>> {
+    let body = minicbor::to_vec(message).ok()?;
+    if 1 + SEAL + body.len() > LARGEST {
+        return None;
+    }
+    let mut datagram = Vec::with_capacity(1 + SEAL + body.len());
+    datagram.push(VERSION);
+    datagram.extend_from_slice(&key.seal(VERSION, &body).as_bytes()[..SEAL]);
+    datagram.extend_from_slice(&body);
+    Some(datagram)
+}
+
+/// Reads a datagram.
+pub fn open(key: &Key, datagram: &[u8]) -> Result<Message, Refused> {
+    if datagram.len() <= 1 + SEAL || datagram.len() > LARGEST {
+        return Err(Refused::Size);
+    }
+    let (version, (said, body)) = (datagram[0], datagram[1..].split_at(SEAL));
+    if version == 0 {
+        return Err(Refused::Version(version));
+    }
+    // Compared in constant time: nobody learns a seal byte by byte.
+    let mut whole = *key.seal(version, body).as_bytes();
+    whole[..SEAL].iter_mut().zip(said).for_each(|(a, b)| *a ^= b);
+    if whole[..SEAL].iter().fold(0, |all, byte| all | byte) != 0 {
+        return Err(Refused::Seal);
+    }
+    let mut head = Decoder::new(body);
+    let kind = head.array().and_then(|_| head.u32()).map_err(|_| Refused::Body)?;
+    if kind == 0 || kind > LAST_KIND {
+        return Err(Refused::Kind(kind));
+    }
+    let message: Message = minicbor::decode(body).map_err(|_| Refused::Body)?;
+    if message.fits() { Ok(message) } else { Err(Refused::Body) }
+}
+
+impl Message {
+    /// Whether all that it carries keeps its bounds. A change that an author proposes may break them: he is told.
+    pub fn fits(&self) -> bool {
+        let logged = |all: &[Logged]| all.iter().all(|l| l.entry.change.fits());
+        match self {
+            Self::Promise { vote: Some(vote), .. } | Self::Accept { vote } => vote.change.fits(),
+            Self::Log { entries } | Self::Reply { entries, .. } => logged(entries),
+            Self::Page { entries, .. } => entries.iter().all(|e| e.change.fits()),
+            Self::Push { logged } => logged.entry.change.fits(),
+            Self::Poll { name, refused, .. } => {
+                !name.is_empty()
+                    && name.len() <= LONGEST_NAME
+                    && refused.as_ref().is_none_or(|r| r.why.len() <= LONGEST_WHY)
+            }
+            _ => true,
+        }
+    }
+}
