Charter: the block changes, and what one change may state

Gateways are to take figures of functions while they run. The charter says where changes come from; a change is one statement in the charter's own words, read with its mistakes by line and column. What gateways share (quotas, limits, profiles) is refused. The desk keeps the figures that are in force, also when it begins anew, and the door looks there. Without the block nothing asks the desk.

--- a/crates/charter/src/lib.rs
+++ b/crates/charter/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`read`] gives a [`House`], or every [`Mistake`] of the text with line, column and remedy. What a figure means,
 //! its unit and bounds stand in `docs/operators/charter.md`.
 
+pub mod change;
 pub mod page;
 mod read;
 
+pub use change::{Amendment, Subject};
 pub use page::Mistake;
 pub use read::read;
 
@@ -32,6 +34,22 @@
     pub bounds: Bounds,
     /// What gateways tell each other; none where they share nothing.
     pub peers: Option<Peers>,
+    /// Where changes of configuration come from; none where only the charter's file holds.
+    pub changes: Option<Changes>,
+}
+
+/// The control machines, and how this gateway hears them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Changes {
+    /// In the order of their numbers.
+    pub control: Vec<SocketAddr>,
+    /// The file with the secret that control machines, gateways and authors share.
+    pub key: PathBuf,
+    pub listen: SocketAddr,
+    /// Where the last known state outlives a restart.
+    pub state: PathBuf,
+    /// As control machines and operators know this gateway.
+    pub name: String,
 }
 
 /// How a gateway is known to the others, and how it knows them. Times in seconds.
@@ -62,21 +80,38 @@
     pub importance: f64,
 }
 
-/// What is stated of functions: figures of those named, and of all others.
-#[derive(Clone, Debug, Default)]
+/// What is stated of functions: of those named, and of all others.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Functions {
-    pub usual: Instance,
-    pub named: BTreeMap<String, Instance>,
+    pub usual: Statement,
+    pub named: BTreeMap<String, Statement>,
 }
 
 impl Functions {
-    pub fn of(&self, name: &str) -> &Instance {
-        self.named.get(name).unwrap_or(&self.usual)
+    /// The figures of a function: its own where they are stated, else those of all.
+    pub fn of(&self, name: &str) -> Instance {
+        let (own, usual, least) = (self.named.get(name), self.usual, Instance::default());
+        let own = own.copied().unwrap_or_default();
+        Instance {
+            lanes: own.lanes.or(usual.lanes).unwrap_or(least.lanes),
+            memory: own.memory.or(usual.memory).unwrap_or(least.memory),
+            load: own.load.or(usual.load),
+            profile: own.profile.or(usual.profile),
+        }
     }
 }
 
+/// The figures that a statement of functions gives; the others are the usual ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Statement {
+    pub lanes: Option<f64>,
+    pub memory: Option<f64>,
+    pub load: Option<f64>,
+    pub profile: Option<usize>,
+}
+
 /// One instance of a function.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Instance {
     /// Activations that it runs at a time.
     pub lanes: f64,
--- a/crates/charter/src/page.rs
+++ b/crates/charter/src/page.rs
@@ -8,7 +8,7 @@
 use milletpath_protocol::is_name;
 use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::ops::RangeInclusive;
+use std::ops::{Range, RangeInclusive};
 
 /// One thing that is wrong with a text, where, and what to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,12 +39,17 @@
     }
 
     pub fn mistake(&self, at: usize, wrong: impl Into<String>, remedy: impl Into<String>) {
+        let (line, column) = self.place(at);
+        let mistake = Mistake { line, column, wrong: wrong.into(), remedy: remedy.into() };
+        self.mistakes.borrow_mut().push(mistake);
+    }
+
+    /// Line and column of a byte, from 1.
+    pub fn place(&self, at: usize) -> (usize, usize) {
         let at = (0..=at.min(self.text.len())).rev().find(|&n| self.text.is_char_boundary(n)).unwrap_or(0);
         let before = &self.text[..at];
-        let line = before.matches('\n').count() + 1;
         let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-        let mistake = Mistake { line, column, wrong: wrong.into(), remedy: remedy.into() };
-        self.mistakes.borrow_mut().push(mistake);
+        (before.matches('\n').count() + 1, column)
     }
 
     /// All mistakes, in the order of the text.
@@ -63,18 +68,30 @@
     /// The label, empty where there is none.
     pub label: String,
     pub at: usize,
+    /// Where it ends.
+    end: usize,
     /// Its body, and below it those of the texts that this one builds on, whose figures hold where it gives none.
     bodies: Vec<&'p Body>,
     /// Whether the first of them stands on this page.
     own: bool,
     asked: RefCell<Vec<&'static str>>,
+    /// Keys that were told of as not belonging here.
+    refused: RefCell<Vec<&'static str>>,
     sealed: Cell<bool>,
 }
 
-fn at(span: Option<std::ops::Range<usize>>) -> usize {
+fn at(span: Option<Range<usize>>) -> usize {
     span.map_or(0, |s| s.start)
 }
 
+/// The name of an attribute or block, and where it stands.
+fn named(structure: &Structure) -> (&str, usize) {
+    match structure {
+        Structure::Attribute(a) => (a.key.as_str(), at(a.span())),
+        Structure::Block(b) => (b.ident.as_str(), at(b.span())),
+    }
+}
+
 impl<'p> Section<'p> {
     pub fn whole(page: &'p Page<'p>, body: &'p Body) -> Self {
         Self::layered(page, vec![body])
@@ -82,18 +99,50 @@
 
     /// A text that builds on others: first its own body, then those of the others, which must be sound by themselves.
     pub fn layered(page: &'p Page<'p>, bodies: Vec<&'p Body>) -> Self {
-        Self::new(page, "the charter".into(), String::new(), 0, bodies, true)
+        Self::new(page, "the charter".into(), String::new(), 0..page.text.len(), bodies, true)
+    }
+
+    /// A text that is no charter, by the title that messages give it.
+    pub fn titled(page: &'p Page<'p>, title: &str, body: &'p Body) -> Self {
+        Self::new(page, title.into(), String::new(), 0..page.text.len(), vec![body], true)
     }
 
     fn new(
         page: &'p Page<'p>,
         title: String,
         label: String,
-        at: usize,
+        span: Range<usize>,
         bodies: Vec<&'p Body>,
         own: bool,
     ) -> Self {
-        Self { page, title, label, at, bodies, own, asked: RefCell::default(), sealed: Cell::new(false) }
+        Self {
+            page,
+            title,
+            label,
+            at: span.start,
+            end: span.end,
+            bodies,
+            own,
+            asked: RefCell::default(),
+            refused: RefCell::default(),
+            sealed: Cell::new(false),
+        }
+    }
+
+    /// The section as it is written.
+    pub fn source(&self) -> &'p str {
+        self.page.text.get(self.at..self.end).unwrap_or_default()
+    }
+
+    /// Tells of each attribute and block of that name that it does not belong here.
+    pub fn refuse(&self, key: &'static str, wrong: &str, remedy: &str) {
+        self.refused.borrow_mut().push(key);
+        for structure in self.bodies[0] {
+            let (name, at) = named(structure);
+            if name == key {
+                self.mistake(at, wrong, remedy);
+            }
+        }
     }
 
     /// An attribute, and where it stands; for one of another text that is where this section does.
@@ -234,7 +283,8 @@
         for (layer, body) in self.bodies.iter().enumerate().rev() {
             let own = layer == 0 && self.own;
             for block in body.get_blocks(key) {
-                let start = if own { at(block.span()) } else { self.at };
+                let span = block.span().filter(|_| own).unwrap_or(self.at..self.at);
+                let start = span.start;
                 let label = block.labels.first().map(|l| l.as_str().to_owned()).unwrap_or_default();
                 let title = if labelled { format!("{key} \"{label}\"") } else { key.to_owned() };
                 if block.labels.len() != usize::from(labelled) || labelled && !is_name(&label) {
@@ -249,7 +299,7 @@
                 match sections.iter_mut().find(|s| s.label == label) {
                     Some(below) if own && !below.own => {
                         below.bodies.insert(0, &block.body);
-                        (below.at, below.own) = (start, true);
+                        (below.at, below.end, below.own) = (start, span.end, true);
                     }
                     Some(below) if !own => below.bodies.insert(0, &block.body),
                     twice => {
@@ -257,7 +307,7 @@
                             let remedy = if labelled { "give each its own name" } else { "keep one" };
                             self.mistake(start, format!("{title} stands here for the second time"), remedy);
                         }
-                        sections.push(Section::new(self.page, title, label, start, vec![&block.body], own));
+                        sections.push(Section::new(self.page, title, label, span, vec![&block.body], own));
                     }
                 }
             }
@@ -282,11 +332,8 @@
         }
         let asked = self.asked.borrow();
         for structure in self.bodies[0] {
-            let (name, at) = match structure {
-                Structure::Attribute(a) => (a.key.as_str(), at(a.span())),
-                Structure::Block(b) => (b.ident.as_str(), at(b.span())),
-            };
-            if asked.contains(&name) {
+            let (name, at) = named(structure);
+            if asked.contains(&name) || self.refused.borrow().contains(&name) {
                 continue;
             }
             let alike = |known: &&&str| strsim::jaro_winkler(known, name);
--- a/crates/charter/src/read.rs
+++ b/crates/charter/src/read.rs
@@ -2,13 +2,14 @@
 //! read; the usual ones are chosen for one gateway beside a handful of workers.
 
 use crate::page::{Mistake, Page, Section};
-use crate::{Bounds, Functions, House, Instance, Kind, Peers, Source};
+use crate::{Bounds, Changes, Functions, House, Kind, Peers, Source, Statement};
 use hcl_edit::parser::parse_body;
+use hcl_edit::structure::Body;
 use milletpath_policy::host::{Charter, Effect, Group, Profile};
 use milletpath_protocol::is_name;
 use milletpath_protocol::registry::{Entry, Standing};
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::path::PathBuf;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -17,20 +18,21 @@
 /// Reads a charter; the error holds every mistake of the text, in its order.
 pub fn read(text: &str) -> Result<House, Vec<Mistake>> {
     let page = Page::new(text);
-    let body = match parse_body(text) {
-        Ok(body) => body,
-        Err(e) => {
-            // The parser stops at the first slip of the grammar.
-            let (line, column) = (e.location().line(), e.location().column());
-            let (wrong, remedy) = (format!("no HCL here: {}", e.message()), "mend the line and check again");
-            return Err(vec![Mistake { line, column, wrong, remedy: remedy.into() }]);
-        }
-    };
+    let body = body(text)?;
     let house = whole(&Section::whole(&page, &body));
     let mistakes = page.mistakes();
     if mistakes.is_empty() { Ok(house) } else { Err(mistakes) }
 }
 
+pub(crate) fn body(text: &str) -> Result<Body, Vec<Mistake>> {
+    parse_body(text).map_err(|e| {
+        // The parser stops at the first slip of the grammar.
+        let (line, column) = (e.location().line(), e.location().column());
+        let (wrong, remedy) = (format!("no HCL here: {}", e.message()), "mend the line and check again");
+        vec![Mistake { line, column, wrong, remedy: remedy.into() }]
+    })
+}
+
 fn whole(top: &Section<'_>) -> House {
     let listen = top.parsed("listen", "\"127.0.0.1:8080\"", address);
     let (profiles, kinds_of_call) = profiles(top);
@@ -108,7 +110,69 @@
     }
     let listen = listen.unwrap_or_else(|| SocketAddr::from((Ipv4Addr::LOCALHOST, 8080)));
     let peers = top.block("peers").and_then(|p| peers(top, &p, policy.routers));
-    House { listen, policy, profiles: kinds_of_call, clients, functions, kinds, source, bounds, peers }
+    let changes = top.block("changes").and_then(|c| changes(&c, listen, peers.as_ref()));
+    let profiles = kinds_of_call;
+    House { listen, policy, profiles, clients, functions, kinds, source, bounds, peers, changes }
+}
+
+/// Where changes of configuration come from.
+fn changes(section: &Section<'_>, listen: SocketAddr, peers: Option<&Peers>) -> Option<Changes> {
+    const EXAMPLE: &str = "[\"10.0.0.1:7500\", \"10.0.1.1:7500\", \"10.0.2.1:7500\"]";
+    /// Control machines: with seven, three may fail; more are more letters and no more safety against a zone.
+    const MOST: usize = 7;
+    let control = section.list("control", EXAMPLE, address);
+    let at = section.place("control");
+    if !section.has("control") {
+        section.missing("control", EXAMPLE);
+    }
+    let control = control.unwrap_or_default();
+    if section.has("control") && !(1..=MOST).contains(&control.len()) {
+        let wrong = format!("changes names {} control machines", control.len());
+        section.mistake(at, wrong, format!("name 1 to {MOST}; an odd number, as more than half must agree"));
+    }
+    let place = |a: &SocketAddr| a.port() != 0 && !a.ip().is_unspecified();
+    if let Some(none) = control.iter().find(|a| !place(a)) {
+        let remedy = "name the address and port at which the others reach it";
+        section.mistake(at, format!("{none} is no place of a control machine"), remedy);
+    }
+    if control.iter().any(|a| a.is_ipv4() != control[0].is_ipv4()) {
+        let remedy = "name all by IPv4 or all by IPv6 addresses";
+        section.mistake(at, "control machines that can't reach each other", remedy);
+    }
+    if let Some(twice) = (1..control.len()).find(|n| control[..*n].contains(&control[*n])) {
+        let wrong = format!("{} is named as two control machines", control[twice]);
+        section.mistake(at, wrong, "name each once");
+    }
+    let any = match control.first() {
+        Some(SocketAddr::V6(_)) => SocketAddr::from((Ipv6Addr::UNSPECIFIED, 0)),
+        _ => SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+    };
+    let key = section.text("key").map(PathBuf::from);
+    if key.is_none() && !section.has("key") {
+        section.missing("key", "\"changes.key\" (a file with 32 bytes of chance or more)");
+    }
+    let hears = section.parsed("listen", "\"0.0.0.0:0\"", address).unwrap_or(any);
+    if control.first().is_some_and(|a| a.is_ipv4() != hears.is_ipv4()) {
+        let remedy = format!("write listen = \"{any}\", or leave it out");
+        section.mistake(
+            section.place("listen"),
+            "listen of changes can't reach the control machines",
+            remedy,
+        );
+    }
+    let state = section.text("state").map_or_else(|| PathBuf::from("changes.state"), PathBuf::from);
+    let known = |text: &str| {
+        let fits = is_name(text) && text.len() <= milletpath_changes::message::LONGEST_NAME;
+        fits.then(|| text.to_owned())
+    };
+    let name = section.parsed("name", "a name of up to 64 letters, digits and -._~:", known);
+    // The address tells gateways apart only where it is one of its own.
+    let address = Some(listen).filter(place).map(|a| a.to_string().replace(['[', ']'], ""));
+    let name = name.or(peers.map(|p| p.name.clone())).or(address);
+    if name.is_none() && !section.has("name") {
+        section.missing("name", "\"gateway-1\" (its own among the gateways, as listen is no address of one)");
+    }
+    Some(Changes { control, key: key?, listen: hears, state, name: name? })
 }
 
 /// How gateways know each other. The figures should be the same in all charters of a fleet: the usual ones find a death
@@ -258,19 +322,22 @@
 }
 
 fn functions(top: &Section<'_>, profiles: &[Kind]) -> Functions {
-    let read = |s: &Section<'_>, usual: &Instance| Instance {
-        lanes: s.figure("lanes", "activations", 1.0..=10_000.0).unwrap_or(usual.lanes),
-        memory: s.figure("memory", "MB", 0.0..=1e9).unwrap_or(usual.memory),
-        load: s.figure("load", "seconds", 0.0..=LONG).or(usual.load),
-        profile: s
-            .parsed("profile", "the name of a profile above", |n| profiles.iter().position(|p| p.name == n))
-            .or(usual.profile),
-    };
-    let usual = top.block("functions").map(|s| read(&s, &Instance::default())).unwrap_or_default();
-    let named = top.blocks("function", true).into_iter().map(|s| (s.label.clone(), read(&s, &usual)));
+    let usual = top.block("functions").map(|s| statement(&s, profiles)).unwrap_or_default();
+    let named = top.blocks("function", true).into_iter().map(|s| (s.label.clone(), statement(&s, profiles)));
     Functions { named: named.collect::<BTreeMap<_, _>>(), usual }
 }
 
+/// The figures of one statement, in a charter or in a change.
+pub(crate) fn statement(s: &Section<'_>, profiles: &[Kind]) -> Statement {
+    let words: Vec<_> = profiles.iter().enumerate().map(|(n, p)| (p.name.as_str(), n)).collect();
+    Statement {
+        lanes: s.figure("lanes", "activations", 1.0..=10_000.0),
+        memory: s.figure("memory", "MB", 0.0..=1e9),
+        load: s.figure("load", "seconds", 0.0..=LONG),
+        profile: s.word("profile", &words),
+    }
+}
+
 fn source(workers: &Section<'_>, kinds: &[String]) -> Source {
     let mut list: Vec<Entry> = Vec::new();
     for section in workers.blocks("worker", true) {
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -7,7 +7,7 @@
 use crate::ration::Ration;
 use crate::roll::Roll;
 use crate::wheel::{Ticket, Wheel};
-use milletpath_charter::{Bounds, Functions, House, Kind};
+use milletpath_charter::{Amendment, Bounds, Functions, House, Instance, Kind};
 use milletpath_policy::host::{Answer, Arrival, Budget, Found, Host, Outcome, Report};
 use milletpath_policy::policy::Router;
 use milletpath_protocol::registry::Entry;
@@ -364,8 +364,10 @@
         // Past any number that was given out amid what broke.
         let desk = Self::from(house, epoch, now, serial + 1, life + 1);
         let former = std::mem::replace(self, desk);
-        let Self { books: Books { calls, mut tally, ration, meters, .. }, share, allotted, hands, .. } =
-            former;
+        let Self { books, share, allotted, hands, functions, .. } = former;
+        let Books { calls, mut tally, ration, meters, .. } = books;
+        // With the changes that are in force.
+        self.functions = functions;
         (self.books.ration, self.books.meters, self.hands) = (ration, meters, hands);
         share.into_iter().for_each(|share| self.share(share));
         // Of workers it is told by name, once a list is known again.
@@ -412,6 +414,17 @@
         Self { router, share: None, allotted, hands, books, functions, profiles }
     }
 
+    /// Goes by other figures of functions from here on: what is in hand keeps those that it came with. `charter` has what
+    /// holds where no change does.
+    pub fn amend(&mut self, amendment: &Amendment, charter: &Functions) {
+        self.functions.amend(amendment, charter);
+    }
+
+    /// The figures of a function, as they are in force.
+    pub fn figures(&self, function: &str) -> Instance {
+        self.functions.of(function)
+    }
+
     /// Goes by what gateways that know of each other say, until they say otherwise.
     pub fn share(&mut self, share: Share) {
         let Share { likely, part, until } = share;
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -6,7 +6,7 @@
 use crate::desk::{Act, Desk, Tag, Tally};
 use crate::line::Line;
 use crate::pool::{Room, Way};
-use milletpath_charter::House;
+use milletpath_charter::{House, Instance};
 use milletpath_cores::budget::Budget;
 use milletpath_cores::mail::Mailbox;
 use milletpath_cores::pulse::Pulse;
@@ -353,6 +353,14 @@
         what(&mut self.enter().desk)
     }
 
+    /// The figures of a function, as they are in force. Where no change can come the desk need not be entered.
+    pub fn figures(&self, function: &str) -> Instance {
+        match &self.house.changes {
+            None => self.house.functions.of(function),
+            Some(_) => self.ask(|desk| desk.figures(function)),
+        }
+    }
+
     /// Passes on one edition of the worker list, and keeps what it says.
     pub fn list(&self, seat: Option<usize>, whole: bool, entries: &[Entry]) {
         {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -252,7 +252,7 @@
 fn door(gateway: &Gateway, function: &str, headers: &http::HeaderMap) -> Result<Door, Refusal> {
     let house = gateway.house();
     let named = invoke::name(headers, &invoke::PROFILE).map_err(|f| Box::new(faulty(&f)))?;
-    let bound = house.functions.of(function).profile;
+    let bound = gateway.office.figures(function).profile;
     let profile = match named {
         None => bound.unwrap_or(0),
         Some(name) => match house.profiles.iter().position(|p| p.name == name) {
--- a/crates/platform/src/told.rs
+++ b/crates/platform/src/told.rs
@@ -123,8 +123,9 @@
             kinds: milletpath_terms::kinds(settings),
             source: Source::List(Vec::new()),
             bounds,
-            // Routers of the platform share nothing.
+            // Routers of the platform share nothing, and go by what they are told.
             peers: None,
+            changes: None,
         },
     })
 }
