--- /dev/null
+++ b/crates/gateway/src/changing.rs
@@ -0,0 +1,365 @@
+//! Changes of configuration, as they come: a thread with one UDP socket around the follower of `milletpath-changes`. What
+//! is in force reaches the desk through the office, a batch at once, and no call ever waits for the network. The last
+//! known state is kept in a file, and is in force from the first call on after a restart, whoever is silent.
+
+use crate::office::Office;
+use milletpath_changes::message::{self, Key, LARGEST, LONGEST_WHY, Message};
+use milletpath_changes::{Entry, Follower, FollowerView, Terms};
+use milletpath_charter::{Amendment, Changes as Stated, Subject};
+use nix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::fs::File;
+use std::hash::{BuildHasher, RandomState};
+use std::io::{self, ErrorKind, Write};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// A socket over which changes come, open and not yet read.
+pub struct Feed {
+    socket: UdpSocket,
+    key: Key,
+}
+
+/// The key of control machines, gateways and authors, from the file that the charter names.
+pub fn control_key(path: &Path) -> io::Result<Key> {
+    crate::peering::secret_of(path).map(|secret| Key::new(&secret))
+}
+
+impl Feed {
+    /// Opens the socket that the charter states, and reads the key.
+    pub fn open(stated: &Stated) -> io::Result<Self> {
+        let key = control_key(&stated.key)?;
+        let socket = UdpSocket::bind(stated.listen)
+            .map_err(|e| io::Error::new(e.kind(), format!("{} can't be listened on: {e}", stated.listen)))?;
+        Ok(Self { socket, key })
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+}
+
+/// What a gateway tells an operator of changes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Followed {
+    #[serde(flatten)]
+    pub view: FollowerView,
+    /// Seconds of a processor that this took since the start.
+    pub cpu: f64,
+    /// Datagrams that were not taken: of another key or changed, and all others.
+    pub seals: u64,
+    pub unread: u64,
+    /// Times that the last known state was kept, and that it could not be.
+    pub kept: u64,
+    pub not_kept: u64,
+}
+
+/// Starts the thread of a feed. What was in force when the last process of this gateway ended is so again before this
+/// comes back.
+pub fn start(office: Arc<Office>, feed: Feed) -> io::Result<JoinHandle<()>> {
+    let Some(stated) = office.house.changes.clone() else {
+        return Err(io::Error::other("the charter has no changes"));
+    };
+    let file = stated.state.display();
+    let saved = match std::fs::read(&stated.state) {
+        Ok(saved) => Some(saved),
+        Err(e) if e.kind() == ErrorKind::NotFound => None,
+        Err(e) => {
+            tracing::error!(%file, "the last known state can't be read: {e}; the charter's figures hold");
+            None
+        }
+    };
+    let (there, now) = (saved.is_some(), office.now());
+    // Drawn anew by each process from the system's chance: gateways that begin together must not ask in step.
+    let seed = RandomState::new().hash_one(std::process::id());
+    let follower = Follower::new(stated.name, stated.control, Terms::default(), seed, now, saved);
+    let head = follower.state().head();
+    match (there, head) {
+        (true, 0) => tracing::error!(
+            %file,
+            "the last known state is rotten or empty: the charter's figures hold until the control machines are heard"
+        ),
+        (true, _) => tracing::info!(number = head, "the last known state is in force"),
+        (false, _) => tracing::info!("no state is known yet: the charter's figures hold"),
+    }
+    let keeping = Keeping::new(stated.state, (head, follower.state().digest()), now);
+    let mut running = Running {
+        follower,
+        office,
+        feed,
+        keeping,
+        asked: VecDeque::new(),
+        seals: 0,
+        unread: 0,
+        counts: (0, 0),
+        heard: Heard::Unknown,
+        look: now,
+    };
+    running.apply();
+    std::thread::Builder::new().name("changes".into()).spawn(move || running.run())
+}
+
+/// Whether the control machines were heard lately, as the log was told last.
+#[derive(Clone, Copy, PartialEq)]
+enum Heard {
+    Unknown,
+    Yes,
+    No,
+}
+
+struct Running {
+    follower: Follower,
+    office: Arc<Office>,
+    feed: Feed,
+    keeping: Keeping,
+    /// Answers to operators, by what they asked with, until they have all pages.
+    asked: VecDeque<(u64, Vec<u8>)>,
+    seals: u64,
+    unread: u64,
+    /// Conflicts and states that were no state of the log, as the log was told last.
+    counts: (u64, u64),
+    heard: Heard,
+    /// When it is looked at next what is worth a line in the log.
+    look: f64,
+}
+
+impl Running {
+    fn run(mut self) {
+        /// Datagrams read in a row before time is looked at again.
+        const TURN: usize = 64;
+        /// Seconds between two looks whether the gateway stops.
+        const LOOK: f64 = 0.05;
+        let mut buffer = [0; LARGEST + 1];
+        let mut read = 0;
+        while !self.office.stopping.load(Ordering::Acquire) {
+            let wait = (self.follower.next() - self.office.now()).clamp(0.001, LOOK);
+            // Whatever came while this thread stood still is heard before anybody counts as silent.
+            let timed = self.feed.socket.set_read_timeout(Some(Duration::from_secs_f64(wait)));
+            match timed.and_then(|()| self.feed.socket.recv_from(&mut buffer)) {
+                Ok((size, from)) => {
+                    self.take(&buffer[..size], from);
+                    read += 1;
+                }
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => read = TURN,
+                // The word of a datagram that reached nobody.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    tracing::error!("changes can't be heard: {e}");
+                    std::thread::sleep(Duration::from_secs_f64(LOOK));
+                    read = TURN;
+                }
+            }
+            let now = self.office.now();
+            if read >= TURN || now >= self.follower.next() + LOOK {
+                read = 0;
+                self.follower.turn(now);
+            }
+            self.apply();
+            self.post();
+            self.keeping.keep(&self.follower, now);
+            self.log(now);
+        }
+        self.keeping.next = f64::NEG_INFINITY;
+        self.keeping.keep(&self.follower, self.office.now());
+        let Followed { cpu, kept, not_kept, view, .. } = self.view();
+        tracing::info!(number = view.number, cpu, kept, not_kept, "changes are followed no more");
+    }
+
+    fn take(&mut self, datagram: &[u8], from: SocketAddr) {
+        match message::open(&self.feed.key, datagram) {
+            Ok(Message::Status { ask, page }) => self.answer(ask, page, from),
+            Ok(message) => self.follower.heard(self.office.now(), from, message),
+            Err(why) => {
+                let seal = matches!(why, message::Refused::Seal);
+                self.seals += u64::from(seal);
+                self.unread += u64::from(!seal);
+                let all = self.seals + self.unread;
+                // Each tenfold: a flood is not to fill the log.
+                if all.to_string().trim_end_matches('0') == "1" {
+                    tracing::warn!(%from, all, "a message of a control machine is not taken: {why}");
+                }
+            }
+        }
+    }
+
+    /// Passes what is new on to the desk, each batch at once. What this gateway's charter can't take is told to the
+    /// control machines; what was in force under its key stays.
+    fn apply(&mut self) {
+        while let Some(batch) = self.follower.news() {
+            let house = &self.office.house;
+            let mut amendments: Vec<Amendment> = Vec::with_capacity(batch.len());
+            for Entry { number, change } in &batch {
+                if change.text.is_none() && Subject::of(&change.key).is_none() {
+                    // What was never in force here is easily taken back.
+                    continue;
+                }
+                match house.amendment(&change.key, change.text.as_deref()) {
+                    Ok(amendment) => amendments.push(amendment),
+                    Err(mistakes) => {
+                        let why = mistakes.first().map(ToString::to_string).unwrap_or_default();
+                        tracing::error!(number, key = change.key, "a change can't be applied here: {why}");
+                        self.follower.refused(*number, shortened(why));
+                    }
+                }
+            }
+            let (number, entries) = (self.follower.state().head(), amendments.len());
+            self.office.tell(None, |desk, _| {
+                amendments.iter().for_each(|amendment| desk.amend(amendment, &house.functions));
+            });
+            tracing::info!(number, entries, "changes are in force");
+        }
+    }
+
+    fn post(&mut self) {
+        while let Some((to, message)) = self.follower.out() {
+            if let Some(datagram) = message::seal(&self.feed.key, &message) {
+                // What can't be sent is as if lost on its way: that is what the core is built for.
+                let _ = self.feed.socket.send_to(&datagram, to);
+            }
+        }
+    }
+
+    fn view(&self) -> Followed {
+        let (seals, unread) = (self.seals, self.unread);
+        let Keeping { done: kept, failed: not_kept, .. } = self.keeping;
+        let view = self.follower.view(self.office.now());
+        Followed { view, cpu: cpu(), seals, unread, kept, not_kept }
+    }
+
+    /// Tells an operator what is known here, a page for each question; all pages of one `ask` are of one moment.
+    fn answer(&mut self, ask: u64, page: u32, from: SocketAddr) {
+        /// Bytes of text in a page, and answers that are kept until all of their pages were asked for.
+        const PAGE: usize = 1100;
+        const KEPT: usize = 4;
+        if !self.asked.iter().any(|(known, _)| *known == ask) {
+            let Ok(text) = serde_json::to_vec(&self.view()) else { return };
+            self.asked.truncate(KEPT - 1);
+            self.asked.push_front((ask, text));
+        }
+        let Some((_, text)) = self.asked.iter().find(|(known, _)| *known == ask) else { return };
+        let of = text.chunks(PAGE).count() as u32;
+        let Some(bytes) = text.chunks(PAGE).nth(page as usize) else { return };
+        let told = Message::StatusPage { ask, page, of, bytes: bytes.to_vec() };
+        if let Some(datagram) = message::seal(&self.feed.key, &told) {
+            let _ = self.feed.socket.send_to(&datagram, from);
+        }
+    }
+
+    /// Tells the log what an operator should know without asking.
+    fn log(&mut self, now: f64) {
+        /// Seconds between two looks.
+        const AGAIN: f64 = 1.0;
+        /// Seconds after which what is in force here may not be the latest: several polls, and a change of whom it follows.
+        const SILENT: f64 = 5.0;
+        if now < self.look {
+            return;
+        }
+        self.look = now + AGAIN;
+        let view = self.follower.view(now);
+        let heard = match view.sure_as_of {
+            Some(age) if age < SILENT => Heard::Yes,
+            None if now < SILENT => Heard::Unknown,
+            _ => Heard::No,
+        };
+        if heard != self.heard {
+            let number = view.number;
+            match heard {
+                Heard::Yes => tracing::info!(number, "what is in force here is known to be the latest"),
+                _ => tracing::warn!(
+                    number,
+                    "the control machines are silent, or no majority of them is: what is in force stays"
+                ),
+            }
+            self.heard = heard;
+        }
+        let counts = (view.conflicts, view.anew);
+        if counts.0 > self.counts.0 {
+            let told: Vec<_> = view.replicas.iter().map(|r| (r.replica, r.conflicts)).collect();
+            tracing::warn!(?told, "a control machine tells other than the others do, by number");
+        }
+        if counts.1 > self.counts.1 {
+            tracing::warn!("what was in force here was no state of the log; it was gathered anew");
+        }
+        self.counts = counts;
+    }
+}
+
+/// A reason that fits into a message.
+fn shortened(mut why: String) -> String {
+    let end = (0..=LONGEST_WHY.min(why.len())).rev().find(|n| why.is_char_boundary(*n)).unwrap_or(0);
+    why.truncate(end);
+    why
+}
+
+/// Seconds of a processor that this thread took.
+fn cpu() -> f64 {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
+        .map_or(0.0, |t| t.tv_sec() as f64 + t.tv_nsec() as f64 * 1e-9)
+}
+
+/// The file of the last known state.
+struct Keeping {
+    path: PathBuf,
+    /// Number and digest of what it holds.
+    kept: (u64, u64),
+    /// When it may be written next.
+    next: f64,
+    done: u64,
+    failed: u64,
+}
+
+impl Keeping {
+    fn new(path: PathBuf, kept: (u64, u64), now: f64) -> Self {
+        Self { path, kept, next: now, done: 0, failed: 0 }
+    }
+
+    /// Writes what is in force, where it is something new and the last time is long enough ago.
+    fn keep(&mut self, follower: &Follower, now: f64) {
+        /// Seconds between two times: what a crash can cost is a second of changes, which the control machines still have.
+        const AGAIN: f64 = 1.0;
+        /// A large state takes its time: of that, so many times as much lies between.
+        const REST: f64 = 20.0;
+        let state = (follower.state().head(), follower.state().digest());
+        if state == self.kept || now < self.next {
+            return;
+        }
+        let began = std::time::Instant::now();
+        match replace(&self.path, &follower.save()) {
+            Ok(()) => {
+                self.kept = state;
+                self.done += 1;
+            }
+            Err(e) => {
+                if self.failed == 0 {
+                    let file = self.path.display();
+                    tracing::error!(%file, "the last known state can't be kept, it would not outlive a restart: {e}");
+                }
+                self.failed += 1;
+            }
+        }
+        self.next = now + AGAIN.max(REST * began.elapsed().as_secs_f64());
+    }
+}
+
+/// Writes a file anew: at every moment of a crash it is the old or the new one.
+fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut name = path.to_owned().into_os_string();
+    name.push(format!(".{}.new", std::process::id()));
+    let beside = PathBuf::from(name);
+    let written = File::create(&beside).and_then(|mut file| {
+        file.write_all(bytes)?;
+        file.sync_all()
+    });
+    let done = written.and_then(|()| std::fs::rename(&beside, path));
+    if done.is_err() {
+        let _ = std::fs::remove_file(&beside);
+        return done;
+    }
+    let folder = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    File::open(folder)?.sync_all()
+}
--- a/crates/gateway/src/keeper.rs
+++ b/crates/gateway/src/keeper.rs
@@ -2,6 +2,7 @@
 //! watches the cores. It carries no calls; for a core that stands still it gives the answers that fall due.
 
 use crate::answer::{Own, answer_of};
+use crate::changing::{self, Feed};
 use crate::core;
 use crate::desk::{End, Tally};
 use crate::errands;
@@ -42,22 +43,36 @@
 /// calling thread is the keeper, and the cores are threads beside it.
 pub async fn serve(house: House, listener: TcpListener, stop: impl Future<Output = ()>) -> Tally {
     let (_, quiet) = tokio::sync::mpsc::unbounded_channel();
-    serve_stirred(house, listener, None, stop, quiet).await
+    serve_stirred(house, listener, Links::default(), stop, quiet).await
 }
 
-/// As [`serve`], with a link to the other gateways, and with mischief for tests and days: what comes on the channel
+/// What a gateway has beside its clients and workers: a link to the other gateways, and a feed of changes.
+#[derive(Default)]
+pub struct Links {
+    pub peers: Option<Link>,
+    pub changes: Option<Feed>,
+}
+
+/// As [`serve`], with links to others, and with mischief for tests and days: what comes on the channel
 /// befalls the core of that number; the one behind the last is the keeper.
 pub async fn serve_stirred(
     house: House,
     listener: TcpListener,
-    link: Option<Link>,
+    links: Links,
     stop: impl Future<Output = ()>,
     mut stirs: UnboundedReceiver<(usize, Stir)>,
 ) -> Tally {
     let keeper = Rc::new(Keeper::new(house));
     let office = keeper.office.clone();
     tracing::info!(cores = office.cores(), "serving");
-    let peering = link.and_then(|link| match peering::start(office.clone(), link) {
+    let changing = links.changes.and_then(|feed| match changing::start(office.clone(), feed) {
+        Ok(thread) => Some(thread),
+        Err(e) => {
+            tracing::error!("changes can't be followed, the charter's figures hold: {e}");
+            None
+        }
+    });
+    let peering = links.peers.and_then(|link| match peering::start(office.clone(), link) {
         Ok(thread) => Some(thread),
         Err(e) => {
             tracing::error!("the link to the other gateways can't start, this one shares nothing: {e}");
@@ -110,7 +125,10 @@
     .await;
     keeper.end().await;
     time.abort();
-    // It ends within a look of its own after the stop was told.
+    // Each ends within a look of its own after the stop was told.
+    if changing.is_some_and(|thread| thread.join().is_err()) {
+        tracing::error!("following changes broke");
+    }
     if peering.is_some_and(|thread| thread.join().is_err()) {
         tracing::error!("the link to the other gateways broke");
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod wheel;
 
 mod answer;
+mod changing;
 mod core;
 mod errands;
 mod follow;
@@ -28,6 +29,7 @@
 mod shell;
 mod shot;
 
-pub use keeper::{listen, serve, serve_stirred};
+pub use changing::{Feed, Followed, control_key};
+pub use keeper::{Links, listen, serve, serve_stirred};
 pub use office::Stir;
 pub use peering::{Link, Plant, Told, ask, key_of};
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -35,6 +35,11 @@
 
 /// The key of a fleet, from the file that the charter names.
 pub fn key_of(path: &Path) -> io::Result<Key> {
+    secret_of(path).map(|secret| Key::new(&secret))
+}
+
+/// What is read from the file of a key.
+pub fn secret_of(path: &Path) -> io::Result<Vec<u8>> {
     /// Bytes below which a secret can be guessed.
     const LEAST: usize = 32;
     let name = path.display();
@@ -44,7 +49,7 @@
         let wrong = format!("{name} has {} bytes; a key has {LEAST} or more", secret.len());
         return Err(io::Error::new(ErrorKind::InvalidData, wrong));
     }
-    Ok(Key::new(secret))
+    Ok(secret.to_vec())
 }
 
 impl Link {
--- a/crates/gateway/tests/town/mod.rs
+++ b/crates/gateway/tests/town/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each file of stories uses a part of it")]
 
 use milletpath_charter::House;
-use milletpath_gateway::serve;
+use milletpath_gateway::{Links, serve};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -77,7 +77,7 @@
     (
         address,
         stop,
-        spawn_local(milletpath_gateway::serve_stirred(house, listener, None, stopped, stirs)),
+        spawn_local(milletpath_gateway::serve_stirred(house, listener, Links::default(), stopped, stirs)),
         stir,
     )
 }
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -1,6 +1,9 @@
 //! The milletpath program: sub-commands, logging and exit codes. 0 is fine, 1 that the thing asked failed, 2 wrong
 //! use or wrong input.
 
+mod change;
+mod changes;
+mod control;
 mod day;
 mod log;
 mod peers;
@@ -60,6 +63,42 @@
         #[arg(long)]
         json: bool,
     },
+    /// Run a control machine, which takes part in deciding on changes of configuration
+    Control {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+        /// Which of the charter's control machines this is, from 0
+        #[arg(long)]
+        number: usize,
+        /// Begin a new log: once, at the first start of all control machines
+        #[arg(long)]
+        found: bool,
+    },
+    /// Change figures of functions at all gateways while they run
+    Change {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+        /// A file of statements: function "name" { ... }, functions { ... }
+        #[arg(value_name = "CHANGE")]
+        file: Option<PathBuf>,
+        /// Take back what a change stated of this function; the charter's own holds again
+        #[arg(long, value_name = "NAME")]
+        remove: Vec<String>,
+        /// Seconds to wait until all gateways that are heard have it
+        #[arg(long, default_value_t = 10.0, value_parser = seconds)]
+        wait: f64,
+    },
+    /// Tell what is in force by changes, and at which gateways it is not
+    Changes {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+        /// Ask the gateway of the charter rather than the control machines
+        #[arg(long)]
+        here: bool,
+    },
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -101,6 +140,12 @@
         },
         Wanted::Workers { charter } => workers::workers(&charter),
         Wanted::Peers { charter, json } => peers::peers(&charter, json),
+        Wanted::Control { charter, number, found } => control::control(&charter, number, found),
+        Wanted::Change { charter, file, remove, wait } => {
+            let (file, remove) = (file.as_deref(), &remove[..]);
+            change::change(&change::Asked { charter: &charter, file, remove, wait })
+        }
+        Wanted::Changes { charter, json, here } => changes::changes(&charter, json, here),
         Wanted::Platform => platform::platform(),
         Wanted::Day { file, seed, json, lag, cores, plant, records } => {
             let (plant, records) = (plant.as_deref(), records.as_deref());
@@ -127,9 +172,26 @@
             ExitCode::from(2)
         })?;
     }
+    if let (Some(changes), Some(folder)) = (&mut house.changes, path.parent()) {
+        changes.key = folder.join(&changes.key);
+        changes.state = folder.join(&changes.state);
+        milletpath_gateway::control_key(&changes.key).map_err(|e| {
+            eprintln!(
+                "{}: key of changes: {e}; make one of chance, alike for control machines, gateways and authors",
+                path.display()
+            );
+            ExitCode::from(2)
+        })?;
+    }
     Ok(house)
 }
 
+/// Seconds as they are written on the command line.
+fn seconds(text: &str) -> Result<f64, String> {
+    let seconds = text.parse().ok().filter(|s| (0.0..=86_400.0).contains(s));
+    seconds.ok_or_else(|| "write a number of seconds, 0 to 86400".into())
+}
+
 /// Runs something on one thread, with tasks of its own.
 fn local(what: impl Future<Output = ExitCode>) -> ExitCode {
     match tokio::runtime::Builder::new_current_thread().enable_all().build() {
--- a/crates/milletpath/src/serve.rs
+++ b/crates/milletpath/src/serve.rs
@@ -2,7 +2,7 @@
 
 use milletpath_charter::House;
 use milletpath_gateway::signals::{Heard, SIGINT, SIGTERM};
-use milletpath_gateway::{Link, Plant, Stir};
+use milletpath_gateway::{Feed, Link, Links, Plant, Stir};
 use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
@@ -67,6 +67,17 @@
         tracing::info!(%address, "hears other gateways");
         say(&format!("peers on udp://{address}"));
     }
+    let feed = match house.changes.as_ref().map(Feed::open).transpose() {
+        Ok(feed) => feed,
+        Err(e) => {
+            eprintln!("changes can't be heard: {e}; change changes in the charter");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Some(address) = feed.as_ref().and_then(|feed| feed.address().ok()) {
+        tracing::info!(%address, "hears changes");
+        say(&format!("changes on udp://{address}"));
+    }
     if let Ok(address) = listener.local_addr() {
         tracing::info!(%address, "listening");
         // For whoever started it with port 0.
@@ -81,7 +92,8 @@
             std::io::stdin().lines().map_while(Result::ok).for_each(|l| take(&l, &tell))
         });
     }
-    let tally = milletpath_gateway::serve_stirred(house, listener, link, stop(), stirs).await;
+    let links = Links { peers: link, changes: feed };
+    let tally = milletpath_gateway::serve_stirred(house, listener, links, stop(), stirs).await;
     tracing::info!(?tally, "stopped");
     ExitCode::SUCCESS
 }
