--- a/crates/changes/src/message.rs
+++ b/crates/changes/src/message.rs
@@ -26,6 +26,12 @@
 
 const SEAL: usize = 16;
 
+/// Numbers of entries and ballots are below this: a garbled or hostile one can't stop the count.
+const NUMBERS: u64 = 1 << 56;
+
+/// Numbers in a promise: with them and the longest entry it still passes in one datagram.
+const SLOTS: usize = 64;
+
 /// Which attempt to lead a replica follows: grows; its last three bits are the number of the replica that made it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Encode, Decode)]
 #[cbor(transparent)]
@@ -37,6 +43,11 @@
         Self((((self.0 >> 3) + 1) << 3) | owner as u64)
     }
 
+    /// Far below where counting up would end.
+    fn fits(self) -> bool {
+        self.0 < NUMBERS
+    }
+
     pub fn owner(self) -> usize {
         (self.0 & 7) as usize
     }
@@ -54,6 +65,12 @@
     pub change: Change,
 }
 
+impl Vote {
+    fn fits(&self) -> bool {
+        self.ballot.fits() && self.number < NUMBERS && self.change.fits()
+    }
+}
+
 /// How a replica stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Encode, Decode)]
 #[cbor(map)]
@@ -398,7 +415,15 @@
     pub fn fits(&self) -> bool {
         let logged = |all: &[Logged]| all.iter().all(|l| l.entry.change.fits());
         match self {
-            Self::Promise { vote: Some(vote), .. } | Self::Accept { vote } => vote.change.fits(),
+            Self::Promise { ballot, slots, vote, .. } => {
+                ballot.fits() && slots.len() <= SLOTS && vote.as_ref().is_none_or(Vote::fits)
+            }
+            Self::Accept { vote } => vote.fits(),
+            Self::Prepare { ballot, .. } | Self::Outvoted { ballot } => ballot.fits(),
+            Self::Accepted { ballot, number } => ballot.fits() && *number < NUMBERS,
+            Self::Ask { standing, .. } | Self::Answer { standing, .. } => {
+                standing.ballot.fits() && standing.top < NUMBERS
+            }
             Self::Log { entries } | Self::Reply { entries, .. } => logged(entries),
             Self::Page { entries, .. } => entries.iter().all(|e| e.change.fits()),
             Self::Push { logged } => logged.entry.change.fits(),
