--- a/crates/gateway/tests/desk.rs
+++ b/crates/gateway/tests/desk.rs
@@ -1,5 +1,7 @@
 //! Stories at the desk, in simulated time: no sockets, no clocks. The last one plays thousands of random histories.
 
+#[path = "desk/figures.rs"]
+mod figures;
 #[path = "desk/orders.rs"]
 mod orders;
 
--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -6,6 +6,7 @@
 
 use control::{Differs, Site, key};
 use milletpath_changes::message::{self, LARGEST, Message};
+use milletpath_changes::{Change, Outcome};
 use nix::sys::signal::Signal;
 use std::net::{SocketAddr, UdpSocket};
 use std::process::{Output, Stdio};
@@ -368,6 +369,51 @@
     assert!(site.changed(&lanes(4), &["--wait", "30"]) > number);
 }
 
+/// Proposes one change after the other under one key, as fast as they are committed; gives the last number.
+fn proposed(site: &Site, changes: usize) -> u64 {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.connect(site.at(0)).unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    let (mut number, mut buffer) = (0, [0; LARGEST + 1]);
+    for n in 1..=changes {
+        let text = format!("functions {{\n  lanes = {n}\n#{}\n}}", "x".repeat(700));
+        let change = Change { id: n as u64, key: "functions".into(), text: Some(text), replaces: number };
+        let datagram = message::seal(&key(), &Message::Propose { change }).unwrap();
+        let committed = (0..30).find_map(|_| {
+            socket.send(&datagram).unwrap();
+            let size = socket.recv(&mut buffer).ok()?;
+            match message::open(&key(), &buffer[..size]) {
+                Ok(Message::Proposed { id, outcome: Outcome::Committed(at) }) if id == n as u64 => Some(at),
+                _ => None,
+            }
+        });
+        number = committed.unwrap_or_else(|| panic!("change {n} is not committed"));
+    }
+    number
+}
+
+/// A log that has grown is written anew, small again, and holds all: all are killed and begin from what is left.
+#[test]
+fn a_log_that_has_grown_is_written_anew() {
+    let mut site = Site::running(3, 1);
+    let number = proposed(&site, 1000);
+    site.wait("all have it, and wrote their logs anew", |s| {
+        (0..3).all(|n| s.view(n)["number"] == number && s.said(&format!("control-{n}"), "written anew") > 0)
+    });
+    let digest = site.view(0)["digest"].clone();
+    for n in 0..3 {
+        site.kill_control(n);
+        let size = std::fs::metadata(site.file(&format!("control-{n}.log"))).unwrap().len();
+        assert!(size <= (1 << 20) + 10_000, "{n}: {size}");
+    }
+    (0..3).for_each(|n| site.begin_control(n, &[]));
+    site.wait("all know it again", |s| {
+        (0..3).all(|n| s.view(n)["number"] == number && s.view(n)["digest"] == digest)
+    });
+    assert!(site.changed(ORDER, &[]) > number);
+    assert_eq!(site.call(0, "order"), 200);
+}
+
 #[test]
 fn wrong_use_of_a_control_machine() {
     let mut site = Site::new(1, 1);
