--- a/crates/changes/benches/fleet.rs
+++ b/crates/changes/benches/fleet.rs
@@ -72,7 +72,9 @@
             print!("{size:>4} {what:<10} {:>6.3} {b_in:>9.0} {b_out:>10.0} ", cpu * 1e3);
             println!("{:>11.3} {m_in:>9.0} {m_out:>10.0}", m_cpu * 1e3);
         }
-        println!("     in force after p50 {p50:.2} s, p99 {p99:.2} s, worst {worst:.2} s; not after 6 s: {missed}");
+        println!(
+            "     in force after p50 {p50:.2} s, p99 {p99:.2} s, worst {worst:.2} s; not after 6 s: {missed}"
+        );
         println!("     state of {state} bytes by estimate");
     }
 }
--- a/crates/changes/src/follower.rs
+++ b/crates/changes/src/follower.rs
@@ -234,6 +234,10 @@
         self.check();
         self.install();
         if self.state.head() != before {
+            let stands = |number: u64| self.state.iter_from(number).next().is_some_and(|(n, _)| n == number);
+            if self.refused.as_ref().is_some_and(|r| !stands(r.number)) {
+                self.refused = None;
+            }
             // The acknowledgement.
             self.sources.hurry(self.clock.now, BREATH);
         }
@@ -422,7 +426,8 @@
         (!news.is_empty()).then_some(news)
     }
 
-    /// The gateway could not apply an entry: told to the replicas with each poll. The latest one is kept.
+    /// The gateway could not apply an entry: told to the replicas with each poll. The latest one is kept, until another
+    /// entry stands under its key.
     pub fn refused(&mut self, number: u64, why: String) {
         self.refused = Some(Refusal { number, why: shortened(why, LONGEST_WHY) });
     }
--- a/crates/changes/src/message.rs
+++ b/crates/changes/src/message.rs
@@ -21,6 +21,9 @@
 /// Bytes of a reason why a gateway could not apply an entry.
 pub const LONGEST_WHY: usize = 200;
 
+/// Bytes of a reason why a change is denied.
+pub const LONGEST_DENIAL: usize = 1000;
+
 /// Bytes that entries may take in one datagram: what is left beside a seal and the other fields of the largest reply.
 pub const ROOM: usize = 1200;
 
@@ -320,10 +323,19 @@
         #[n(0)]
         logged: Logged,
     },
+    /// A control machine's shell tells an author why it doesn't take his change: its charter can't have it. Replicas and
+    /// followers pass it over.
+    #[n(20)]
+    Denied {
+        #[n(0)]
+        id: u64,
+        #[n(1)]
+        why: String,
+    },
 }
 
 /// The highest kind that this program knows.
-const LAST_KIND: u32 = 19;
+const LAST_KIND: u32 = 20;
 
 /// Why a datagram is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -426,6 +438,7 @@
             }
             Self::Log { entries } | Self::Reply { entries, .. } => logged(entries),
             Self::Page { entries, .. } => entries.iter().all(|e| e.change.fits()),
+            Self::Denied { why, .. } => why.len() <= LONGEST_DENIAL,
             Self::Push { logged } => logged.entry.change.fits(),
             Self::Poll { name, refused, .. } => {
                 !name.is_empty()
--- a/crates/changes/src/state.rs
+++ b/crates/changes/src/state.rs
@@ -146,8 +146,13 @@
             left = left.saturating_sub(size);
             fits
         };
-        let entries = self.latest.range(number.saturating_add(1)..);
-        entries.map(|(n, change)| Entry { number: *n, change: change.clone() }).take_while(fits).collect()
+        let entries = self.iter_from(number.saturating_add(1));
+        entries.map(|(number, change)| Entry { number, change: change.clone() }).take_while(fits).collect()
+    }
+
+    /// Entries in force from that number on.
+    pub(crate) fn iter_from(&self, number: u64) -> impl Iterator<Item = (u64, &Change)> {
+        self.latest.range(number..).map(|(number, change)| (*number, change))
     }
 
     /// The highest number that is in force under a key, 0 for none.
--- a/crates/changes/tests/burst/mod.rs
+++ b/crates/changes/tests/burst/mod.rs
@@ -1,6 +1,8 @@
 //! A burst of changes by authors that ask again, and when each was in force at each gateway: for the fleet's test and the
 //! bench.
 
+#![allow(dead_code)]
+
 use crate::net::{Net, Node, Place, change};
 use milletpath_changes::Outcome;
 use rand::Rng;
@@ -88,10 +90,13 @@
             .iter()
             .flat_map(|(number, since, _)| gateways.iter().filter_map(|n| net.delay(*n, *number, *since)))
             .collect();
-        Self { delays, told: done.iter().map(|(_, since, told)| told - since).collect(), spent: after.unwrap_or_default() }
+        Self {
+            delays,
+            told: done.iter().map(|(_, since, told)| told - since).collect(),
+            spent: after.unwrap_or_default(),
+        }
     }
 
-    #[allow(dead_code)]
     pub fn worst(&self) -> f64 {
         self.delays.iter().copied().fold(0.0, f64::max)
     }
@@ -99,6 +104,7 @@
 
 /// A statement of the usual length.
 fn stated(id: u64) -> milletpath_changes::Change {
-    let text = "function \"resize-thumbnails\" {\n  lanes = 2\n  memory = 400\n  profile = \"interactive\"\n}\n";
+    let text =
+        "function \"resize-thumbnails\" {\n  lanes = 2\n  memory = 400\n  profile = \"interactive\"\n}\n";
     change(id, &format!("function resize-thumbnails-{id}"), text, 0)
 }
--- a/crates/changes/tests/followers.rs
+++ b/crates/changes/tests/followers.rs
@@ -352,6 +352,9 @@
     let refused = seen[0].refused.clone().expect("it was told");
     assert_eq!((seen[0].name.as_str(), refused.0), ("gateway-0", number));
     assert!(why.starts_with(&refused.1) && refused.1.len() == 200);
+    net.commit(0, change(2, "a", "lanes = 1", number));
+    net.play(net.now + 1.0);
+    assert_eq!(view(&net, 0).refused, None, "another one stands there");
 }
 
 /// Whatever is said from wherever, in any order: nothing is applied that was not committed, and nothing panics.
--- a/crates/changes/tests/message.rs
+++ b/crates/changes/tests/message.rs
@@ -10,13 +10,18 @@
 
 fn change() -> impl Strategy<Value = Change> {
     let text = prop::option::of("[a-z=\\n ]{0,40}");
-    (any::<u64>(), "[a-z]{0,20}", text, any::<u64>())
-        .prop_map(|(id, key, text, replaces)| Change { id, key, text, replaces })
+    (any::<u64>(), "[a-z]{0,20}", text, any::<u64>()).prop_map(|(id, key, text, replaces)| Change {
+        id,
+        key,
+        text,
+        replaces,
+    })
 }
 
 fn message() -> impl Strategy<Value = Message> {
     let logged = (any::<u64>(), change(), any::<u64>())
-        .prop_map(|(number, change, digest)| Logged { entry: Entry { number, change }, digest });
+        .prop_map(|(number, change, digest)| Logged { entry: Entry { number, change }, digest })
+        .boxed();
     let vote = (0..1u64 << 56, 0..1u64 << 56, change()).prop_map(|(number, ballot, change)| Vote {
         number,
         ballot: Ballot(ballot),
@@ -105,12 +110,8 @@
 
 #[test]
 fn what_breaks_a_bound_is_not_read_but_for_a_proposal() {
-    let change = |text: usize| Change {
-        id: 1,
-        key: "k".repeat(KEY),
-        text: Some("x".repeat(text)),
-        replaces: 0,
-    };
+    let change =
+        |text: usize| Change { id: 1, key: "k".repeat(KEY), text: Some("x".repeat(text)), replaces: 0 };
     let vote = |text| Vote { number: 1, ballot: Ballot(9), change: change(text) };
     assert_eq!(open(&key(), &sealed(&Message::Accept { vote: vote(TEXT + 1) })), Err(Refused::Body));
     assert!(open(&key(), &sealed(&Message::Accept { vote: vote(TEXT) })).is_ok());
@@ -122,7 +123,8 @@
 /// The largest of each kind that carries entries, with the largest numbers that occur.
 #[test]
 fn the_largest_messages_pass_in_one_datagram() {
-    let change = Change { id: u64::MAX, key: "k".repeat(KEY), text: Some("x".repeat(TEXT)), replaces: 1 << 40 };
+    let change =
+        Change { id: u64::MAX, key: "k".repeat(KEY), text: Some("x".repeat(TEXT)), replaces: 1 << 40 };
     let vote = Vote { number: 1 << 32, ballot: Ballot(1 << 40), change: change.clone() };
     let slots = (0..64).map(|n| (1 << 31) + n).collect();
     let promise = Message::Promise {
--- a/crates/changes/tests/net/mod.rs
+++ b/crates/changes/tests/net/mod.rs
@@ -202,9 +202,11 @@
 
 /// A part of the messages is lost.
 pub fn lossy(part: f64) -> Rule {
-    Box::new(move |_, _, _, chance| {
-        if chance.random_bool(part) { vec![] } else { vec![chance.random_range(0.0005..0.002)] }
-    })
+    Box::new(
+        move |_, _, _, chance| {
+            if chance.random_bool(part) { vec![] } else { vec![chance.random_range(0.0005..0.002)] }
+        },
+    )
 }
 
 /// A millisecond inside a region, 30 to 150 ms across by pair of regions, and a part is lost.
@@ -221,9 +223,11 @@
 
 /// Parts that hear only themselves: by the number of the part of each place.
 pub fn apart(part: impl Fn(Place) -> usize + 'static) -> Rule {
-    Box::new(move |_, from, to, chance| {
-        if part(from) == part(to) { vec![chance.random_range(0.0005..0.002)] } else { vec![] }
-    })
+    Box::new(
+        move |_, from, to, chance| {
+            if part(from) == part(to) { vec![chance.random_range(0.0005..0.002)] } else { vec![] }
+        },
+    )
 }
 
 pub fn change(id: u64, key: &str, text: &str, replaces: u64) -> Change {
@@ -430,7 +434,6 @@
     }
 
     fn after_machine(&mut self, n: usize) {
-        let mut last = None;
         while let Some(act) = self.machines[n].core.as_mut().and_then(Replica::act) {
             match act {
                 Act::Store(record) => {
@@ -449,10 +452,10 @@
                     }
                 }
                 Act::Send { to, message } => {
-                    last = matches!(self.dies, Some((who, Dies::Sent(such))) if who == n && such(&message))
-                        .then_some(());
+                    let last =
+                        matches!(self.dies, Some((who, Dies::Sent(such))) if who == n && such(&message));
                     self.post(Machine(n), to, message);
-                    if last.is_some() {
+                    if last {
                         self.dies = None;
                         self.kill(n);
                     }
@@ -509,7 +512,10 @@
             own == Some((*number, text.clone())) || (own.is_none() && text.is_none())
         };
         assert!(self.shown[n].iter().all(standing), "gateway {n} was told other than what is in force");
-        assert!(state.iter().all(|(_, c)| self.shown[n].contains_key(&c.key)), "gateway {n} was told too little");
+        assert!(
+            state.iter().all(|(_, c)| self.shown[n].contains_key(&c.key)),
+            "gateway {n} was told too little"
+        );
     }
 
     pub fn check_all(&self) {
--- a/crates/changes/tests/replicas.rs
+++ b/crates/changes/tests/replicas.rs
@@ -396,7 +396,8 @@
     net.commit(0, change(1, "a", "lanes = 1", 0));
     let before = net.replica(1).compact();
     let ballot = milletpath_changes::Ballot(1 << 20).above(0);
-    let vote = milletpath_changes::message::Vote { number: 2, ballot, change: change(9, "a", "lanes = 9", 1) };
+    let vote =
+        milletpath_changes::message::Vote { number: 2, ballot, change: change(9, "a", "lanes = 9", 1) };
     for (from, message) in [
         (Place::Author(0), Message::Prepare { ballot, attempt: 1 }),
         (Place::Author(0), Message::Accept { vote: vote.clone() }),
--- a/crates/changes/tests/search.rs
+++ b/crates/changes/tests/search.rs
@@ -401,5 +401,8 @@
 #[test_case::test_case(Broken::Forgetful; "a lost disk is passed over")]
 fn a_promise_left_out_is_found(broken: Broken) {
     let found = hunt(0..3_000, 0, broken);
-    assert!(found.as_ref().is_err_and(|told| told.contains("which was") || told.contains("is said")), "{found:?}");
+    assert!(
+        found.as_ref().is_err_and(|told| told.contains("which was") || told.contains("is said")),
+        "{found:?}"
+    );
 }
