--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -291,9 +291,12 @@
         |g: &serde_json::Value| g["name"] == "gateway-1" && g["state"] == "refusing" && g["refused"][0] == 1;
     assert_eq!(site.gateways_that(refusing), 1, "{:#}", site.known());
     assert_eq!(site.said("gateway-1", "can't be applied here"), 1);
-    // What it can take is in force there.
-    site.changed("function \"packs\" { lanes = 3 }", &[]);
+    // What it can take is in force there, and it refuses nothing any more.
+    let number = site.changed("function \"packs\" { lanes = 3 }", &[]);
     assert_eq!((site.call(1, "check"), site.call(0, "check")), (200, 200));
+    site.wait("all are current", |s| {
+        s.gateways_that(|g| g["state"] == "current" && g["number"] == number) == 3
+    });
 }
 
 /// With another key one hears nothing and is not heard, and the others go on.
