Changes: an author is told "all" only once all gateways must be known

He now waits until each control machine that another one hears has answered and has been up for 2 s. Control machines tell how long they are up, what processor time they took and how large their log is; gateways and control machines answer by the same pages.

--- a/crates/gateway/src/changing.rs
+++ b/crates/gateway/src/changing.rs
@@ -3,12 +3,11 @@
 //! known state is kept in a file, and is in force from the first call on after a restart, whoever is silent.
 
 use crate::office::Office;
+use crate::telling::{Telling, cpu};
 use milletpath_changes::message::{self, Key, LARGEST, LONGEST_WHY, Message};
 use milletpath_changes::{Entry, Follower, FollowerView, Terms};
 use milletpath_charter::{Amendment, Changes as Stated, Subject};
-use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
 use std::fs::File;
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind, Write};
@@ -93,7 +92,7 @@
         office,
         feed,
         keeping,
-        asked: VecDeque::new(),
+        telling: Telling::default(),
         seals: 0,
         unread: 0,
         counts: (0, 0),
@@ -117,8 +116,7 @@
     office: Arc<Office>,
     feed: Feed,
     keeping: Keeping,
-    /// Answers to operators, by what they asked with, until they have all pages.
-    asked: VecDeque<(u64, Vec<u8>)>,
+    telling: Telling,
     seals: u64,
     unread: u64,
     /// Conflicts and states that were no state of the log, as the log was told last.
@@ -231,21 +229,12 @@
         Followed { view, cpu: cpu(), seals, unread, kept, not_kept }
     }
 
-    /// Tells an operator what is known here, a page for each question; all pages of one `ask` are of one moment.
+    /// Tells an operator what is known here.
     fn answer(&mut self, ask: u64, page: u32, from: SocketAddr) {
-        /// Bytes of text in a page, and answers that are kept until all of their pages were asked for.
-        const PAGE: usize = 1100;
-        const KEPT: usize = 4;
-        if !self.asked.iter().any(|(known, _)| *known == ask) {
-            let Ok(text) = serde_json::to_vec(&self.view()) else { return };
-            self.asked.truncate(KEPT - 1);
-            self.asked.push_front((ask, text));
-        }
-        let Some((_, text)) = self.asked.iter().find(|(known, _)| *known == ask) else { return };
-        let of = text.chunks(PAGE).count() as u32;
-        let Some(bytes) = text.chunks(PAGE).nth(page as usize) else { return };
-        let told = Message::StatusPage { ask, page, of, bytes: bytes.to_vec() };
-        if let Some(datagram) = message::seal(&self.feed.key, &told) {
+        let mut telling = std::mem::take(&mut self.telling);
+        let told = telling.page(from, ask, page, || serde_json::to_vec(&self.view()).ok());
+        self.telling = telling;
+        if let Some(datagram) = told.and_then(|told| message::seal(&self.feed.key, &told)) {
             let _ = self.feed.socket.send_to(&datagram, from);
         }
     }
@@ -296,12 +285,6 @@
     why
 }
 
-/// Seconds of a processor that this thread took.
-fn cpu() -> f64 {
-    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
-        .map_or(0.0, |t| t.tv_sec() as f64 + t.tv_nsec() as f64 * 1e-9)
-}
-
 /// The file of the last known state.
 struct Keeping {
     path: PathBuf,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,8 +28,10 @@
 pub mod sharing;
 mod shell;
 mod shot;
+mod telling;
 
 pub use changing::{Feed, Followed, control_key};
 pub use keeper::{Links, listen, serve, serve_stirred};
 pub use office::Stir;
 pub use peering::{Link, Plant, Told, ask, key_of};
+pub use telling::{Telling, cpu};
--- a/crates/milletpath/src/change.rs
+++ b/crates/milletpath/src/change.rs
@@ -172,7 +172,7 @@
             println!("number {number}: in force at {} of {} gateways", now.0, now.1);
             told = Some(now);
         }
-        let all = !heard.is_empty() && there == heard.len();
+        let all = !heard.is_empty() && there == heard.len() && known.is_whole();
         if all && refusing.is_empty() {
             return ExitCode::SUCCESS;
         }
@@ -186,6 +186,10 @@
             }
             if heard.is_empty() {
                 eprintln!("no gateway is heard by the control machines that answer");
+            } else if !known.is_whole() {
+                eprintln!(
+                    "not all control machines answer, or some have just begun: there may be more gateways"
+                );
             }
             return ExitCode::FAILURE;
         }
--- a/crates/milletpath/src/changes.rs
+++ b/crates/milletpath/src/changes.rs
@@ -1,7 +1,7 @@
 //! `milletpath changes`: what the control machines know of what is in force, and where it is not.
 
+use crate::control::Told;
 use crate::control::client::Client;
-use milletpath_changes::ReplicaView;
 use milletpath_charter::Changes;
 use milletpath_gateway::Followed;
 use serde::Serialize;
@@ -30,7 +30,7 @@
     pub number: usize,
     pub at: SocketAddr,
     /// None where it does not answer.
-    pub view: Option<ReplicaView>,
+    pub view: Option<Told>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -57,13 +57,14 @@
 
 impl Known {
     pub fn ask(client: &Client) -> Self {
-        let views = client.views();
-        let latest = views.iter().flatten().max_by_key(|view| view.number);
+        let told = client.machines();
+        let views = || told.iter().flatten().map(|told| &told.view);
+        let latest = views().max_by_key(|view| view.number);
         let (head, digest) = latest.map_or((0, 0), |view| (view.number, view.digest));
-        let sure = views.iter().flatten().filter(|view| view.number == head).filter_map(|v| v.sure_as_of);
+        let sure = views().filter(|view| view.number == head).filter_map(|v| v.sure_as_of);
         let sure_as_of = sure.reduce(f64::min);
         let mut gateways: BTreeMap<String, Gateway> = BTreeMap::new();
-        for seen in views.iter().flatten().flat_map(|view| &view.followers) {
+        for seen in views().flat_map(|view| &view.followers) {
             let (name, state) = (seen.name.clone(), State::Current);
             let fresh = Gateway { name, number: 0, heard: f64::INFINITY, state, refused: None };
             let gateway = gateways.entry(seen.name.clone()).or_insert(fresh);
@@ -82,7 +83,7 @@
                 _ => State::Current,
             };
         }
-        let control = views.into_iter().zip(&client.control).enumerate();
+        let control = told.into_iter().zip(&client.control).enumerate();
         Self {
             head,
             digest: format!("{digest:016x}"),
@@ -92,6 +93,16 @@
         }
     }
 
+    /// Whether all gateways that are there must be among those that are known: each control machine that another one hears
+    /// has answered, and has been up for long enough to have been polled by all that follow it.
+    pub fn is_whole(&self) -> bool {
+        /// Seconds: three polls, of which two may get lost.
+        const POLLED: f64 = 2.0;
+        let views = || self.control.iter().filter_map(|machine| machine.view.as_ref());
+        let answers = |n: &usize| self.control.get(*n).is_some_and(|machine| machine.view.is_some());
+        self.heard() > 0 && views().all(|told| told.up >= POLLED && told.view.heard.iter().all(answers))
+    }
+
     pub fn heard(&self) -> usize {
         self.control.iter().filter(|machine| machine.view.is_some()).count()
     }
@@ -158,6 +169,7 @@
             println!("{number:<8} {at:<22} does not answer");
             continue;
         };
+        let v = &v.view;
         let votes = if v.votes { "yes" } else { "no" };
         let (sure, gateways) = (age(v.sure_as_of), v.followers.len());
         println!("{number:<8} {at:<22} {:>9} {sure:>8} {votes:>8} {gateways:>9}  {:?}", v.number, v.heard);
--- a/crates/milletpath/src/control.rs
+++ b/crates/milletpath/src/control.rs
@@ -6,9 +6,11 @@
 mod records;
 
 use milletpath_changes::message::{self, Key, LARGEST, LONGEST_DENIAL, Message};
-use milletpath_changes::{Act, Record, Replica, Terms};
+use milletpath_changes::{Act, Record, Replica, ReplicaView, Terms};
 use milletpath_charter::{Changes, House};
+use milletpath_gateway::{Telling, cpu};
 use records::RecordFile;
+use serde::{Deserialize, Serialize};
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::Path;
@@ -81,6 +83,7 @@
         key,
         log,
         began,
+        telling: Telling::default(),
         refused: 0,
         look: 0.0,
         leads: None,
@@ -106,6 +109,18 @@
     }
 }
 
+/// What a control machine tells operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Told {
+    #[serde(flatten)]
+    pub view: ReplicaView,
+    /// Seconds since its process began, and seconds of a processor that it took.
+    pub up: f64,
+    pub cpu: f64,
+    /// Bytes of its log.
+    pub log: u64,
+}
+
 /// Between two looks whether it is to stop.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -138,6 +153,7 @@
     key: Key,
     log: RecordFile,
     began: Instant,
+    telling: Telling,
     /// Datagrams that were not taken.
     refused: u64,
     /// When it is looked at next what is worth a line in the log, and what that was told last.
@@ -212,9 +228,23 @@
             tracing::info!(%from, key = change.key, "a change is refused: {why}");
             return self.send(from, &Message::Denied { id: change.id, why });
         }
+        if let Message::Status { ask, page } = message {
+            return self.answer(ask, page, from);
+        }
         self.replica.heard(self.now(), from, message);
     }
 
+    /// Tells an operator what is known here.
+    fn answer(&mut self, ask: u64, page: u32, from: SocketAddr) {
+        let (replica, up, log) = (&mut self.replica, self.began.elapsed().as_secs_f64(), self.log.size());
+        let told = self.telling.page(from, ask, page, || {
+            serde_json::to_vec(&Told { view: replica.view(up), up, cpu: cpu(), log }).ok()
+        });
+        if let Some(told) = told {
+            self.send(from, &told);
+        }
+    }
+
     fn send(&self, to: SocketAddr, message: &Message) {
         if let Some(datagram) = message::seal(&self.key, message) {
             // What can't be sent is as if lost on its way: that is what the core is built for.
--- a/crates/milletpath/src/control/client.rs
+++ b/crates/milletpath/src/control/client.rs
@@ -2,8 +2,9 @@
 //! again until it is answered or its time is over. Nobody is believed for being quick: of several answers the one counts
 //! that knows of the latest entry.
 
+use super::Told as Machine;
 use milletpath_changes::message::{self, Key, LARGEST, Message};
-use milletpath_changes::{Change, Outcome, ReplicaView};
+use milletpath_changes::{Change, Outcome};
 use milletpath_charter::Changes;
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
@@ -185,7 +186,7 @@
     }
 
     /// What each control machine knows, in the order of their numbers; none for one that doesn't answer.
-    pub fn views(&self) -> Vec<Option<ReplicaView>> {
+    pub fn machines(&self) -> Vec<Option<Machine>> {
         let read = |text: Option<Vec<u8>>| serde_json::from_slice(&text?).ok();
         self.told(&self.control).into_iter().map(read).collect()
     }
--- a/crates/milletpath/src/control/records.rs
+++ b/crates/milletpath/src/control/records.rs
@@ -98,6 +98,11 @@
         Ok(())
     }
 
+    /// Bytes of the file.
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
     /// Whether it has grown to such a multiple of what it was when it was last written anew; not while it is small.
     pub fn has_grown(&self, multiple: u64, small: u64) -> bool {
         self.size > small && self.size > multiple * self.base
--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -47,6 +47,11 @@
     let here = site.here(3);
     assert_eq!((&here["name"], &here["number"]), (&"gateway-3".into(), &1.into()), "{here:#}");
     assert!(here["cpu"].as_f64().is_some_and(|s| s > 0.0), "{here:#}");
+    for n in 0..3 {
+        let machine = site.view(n);
+        let more = |key: &str| machine[key].as_f64().is_some_and(|figure| figure > 0.0);
+        assert!(more("up") && more("cpu") && more("log"), "{machine:#}");
+    }
     // Stated again it is so already, and costs no entry.
     let again = site.change(ORDER, &[]);
     assert!(String::from_utf8_lossy(&again.stdout).contains("so already"), "{again:?}");
