--- a/crates/charter/src/change.rs
+++ b/crates/charter/src/change.rs
@@ -1,6 +1,7 @@
-//! What a change of configuration may state, while gateways run: figures of functions, in the charter's own words. The
-//! text of a change is one statement as it would stand in the charter; its key says what it is about. A statement takes
-//! the place of the charter's statement of the same key as a whole; taken back, the charter's own holds again.
+//! What a change of configuration may state, while gateways run: figures of functions, in the charter's own
+//! words. The text of a change is one statement as it would stand in the charter; its key says what it is
+//! about. A statement takes the place of the charter's statement of the same key as a whole; taken back, the
+//! charter's own holds again.
 
 use crate::page::{Mistake, Page, Section};
 use crate::read::{body, statement};
@@ -71,8 +72,8 @@
     }
 }
 
-/// What gateways share or hold connections by. To change it while they run needs a rule for the moment at which some go by
-/// the old figure and some by the new one.
+/// What gateways share or hold connections by. To change it while they run needs a rule for the moment at
+/// which some go by the old figure and some by the new one.
 const SHARED: [&str; 7] = ["client", "gateways", "limits", "peers", "profile", "seed", "workers"];
 
 /// What belongs to one gateway.
--- a/crates/gateway/src/changing.rs
+++ b/crates/gateway/src/changing.rs
@@ -1,6 +1,7 @@
-//! Changes of configuration, as they come: a thread with one UDP socket around the follower of `milletpath-changes`. What
-//! is in force reaches the desk through the office, a batch at once, and no call ever waits for the network. The last
-//! known state is kept in a file, and is in force from the first call on after a restart, whoever is silent.
+//! Changes of configuration, as they come: a thread with one UDP socket around the follower of
+//! `milletpath-changes`. What is in force reaches the desk through the office, a batch at once, and no call
+//! ever waits for the network. The last known state is kept in a file, and is in force from the first call on
+//! after a restart, whoever is silent.
 
 use crate::office::Office;
 use crate::telling::{Telling, cpu};
@@ -58,8 +59,8 @@
     pub not_kept: u64,
 }
 
-/// Starts the thread of a feed. What was in force when the last process of this gateway ended is so again before this
-/// comes back.
+/// Starts the thread of a feed. What was in force when the last process of this gateway ended is so again
+/// before this comes back.
 pub fn start(office: Arc<Office>, feed: Feed) -> io::Result<JoinHandle<()>> {
     let Some(stated) = office.house.changes.clone() else {
         return Err(io::Error::other("the charter has no changes"));
@@ -185,8 +186,8 @@
         }
     }
 
-    /// Passes what is new on to the desk, each batch at once. What this gateway's charter can't take is told to the
-    /// control machines; what was in force under its key stays.
+    /// Passes what is new on to the desk, each batch at once. What this gateway's charter can't take is told
+    /// to the control machines; what was in force under its key stays.
     fn apply(&mut self) {
         while let Some(batch) = self.follower.news() {
             let house = &self.office.house;
@@ -243,7 +244,8 @@
     fn log(&mut self, now: f64) {
         /// Seconds between two looks.
         const AGAIN: f64 = 1.0;
-        /// Seconds after which what is in force here may not be the latest: several polls, and a change of whom it follows.
+        /// Seconds after which what is in force here may not be the latest: several polls, and a change of
+        /// whom it follows.
         const SILENT: f64 = 5.0;
         if now < self.look {
             return;
@@ -303,7 +305,8 @@
 
     /// Writes what is in force, where it is something new and the last time is long enough ago.
     fn keep(&mut self, follower: &Follower, now: f64) {
-        /// Seconds between two times: what a crash can cost is a second of changes, which the control machines still have.
+        /// Seconds between two times: what a crash can cost is a second of changes, which the control
+        /// machines still have.
         const AGAIN: f64 = 1.0;
         /// A large state takes its time: of that, so many times as much lies between.
         const REST: f64 = 20.0;
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -414,8 +414,8 @@
         Self { router, share: None, allotted, hands, books, functions, profiles }
     }
 
-    /// Goes by other figures of functions from here on: what is in hand keeps those that it came with. `charter` has what
-    /// holds where no change does.
+    /// Goes by other figures of functions from here on: what is in hand keeps those that it came with. `charter`
+    /// has what holds where no change does.
     pub fn amend(&mut self, amendment: &Amendment, charter: &Functions) {
         self.functions.amend(amendment, charter);
     }
--- a/crates/gateway/src/office.rs
+++ b/crates/gateway/src/office.rs
@@ -353,7 +353,7 @@
         what(&mut self.enter().desk)
     }
 
-    /// The figures of a function, as they are in force. Where no change can come the desk need not be entered.
+    /// The figures of a function, as they are in force. Where no change can come the desk is not entered.
     pub fn figures(&self, function: &str) -> Instance {
         match &self.house.changes {
             None => self.house.functions.of(function),
--- a/crates/gateway/tests/desk/figures.rs
+++ b/crates/gateway/tests/desk/figures.rs
@@ -14,7 +14,8 @@
     desk.amend(&amendment(house, key, text), &house.functions);
 }
 
-/// One worker takes as many calls at a time as its instance has lanes by what is in force: two by the charter.
+/// One worker takes as many calls at a time as its instance has lanes by what is in force: two by the
+/// charter.
 #[test_case(&[], 2; "by the charter")]
 #[test_case(&[("function f", Some("function \"f\" { lanes = 3 }"))], 3; "by a change")]
 #[test_case(&[("functions", Some("functions { lanes = 1 }"))], 1; "by a change of all")]
--- a/crates/milletpath/src/change.rs
+++ b/crates/milletpath/src/change.rs
@@ -1,4 +1,5 @@
-//! `milletpath change`: proposes the statements of a file, each for itself, and tells where they are in force.
+//! `milletpath change`: proposes the statements of a file, each for itself, and tells where they are in
+//! force.
 
 use crate::changes::{Known, State};
 use crate::control::client::{Client, Told, chance};
@@ -155,7 +156,8 @@
     }
 }
 
-/// Tells at how many gateways a number is in force, until it is so at all that are heard, or the time is over.
+/// Tells at how many gateways a number is in force, until it is so at all that are heard, or the time is
+/// over.
 fn watch(client: &Client, number: u64, wait: f64) -> ExitCode {
     /// Between two looks.
     const LOOK: Duration = Duration::from_millis(100);
--- a/crates/milletpath/src/changes.rs
+++ b/crates/milletpath/src/changes.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// Whether all gateways that are there must be among those that are known: each control machine that another one hears
-    /// has answered, and has been up for long enough to have been polled by all that follow it.
+    /// Whether all gateways that are there must be among those that are known: each control machine that
+    /// another one hears has answered, and has been up for long enough to have been polled by all that follow
+    /// it.
     pub fn is_whole(&self) -> bool {
         /// Seconds: three polls, of which two may get lost.
         const POLLED: f64 = 2.0;
--- a/crates/milletpath/src/control.rs
+++ b/crates/milletpath/src/control.rs
@@ -1,6 +1,6 @@
 //! `milletpath control`: a control machine. One thread with a UDP socket and a log file around the replica of
-//! `milletpath-changes`: what it is to store is on the disk before anything goes out that builds on it. A change that its
-//! charter can't take is refused here, before anybody decides on it.
+//! `milletpath-changes`: what it is to store is on the disk before anything goes out that builds on it. A
+//! change that its charter can't take is refused here, before anybody decides on it.
 
 pub mod client;
 mod records;
@@ -254,8 +254,8 @@
 
     /// Stores all that is to be stored, and sends what builds on it once that is on the disk.
     fn act(&mut self) -> io::Result<()> {
-        /// The log is written anew when it has grown to so many times what it was then, and is larger than this: some
-        /// thousand changes.
+        /// The log is written anew when it has grown to so many times what it was then, and is larger than
+        /// this: some thousand changes.
         const MULTIPLE: u64 = 4;
         const SMALL: u64 = 1 << 20;
         let (mut records, mut sends) = (Vec::new(), Vec::new());
--- a/crates/milletpath/src/control/client.rs
+++ b/crates/milletpath/src/control/client.rs
@@ -1,6 +1,6 @@
-//! How authors and operators talk with the control machines: one UDP socket, questions to one or all of them, each sent
-//! again until it is answered or its time is over. Nobody is believed for being quick: of several answers the one counts
-//! that knows of the latest entry.
+//! How authors and operators talk with the control machines: one UDP socket, questions to one or all of them,
+//! each sent again until it is answered or its time is over. Nobody is believed for being quick: of several
+//! answers the one counts that knows of the latest entry.
 
 use super::Told as Machine;
 use milletpath_changes::message::{self, Key, LARGEST, Message};
@@ -12,7 +12,8 @@
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-/// Between two times that a question is sent: several times what a message and its answer take between regions.
+/// Between two times that a question is sent: several times what a message and its answer take between
+/// regions.
 const AGAIN: Duration = Duration::from_millis(300);
 
 /// For a question to all, once the first has answered it.
--- a/crates/milletpath/src/control/records.rs
+++ b/crates/milletpath/src/control/records.rs
@@ -1,6 +1,7 @@
-//! The file in which a control machine keeps what it must know again after a crash: records one behind the other, each
-//! with its length and a checksum. What was appended is on the disk when [`RecordFile::append`] comes back. A record that
-//! a crash cut short is taken off the end; one that is rotten is an error, as what it promised can't be known.
+//! The file in which a control machine keeps what it must know again after a crash: records one behind the
+//! other, each with its length and a checksum. What was appended is on the disk when [`RecordFile::append`]
+//! comes back. A record that a crash cut short is taken off the end; one that is rotten is an error, as what
+//! it promised can't be known.
 
 use std::fmt;
 use std::fs::{File, OpenOptions};
@@ -88,8 +89,8 @@
         Ok((Self { path: path.to_owned(), file, size, base: size }, held))
     }
 
-    /// Writes records behind the others; they are on the disk when this comes back. After an error nothing may be sent that
-    /// builds on them: a part may have been written, and is taken off at the next start.
+    /// Writes records behind the others; they are on the disk when this comes back. After an error nothing
+    /// may be sent that builds on them: a part may have been written, and is taken off at the next start.
     pub fn append(&mut self, records: &[Vec<u8>]) -> io::Result<()> {
         let bytes = framed(records)?;
         self.file.write_all(&bytes)?;
@@ -103,12 +104,14 @@
         self.size
     }
 
-    /// Whether it has grown to such a multiple of what it was when it was last written anew; not while it is small.
+    /// Whether it has grown to such a multiple of what it was when it was last written anew; not while it is
+    /// small.
     pub fn has_grown(&self, multiple: u64, small: u64) -> bool {
         self.size > small && self.size > multiple * self.base
     }
 
-    /// Holds these records instead of all others. At every moment of a crash the file is the old or the new one.
+    /// Holds these records instead of all others. At every moment of a crash the file is the old or the new
+    /// one.
     pub fn rewrite(&mut self, records: &[Vec<u8>]) -> io::Result<()> {
         let mut name = self.path.clone().into_os_string();
         name.push(".new");
--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -1,6 +1,6 @@
-//! Changes of configuration among processes: control machines, gateways and authors, as they are killed, cut off, begun
-//! again and set against each other. What a gateway goes by is seen from outside: a call under a profile that its
-//! function is not called under is refused.
+//! Changes of configuration among processes: control machines, gateways and authors, as they are killed, cut
+//! off, begun again and set against each other. What a gateway goes by is seen from outside: a call under a
+//! profile that its function is not called under is refused.
 
 mod control;
 
@@ -61,7 +61,8 @@
     }
 }
 
-/// The one that leads has taken a change and can't have it accepted, as the others stand still; it is killed; they go on.
+/// The one that leads has taken a change and can't have it accepted, as the others stand still; it is killed;
+/// they go on.
 #[test]
 fn the_machine_that_carries_a_change_is_killed_in_mid_change() {
     let mut site = Site::running(3, 2);
@@ -194,7 +195,8 @@
     site.wait("and keeps it", |s| std::fs::read(s.file("gateway-0.state")).is_ok_and(|kept| kept == whole));
 }
 
-/// Stands between an author and a control machine: passes all on, and holds back the first proposal until it is told.
+/// Stands between an author and a control machine: passes all on, and holds back the first proposal until it
+/// is told.
 fn between(control: &str) -> (SocketAddr, mpsc::Receiver<()>, mpsc::Sender<()>) {
     let near = UdpSocket::bind("127.0.0.1:0").unwrap();
     let far = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -325,7 +327,8 @@
     assert!(told(&output).contains("no control machine answers"), "{output:?}");
 }
 
-/// A gateway and a control machine stand still for longer than any term, and go on: they catch up, and nobody else cares.
+/// A gateway and a control machine stand still for longer than any term, and go on: they catch up, and nobody
+/// else cares.
 #[test]
 fn stopped_for_longer_than_every_term() {
     let site = Site::running(3, 3);
@@ -400,7 +403,8 @@
     number
 }
 
-/// A log that has grown is written anew, small again, and holds all: all are killed and begin from what is left.
+/// A log that has grown is written anew, small again, and holds all: all are killed and begin from what is
+/// left.
 #[test]
 fn a_log_that_has_grown_is_written_anew() {
     let mut site = Site::running(3, 1);
--- a/crates/milletpath/tests/control/mod.rs
+++ b/crates/milletpath/tests/control/mod.rs
@@ -1,5 +1,6 @@
-//! A small installation as processes: control machines, gateways, one worker. Where each listens is fixed, as charters name
-//! it, and its own to this test process: a loopback address drawn from the process's number, a port for each site.
+//! A small installation as processes: control machines, gateways, one worker. Where each listens is fixed, as
+//! charters name it, and its own to this test process: a loopback address drawn from the process's number, a
+//! port for each site.
 
 use milletpath_changes::message::Key;
 use nix::sys::signal::{Signal, kill};
