--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -86,6 +86,49 @@
     assert!(site.changed(&lanes(8), &[]) > number);
 }
 
+/// One after the other is killed, each while a change is on its way, and begun again: every change comes to its end, and all
+/// know the same.
+#[test]
+fn killed_one_after_the_other_while_changes_are_on_their_way() {
+    let mut site = Site::running(3, 2);
+    let mut last = 0;
+    for round in 0..6 {
+        let mut command = site.change_command(&lanes(round + 1), &["--wait", "30"]);
+        let author = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        let n = round as usize % 3;
+        site.kill_control(n);
+        site.begin_control(n, &[]);
+        let output = author.wait_with_output().unwrap();
+        assert!(output.status.success(), "round {round}: {output:?}");
+        let number = site.known()["head"].as_u64().unwrap();
+        assert!(number > last, "round {round}: {number} after {last}");
+        last = number;
+    }
+    site.wait("all know the same", |s| {
+        let views: Vec<_> = (0..3).map(|n| s.view(n)).collect();
+        let same = |v: &serde_json::Value| v["number"] == last && v["digest"] == views[0]["digest"];
+        views.iter().all(same) && s.gateways_that(|g| g["state"] == "current" && g["number"] == last) == 2
+    });
+    assert_eq!(
+        (0..2).map(|n| site.here(n)["digest"].clone()).collect::<Vec<_>>(),
+        vec![site.view(0)["digest"].clone(); 2]
+    );
+}
+
+/// Three of seven are gone, the one that led among them: the other four go on.
+#[test]
+fn of_seven_control_machines_three_may_be_gone() {
+    let mut site = Site::running(7, 3);
+    site.changed(&lanes(2), &[]);
+    let leader = site.leader().expect("one leads");
+    (0..3).for_each(|n| site.kill_control((leader + n) % 7));
+    let number = site.changed(ORDER, &["--wait", "30"]);
+    assert_eq!(site.gateways_that(|g| g["state"] == "current" && g["number"] == number), 3);
+    for n in 0..3 {
+        assert_eq!((site.call(n, "order"), site.call(n, "check")), (200, 400), "{n}");
+    }
+}
+
 /// Begun again from its log it knows all, and counts: with it and one other there is a majority.
 #[test]
 fn a_control_machine_begins_again_from_its_log() {
