--- a/crates/milletpath/tests/changes.rs
+++ b/crates/milletpath/tests/changes.rs
@@ -4,13 +4,10 @@
 
 mod control;
 
-use control::{Differs, Site, key};
-use milletpath_changes::message::{self, LARGEST, Message};
-use milletpath_changes::{Change, Outcome};
+use control::authors::{between, proposed};
+use control::{Differs, Site};
 use nix::sys::signal::Signal;
-use std::net::{SocketAddr, UdpSocket};
 use std::process::{Output, Stdio};
-use std::sync::mpsc;
 use std::time::Duration;
 use test_case::test_case;
 
@@ -186,6 +183,9 @@
     let output = site.change("function \"packs\" { profile = \"check\" }", &["--wait", "0"]);
     assert_eq!(output.status.code(), Some(1));
     assert!(told(&output).contains("no control machine answers: nothing was proposed"), "{output:?}");
+    let output = site.changes("author.hcl", &[]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(told(&output).contains("no control machine answers: are they running"), "{output:?}");
     (0..3).for_each(|n| site.begin_control(n, &[]));
     site.changed("function \"packs\" { profile = \"check\" }", &["--wait", "30"]);
     for n in 0..2 {
@@ -238,39 +238,6 @@
     site.wait("and keeps it", |s| std::fs::read(s.file("gateway-0.state")).is_ok_and(|kept| kept == whole));
 }
 
-/// Stands between an author and a control machine: passes all on, and holds back the first proposal until it
-/// is told.
-fn between(control: &str) -> (SocketAddr, mpsc::Receiver<()>, mpsc::Sender<()>) {
-    let near = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let far = UdpSocket::bind("127.0.0.1:0").unwrap();
-    far.connect(control).unwrap();
-    let at = near.local_addr().unwrap();
-    let ((held, tell), (go, gone)) = (mpsc::channel(), mpsc::channel());
-    std::thread::spawn(move || {
-        let (mut buffer, mut author, mut first) = ([0; LARGEST + 1], None, true);
-        for socket in [&near, &far] {
-            socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-        }
-        loop {
-            if let Ok((size, from)) = near.recv_from(&mut buffer) {
-                author = Some(from);
-                let message = message::open(&key(), &buffer[..size]).expect("its own key");
-                if matches!(message, Message::Propose { .. }) && std::mem::take(&mut first) {
-                    held.send(()).unwrap();
-                    if gone.recv().is_err() {
-                        return;
-                    }
-                }
-                let _ = far.send(&buffer[..size]);
-            }
-            if let (Ok(size), Some(author)) = (far.recv(&mut buffer), author) {
-                let _ = near.send_to(&buffer[..size], author);
-            }
-        }
-    });
-    (at, tell, go)
-}
-
 /// Both have seen that nothing is stated; one is first, and the other learns that he was too late.
 #[test]
 fn of_two_authors_at_once_one_is_told_that_he_was_too_late() {
@@ -423,29 +390,6 @@
     assert!(site.changed(&lanes(4), &["--wait", "30"]) > number);
 }
 
-/// Proposes one change after the other under one key, as fast as they are committed; gives the last number.
-fn proposed(site: &Site, changes: usize) -> u64 {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.connect(site.at(0)).unwrap();
-    socket.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
-    let (mut number, mut buffer) = (0, [0; LARGEST + 1]);
-    for n in 1..=changes {
-        let text = format!("functions {{\n  lanes = {n}\n#{}\n}}", "x".repeat(700));
-        let change = Change { id: n as u64, key: "functions".into(), text: Some(text), replaces: number };
-        let datagram = message::seal(&key(), &Message::Propose { change }).unwrap();
-        let committed = (0..30).find_map(|_| {
-            socket.send(&datagram).unwrap();
-            let size = socket.recv(&mut buffer).ok()?;
-            match message::open(&key(), &buffer[..size]) {
-                Ok(Message::Proposed { id, outcome: Outcome::Committed(at) }) if id == n as u64 => Some(at),
-                _ => None,
-            }
-        });
-        number = committed.unwrap_or_else(|| panic!("change {n} is not committed"));
-    }
-    number
-}
-
 /// A log that has grown is written anew, small again, and holds all: all are killed and begin from what is
 /// left.
 #[test]
@@ -490,6 +434,18 @@
         output.status.code() == Some(2) && told(&output).contains("no statement goes by that"),
         "{output:?}"
     );
+    // A gateway that listens nobody knows where can't be asked; one that doesn't run doesn't answer.
+    let charter = std::fs::read_to_string(site.file("gateway-0.hcl")).unwrap();
+    let own = charter.lines().rfind(|l| l.contains("listen")).unwrap();
+    std::fs::write(site.file("any.hcl"), charter.replace(own, "  listen = \"127.0.0.1:0\"")).unwrap();
+    let output = site.changes("any.hcl", &["--here"]);
+    assert!(output.status.code() == Some(2) && told(&output).contains("has port 0"), "{output:?}");
+    site.end_gateway(0, Signal::SIGTERM);
+    let output = site.changes("gateway-0.hcl", &["--here"]);
+    assert!(output.status.code() == Some(1) && told(&output).contains("does not answer"), "{output:?}");
+    std::fs::write(site.file("without.hcl"), charter.split("changes {").next().unwrap()).unwrap();
+    let output = site.changes("without.hcl", &[]);
+    assert!(output.status.code() == Some(2) && told(&output).contains("has no changes"), "{output:?}");
     std::fs::remove_file(site.file("changes.key")).unwrap();
     let output = run(&site, 0, &[]);
     assert!(output.status.code() == Some(2) && told(&output).contains("key of changes"), "{output:?}");
--- a/crates/milletpath/tests/control/mod.rs
+++ b/crates/milletpath/tests/control/mod.rs
@@ -2,6 +2,8 @@
 //! charters name it, and its own to this test process: a loopback address drawn from the process's number, a
 //! port for each site.
 
+pub mod authors;
+
 use milletpath_changes::message::Key;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -208,15 +210,20 @@
         number.unwrap_or_else(|| panic!("{told}"))
     }
 
-    fn changes(&self, charter: &str, how: &[&str]) -> Option<Value> {
+    /// `milletpath changes`, by that charter.
+    pub fn changes(&self, charter: &str, how: &[&str]) -> Output {
         let mut command = program();
-        command.arg("changes").arg("--charter").arg(self.file(charter)).arg("--json").args(how);
-        serde_json::from_slice(&command.output().ok()?.stdout).ok()
+        command.arg("changes").arg("--charter").arg(self.file(charter)).args(how);
+        command.output().expect("it runs")
+    }
+
+    fn told(&self, charter: &str, how: &[&str]) -> Value {
+        serde_json::from_slice(&self.changes(charter, how).stdout).unwrap_or_default()
     }
 
     /// What the control machines know, as `milletpath changes` tells it.
     pub fn known(&self) -> Value {
-        self.changes("author.hcl", &[]).unwrap_or_default()
+        self.told("author.hcl", &["--json"])
     }
 
     /// What a control machine knows.
@@ -226,7 +233,7 @@
 
     /// What a gateway knows itself.
     pub fn here(&self, gateway: usize) -> Value {
-        self.changes(&format!("gateway-{gateway}.hcl"), &["--here"]).unwrap_or_default()
+        self.told(&format!("gateway-{gateway}.hcl"), &["--json", "--here"])
     }
 
     pub fn gateways_that(&self, such: impl Fn(&Value) -> bool) -> usize {
