--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -48,21 +48,6 @@
         #[arg(value_name = "FILE")]
         charter: PathBuf,
     },
-    /// Run stand-in workers alone, at the addresses that a charter lists
-    Workers {
-        #[arg(long, value_name = "FILE")]
-        charter: PathBuf,
-    },
-    /// Run the router on the platform, by LB_NAME, LB_LISTEN and LB_CONFIG
-    Platform,
-    /// Tell what the gateway of a charter knows of the others
-    Peers {
-        #[arg(long, value_name = "FILE")]
-        charter: PathBuf,
-        /// As JSON
-        #[arg(long)]
-        json: bool,
-    },
     /// Run a control machine, which takes part in deciding on changes of configuration
     Control {
         #[arg(long, value_name = "FILE")]
@@ -99,6 +84,21 @@
         #[arg(long)]
         here: bool,
     },
+    /// Run stand-in workers alone, at the addresses that a charter lists
+    Workers {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+    },
+    /// Run the router on the platform, by LB_NAME, LB_LISTEN and LB_CONFIG
+    Platform,
+    /// Tell what the gateway of a charter knows of the others
+    Peers {
+        #[arg(long, value_name = "FILE")]
+        charter: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -138,14 +138,14 @@
             }
             Err(code) => code,
         },
-        Wanted::Workers { charter } => workers::workers(&charter),
-        Wanted::Peers { charter, json } => peers::peers(&charter, json),
         Wanted::Control { charter, number, found } => control::control(&charter, number, found),
         Wanted::Change { charter, file, remove, wait } => {
             let (file, remove) = (file.as_deref(), &remove[..]);
             change::change(&change::Asked { charter: &charter, file, remove, wait })
         }
         Wanted::Changes { charter, json, here } => changes::changes(&charter, json, here),
+        Wanted::Workers { charter } => workers::workers(&charter),
+        Wanted::Peers { charter, json } => peers::peers(&charter, json),
         Wanted::Platform => platform::platform(),
         Wanted::Day { file, seed, json, lag, cores, plant, records } => {
             let (plant, records) = (plant.as_deref(), records.as_deref());
