--- a/crates/changes/benches/fleet.rs
+++ b/crates/changes/benches/fleet.rs
@@ -1,5 +1,6 @@
 //! What following costs and how soon a change is in force, by size of the fleet: simulated time, the cores as they are,
-//! datagrams sealed as in service, seven control machines, 1% of the messages lost, one of ten zones gone in the burst.
+//! datagrams sealed as in service, seven control machines, 1% of the messages lost; with the burst one of ten zones goes,
+//! that of the control machine which leads.
 //! `cargo bench -p milletpath-changes --bench fleet`; `-- quick` for the small sizes alone, `-- --json` for one line of
 //! JSON a size.
 
@@ -10,7 +11,8 @@
 
 use burst::{Burst, between, spent};
 use milletpath_changes::State;
-use net::{Net, Place, regions};
+use net::place::regions;
+use net::{Net, Place};
 
 fn at(values: &mut [f64], part: f64) -> f64 {
     values.sort_by(f64::total_cmp);
@@ -25,6 +27,8 @@
     state.texts() + keys + state.iter().count() * AROUND
 }
 
+const GONE: usize = 0;
+
 fn main() {
     let asked = |name: &str| std::env::args().any(|a| a == name);
     let sizes: &[usize] = if asked("quick") { &[100] } else { &[100, 300, 600, 1100] };
@@ -43,11 +47,12 @@
         let (before, from) = (spent(&net), net.now);
         net.play(from + 10.0);
         let rest = between(before, spent(&net), 10.0);
-        net.gone = vec![9];
+        // The zone of the machine that leads.
+        net.gone = vec![GONE];
         let mut burst = Burst::play(&mut net, 20);
         let [p50, p99] = [0.5, 0.99].map(|part| at(&mut burst.delays, part));
         let worst = burst.worst();
-        let there = (0..size).filter(|n| Place::Follower(*n).zone() != 9).count();
+        let there = (0..size).filter(|n| Place::Follower(*n).zone() != GONE).count();
         let missed = 20 * there - burst.delays.len();
         let state = memory(net.follower(0).state());
         if asked("--json") {
--- a/crates/changes/tests/fleet.rs
+++ b/crates/changes/tests/fleet.rs
@@ -5,7 +5,8 @@
 mod net;
 
 use burst::{Burst, SECONDS};
-use net::{Net, Place, regions};
+use net::place::regions;
+use net::{Net, Place};
 
 /// What comes of a burst of 20 changes within a second while that zone is cut off; the gateways there are not counted.
 fn burst(seed: u64, gone: Option<usize>, followers: usize) -> (Burst, Net) {
--- a/crates/changes/tests/followers.rs
+++ b/crates/changes/tests/followers.rs
@@ -5,7 +5,8 @@
 mod net;
 
 use milletpath_changes::{Follower, FollowerView, Message, Terms};
-use net::{Net, Place, apart, calm, change, lossy};
+use net::place::{apart, calm, lossy};
+use net::{Net, Place, change};
 use rand::Rng;
 use test_case::test_case;
 
--- a/crates/changes/tests/net/mod.rs
+++ b/crates/changes/tests/net/mod.rs
@@ -4,61 +4,23 @@
 
 #![allow(dead_code)]
 
+pub mod place;
+pub mod reference;
+
+pub use place::Place;
+
 use milletpath_changes::message::{self, Key};
-use milletpath_changes::{Act, Change, Entry, Follower, Message, Outcome, Record, Replica, State, Terms};
+use milletpath_changes::{Act, Change, Follower, Message, Outcome, Record, Replica, Terms};
+use place::Place::{Author, Follower as Gateway, Replica as Machine};
+use place::{Lies, Rule, calm};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use reference::Reference;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::SocketAddr;
 use std::time::Instant;
 
-/// Who sends or hears.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Place {
-    Replica(usize),
-    Follower(usize),
-    Author(usize),
-}
-
-use Place::{Author, Follower as Gateway, Replica as Machine};
-
-/// What befalls one message: the delays after which it comes, none where it is lost.
-pub type Rule = Box<dyn FnMut(f64, Place, Place, &mut ChaCha8Rng) -> Vec<f64>>;
-
-/// What a place that lies makes of what it sends.
-pub type Lies = Box<dyn FnMut(Place, &mut Message)>;
-
-impl Place {
-    pub fn at(self) -> SocketAddr {
-        let (net, n) = match self {
-            Machine(n) => (0, n),
-            Gateway(n) => (1, n),
-            Author(n) => (2, n),
-        };
-        SocketAddr::from(([10, net, (n / 250) as u8, (n % 250) as u8 + 1], 7500))
-    }
-
-    fn of(at: SocketAddr) -> Self {
-        let SocketAddr::V4(at) = at else { panic!("{at}") };
-        let [_, net, high, low] = at.ip().octets();
-        let n = usize::from(high) * 250 + usize::from(low) - 1;
-        [Machine(n), Gateway(n), Author(n)][usize::from(net)]
-    }
-
-    /// Ten zones in four regions; each control machine has a zone of its own.
-    pub fn zone(self) -> usize {
-        match self {
-            Machine(n) | Gateway(n) | Author(n) => n % 10,
-        }
-    }
-
-    pub fn region(self) -> usize {
-        self.zone() % 4
-    }
-}
-
-#[derive(Default)]
 pub struct Node<T> {
     pub core: Option<T>,
     rate: f64,
@@ -134,39 +96,6 @@
     Sent(fn(&Message) -> bool),
 }
 
-/// The one log, as it is first seen committed anywhere.
-#[derive(Default)]
-pub struct Reference {
-    pub entries: BTreeMap<u64, Entry>,
-    pub state: State,
-    /// Digests by number, from 0 on.
-    pub digests: Vec<u64>,
-    pub at: Vec<f64>,
-}
-
-impl Reference {
-    fn committed(&mut self, now: f64, entry: &Entry) {
-        if self.digests.is_empty() {
-            self.digests.push(0);
-            self.at.push(0.0);
-        }
-        let number = entry.number;
-        if let Some(before) = self.entries.get(&number) {
-            assert_eq!(before, entry, "two different entries are committed at {number}");
-            return;
-        }
-        assert_eq!(number, self.state.head() + 1, "committed out of order");
-        self.state.apply(entry.clone());
-        self.entries.insert(number, entry.clone());
-        self.digests.push(self.state.digest());
-        self.at.push(now);
-    }
-
-    pub fn digest(&self, number: u64) -> Option<u64> {
-        if number == 0 { Some(0) } else { self.digests.get(number as usize).copied() }
-    }
-}
-
 pub struct Net {
     pub now: f64,
     pub terms: Terms,
@@ -195,41 +124,6 @@
     pub timed: bool,
 }
 
-/// Messages take half a millisecond to two, and are never lost.
-pub fn calm() -> Rule {
-    Box::new(|_, _, _, chance| vec![chance.random_range(0.0005..0.002)])
-}
-
-/// A part of the messages is lost.
-pub fn lossy(part: f64) -> Rule {
-    Box::new(
-        move |_, _, _, chance| {
-            if chance.random_bool(part) { vec![] } else { vec![chance.random_range(0.0005..0.002)] }
-        },
-    )
-}
-
-/// A millisecond inside a region, 30 to 150 ms across by pair of regions, and a part is lost.
-pub fn regions(part: f64) -> Rule {
-    Box::new(move |_, from, to, chance| {
-        if chance.random_bool(part) {
-            return vec![];
-        }
-        let (a, b) = (from.region().min(to.region()), from.region().max(to.region()));
-        let far = [[0.001, 0.03, 0.08, 0.15], [0.0, 0.001, 0.06, 0.11], [0.0, 0.0, 0.001, 0.05], [0.001; 4]];
-        vec![far[a][b] * chance.random_range(1.0..1.1)]
-    })
-}
-
-/// Parts that hear only themselves: by the number of the part of each place.
-pub fn apart(part: impl Fn(Place) -> usize + 'static) -> Rule {
-    Box::new(
-        move |_, from, to, chance| {
-            if part(from) == part(to) { vec![chance.random_range(0.0005..0.002)] } else { vec![] }
-        },
-    )
-}
-
 pub fn change(id: u64, key: &str, text: &str, replaces: u64) -> Change {
     Change { id, key: key.into(), text: Some(text.into()), replaces }
 }
--- /dev/null
+++ b/crates/changes/tests/net/reference.rs
@@ -0,0 +1,37 @@
+//! The one log that all that is committed or in force anywhere is compared with.
+
+use milletpath_changes::{Entry, State};
+use std::collections::BTreeMap;
+
+/// The one log, as it is first seen committed anywhere.
+#[derive(Default)]
+pub struct Reference {
+    pub entries: BTreeMap<u64, Entry>,
+    pub state: State,
+    /// Digests by number, from 0 on.
+    pub digests: Vec<u64>,
+    pub at: Vec<f64>,
+}
+
+impl Reference {
+    pub fn committed(&mut self, now: f64, entry: &Entry) {
+        if self.digests.is_empty() {
+            self.digests.push(0);
+            self.at.push(0.0);
+        }
+        let number = entry.number;
+        if let Some(before) = self.entries.get(&number) {
+            assert_eq!(before, entry, "two different entries are committed at {number}");
+            return;
+        }
+        assert_eq!(number, self.state.head() + 1, "committed out of order");
+        self.state.apply(entry.clone());
+        self.entries.insert(number, entry.clone());
+        self.digests.push(self.state.digest());
+        self.at.push(now);
+    }
+
+    pub fn digest(&self, number: u64) -> Option<u64> {
+        if number == 0 { Some(0) } else { self.digests.get(number as usize).copied() }
+    }
+}
--- a/crates/changes/tests/replicas.rs
+++ b/crates/changes/tests/replicas.rs
@@ -4,7 +4,8 @@
 mod net;
 
 use milletpath_changes::{Change, KEY, Message, Outcome, Record, TEXT};
-use net::{Dies, Net, Place, apart, calm, change};
+use net::place::{apart, calm};
+use net::{Dies, Net, Place, change};
 use rand::Rng;
 use test_case::test_case;
 
