--- a/crates/changes/tests/burst/mod.rs
+++ b/crates/changes/tests/burst/mod.rs
@@ -103,7 +103,7 @@
 }
 
 /// A statement of the usual length.
-fn stated(id: u64) -> milletpath_changes::Change {
+pub fn stated(id: u64) -> milletpath_changes::Change {
     let text =
         "function \"resize-thumbnails\" {\n  lanes = 2\n  memory = 400\n  profile = \"interactive\"\n}\n";
     change(id, &format!("function resize-thumbnails-{id}"), text, 0)
