--- a/crates/milletpath/src/change.rs
+++ b/crates/milletpath/src/change.rs
@@ -55,19 +55,38 @@
                 last = last.max(number);
             }
             Err(Failed { wrong, input }) => {
-                match (one.place, asked.file) {
-                    (Some((line, column)), Some(file)) if input => {
+                match (input, one.place, asked.file) {
+                    (Some(within), Some(begins), Some(file)) => {
+                        let (line, column) = placed(begins, within);
                         eprintln!("{}:{line}:{column}: {}: {wrong}", file.display(), one.key);
                     }
                     _ => eprintln!("{}: {wrong}", one.key),
                 }
-                return if input { ExitCode::from(2) } else { ExitCode::FAILURE };
+                return if input.is_some() { ExitCode::from(2) } else { ExitCode::FAILURE };
             }
         }
     }
     watch(&client, last, asked.wait)
 }
 
+/// Line and column that a reason begins with, from 1, and the rest of it.
+fn located(why: &str) -> ((usize, usize), &str) {
+    let mut parts = why.splitn(3, ':');
+    let mut number = || parts.next()?.parse::<usize>().ok().filter(|n| *n > 0);
+    match (number(), number(), parts.next()) {
+        (Some(line), Some(column), Some(rest)) => ((line, column), rest.trim_start()),
+        _ => ((1, 1), why),
+    }
+}
+
+/// A place within a statement, as one of the file in which that begins there.
+fn placed(begins: (usize, usize), within: (usize, usize)) -> (usize, usize) {
+    match within {
+        (1, column) => (begins.0, begins.1 + column - 1),
+        (line, column) => (begins.0 + line - 1, column),
+    }
+}
+
 /// All changes that are asked for, or what is wrong with them.
 fn wanted(house: &House, asked: &Asked<'_>) -> Result<Vec<Wanted>, Vec<String>> {
     let mut wanted = Vec::new();
@@ -101,13 +120,13 @@
 /// Why a change was not made.
 struct Failed {
     wrong: String,
-    /// What was asked for is wrong.
-    input: bool,
+    /// Where in its statement, from 1, if it is what was asked for that is wrong.
+    input: Option<(usize, usize)>,
 }
 
 /// Has one change made; gives its number in the log.
 fn propose(client: &Client, wanted: &Wanted) -> Result<u64, Failed> {
-    let failed = |wrong: String| Err(Failed { wrong, input: false });
+    let failed = |wrong: String| Err(Failed { wrong, input: None });
     let Some(before) = client.get(&wanted.key) else {
         return failed(
             "no control machine answers: nothing was proposed; are they running, with this key?".into(),
@@ -131,11 +150,12 @@
             }
         }
         Told::Denied(why) => {
-            let wrong = format!("the control machine refuses it, in the statement at {why}");
-            Err(Failed { wrong, input: true })
+            let (within, why) = located(&why);
+            let wrong = format!("the control machine refuses it: {why}");
+            Err(Failed { wrong, input: Some(within) })
         }
         Told::Outcome(Outcome::TooLarge | Outcome::NoKey) => {
-            Err(Failed { wrong: "it is larger than a change may be".into(), input: true })
+            Err(Failed { wrong: "it is larger than a change may be".into(), input: Some((1, 1)) })
         }
         Told::Outcome(Outcome::Full) => {
             failed("there is no room for more statements; take back some that are not needed".into())
