--- a/crates/changes/tests/replicas.rs
+++ b/crates/changes/tests/replicas.rs
@@ -200,6 +200,46 @@
     agree(&net);
 }
 
+/// One helped to choose a change and told its author, lost its disk, and dies again just when it was taken in: what it was
+/// told then binds it, although it has sent nothing since.
+#[test]
+fn what_it_was_told_when_taken_in_binds_it() {
+    let mut net = Net::new(3, 0, 17);
+    net.play(1.0);
+    net.commit(0, change(1, "early", "lanes = 1", 0));
+    net.play(net.now + 1.0);
+    net.kill(2);
+    // Nothing of what 1 says comes to 0, which leads: 1 alone knows that the change is chosen.
+    net.rule = Box::new(|_, from, to, _| match (from, to) {
+        (Place::Replica(1), Place::Replica(0)) => vec![],
+        _ => vec![0.001],
+    });
+    net.propose(0, 0, change(2, "late", "lanes = 2", 0));
+    net.propose(0, 1, change(2, "late", "lanes = 2", 0));
+    net.play(net.now + 0.5);
+    assert_eq!((net.outcome(0, 2), net.head(0)), (Some(Outcome::Committed(2)), 1));
+    net.kill(1);
+    net.disks[1].clear();
+    // 0 does not reach 2.
+    net.rule = Box::new(|_, from, to, _| match (from, to) {
+        (Place::Replica(0), Place::Replica(2)) => vec![],
+        _ => vec![0.001],
+    });
+    net.dies = Some((1, Dies::Stored(|record| *record == Record::Joined)));
+    net.begin(2);
+    net.begin(1);
+    net.play(net.now + 3.0);
+    assert!(net.machines[1].core.is_none(), "it died");
+    net.kill(0);
+    net.begin(1);
+    net.commit(2, change(3, "other", "lanes = 3", 0));
+    assert_eq!(places(&net, 2), [2]);
+    net.begin(0);
+    net.rule = calm();
+    net.play(net.now + 3.0);
+    agree(&net);
+}
+
 /// Five machines die, lose disks (two may lack one at a time) and are cut off one after the other while changes come: never
 /// two entries at a number, as `net` looks at each, and after it all are taken in and agree.
 #[test]
