--- a/crates/changes/tests/net/mod.rs
+++ b/crates/changes/tests/net/mod.rs
@@ -4,9 +4,11 @@
 
 #![allow(dead_code)]
 
+mod looks;
 pub mod place;
 pub mod reference;
 
+pub use looks::change;
 pub use place::Place;
 
 use milletpath_changes::message::{self, Key};
@@ -124,10 +126,6 @@
     pub timed: bool,
 }
 
-pub fn change(id: u64, key: &str, text: &str, replaces: u64) -> Change {
-    Change { id, key: key.into(), text: Some(text.into()), replaces }
-}
-
 impl Net {
     /// Control machines of a new log, all begun, and followers that have not begun.
     pub fn new(machines: usize, followers: usize, seed: u64) -> Self {
--- a/crates/changes/tests/replicas.rs
+++ b/crates/changes/tests/replicas.rs
@@ -1,4 +1,4 @@
-//! Control machines: deaths between two acts, cuts, disks that are old or lost, authors and proposers that meet. In all of
+//! Control machines: deaths between two acts, cuts, authors and proposers that meet. Disks are in `disks.rs`. In all of
 //! it the network of `net` looks at each committed entry; what is told here is what becomes of it.
 
 mod net;
@@ -9,27 +9,6 @@
 use rand::Rng;
 use test_case::test_case;
 
-/// All machines that are up have the same in force.
-fn agree(net: &Net) {
-    let up: Vec<_> = net.machines.iter().filter_map(|node| node.core.as_ref()).collect();
-    assert!(up.iter().all(|core| core.state() == up[0].state()), "heads {:?}", heads(net));
-}
-
-fn heads(net: &Net) -> Vec<u64> {
-    net.machines.iter().filter_map(|node| node.core.as_ref()).map(|core| core.state().head()).collect()
-}
-
-/// At which numbers a change stands in the log.
-fn places(net: &Net, id: u64) -> Vec<u64> {
-    net.log.entries.values().filter(|e| e.change.id == id).map(|e| e.number).collect()
-}
-
-/// Whether machine `n` votes and leads.
-fn view(net: &mut Net, n: usize) -> milletpath_changes::ReplicaView {
-    let clock = net.machines[n].clock(net.now);
-    net.machines[n].core.as_mut().expect("it is up").view(clock)
-}
-
 fn is_accepted(record: &Record) -> bool {
     matches!(record, Record::Accepted(vote) if vote.change.key == "late")
 }
@@ -49,35 +28,11 @@
     assert_eq!(net.commit(0, change(1, "function a", "lanes = 2", 0)), 1);
     assert_eq!(net.commit(size - 1, change(2, "function a", "lanes = 3", 1)), 2);
     net.play(net.now + 1.0);
-    agree(&net);
+    net.agree();
     let (number, stated) = net.replica(0).state().get("function a").expect("it stands");
     assert_eq!((number, stated.text.as_deref()), (2, Some("lanes = 3")));
 }
 
-/// A machine dies when it has stored what it accepts and before anybody hears of it; who proposed it dies too. What it
-/// has on its disk is found by who leads next.
-#[test]
-fn what_was_stored_and_not_sent_is_found_after_the_restart() {
-    let mut net = Net::new(3, 0, 2);
-    net.play(1.0);
-    net.commit(0, change(1, "early", "lanes = 1", 0));
-    net.kill(2);
-    net.dies = Some((1, Dies::Stored(is_accepted)));
-    net.propose(0, 0, change(2, "late", "lanes = 2", 0));
-    net.play(net.now + 1.0);
-    assert!(net.machines[1].core.is_none(), "it died");
-    assert_eq!(net.log.state.head(), 1, "one of three is not enough");
-    net.kill(0);
-    net.begin(1);
-    net.begin(2);
-    net.play(net.now + 1.0);
-    let number = net.commit(2, change(3, "later", "lanes = 3", 0));
-    assert_eq!((places(&net, 2), number), (vec![2], 3));
-    net.begin(0);
-    net.play(net.now + 2.0);
-    agree(&net);
-}
-
 /// Who proposes dies after the first of its messages: whoever takes over finds it and ends it, and the author, who asks
 /// again elsewhere, is told the number.
 #[test]
@@ -94,7 +49,7 @@
     assert_eq!(net.commit(3, late), 2);
     net.begin(0);
     net.play(net.now + 2.0);
-    agree(&net);
+    net.agree();
     let held = net.log.state.get("late").expect("it stands");
     assert_eq!((held.0, held.1.id), (2, 2));
 }
@@ -109,7 +64,7 @@
     net.propose(0, 0, change(2, "late", "lanes = 2", 0));
     net.play(net.now + 8.0);
     assert!(net.machines[0].core.is_none(), "it died");
-    assert_eq!((places(&net, 2), heads(&net)), (vec![2], vec![2, 2]));
+    assert_eq!((net.places(2), net.heads()), (vec![2], vec![2, 2]));
 }
 
 /// Who proposes dies before anybody heard: the change is nowhere, also after its machine came back, as its number went to
@@ -126,8 +81,8 @@
     assert_eq!(net.commit(1, change(3, "other", "lanes = 3", 0)), 2);
     net.begin(0);
     net.play(net.now + 5.0);
-    agree(&net);
-    assert_eq!((places(&net, 2), heads(&net)), (vec![], vec![2, 2, 2]));
+    net.agree();
+    assert_eq!((net.places(2), net.heads()), (vec![], vec![2, 2, 2]));
     // Its author learns just that when he asks again: it is as new.
     assert_eq!(net.commit(0, change(2, "late", "lanes = 2", 0)), 3);
 }
@@ -146,163 +101,17 @@
     net.play(net.now + 6.0);
     assert_eq!(net.outcome(0, 2), Some(Outcome::Unknown));
     assert_eq!(net.outcome(1, 3), Some(Outcome::Committed(2)));
-    assert_eq!(heads(&net), [1, 1, 2, 2, 2]);
-    assert!(view(&mut net, 0).sure_as_of.is_none_or(|age| age > 5.0), "it knows that it may be behind");
-    assert!(view(&mut net, 2).sure_as_of.is_some_and(|age| age < 1.0));
+    assert_eq!(net.heads(), [1, 1, 2, 2, 2]);
+    assert!(net.machine_view(0).sure_as_of.is_none_or(|age| age > 5.0), "it knows that it may be behind");
+    assert!(net.machine_view(2).sure_as_of.is_some_and(|age| age < 1.0));
     net.rule = calm();
     net.play(net.now + 3.0);
-    agree(&net);
+    net.agree();
     net.propose(0, 0, change(2, "a", "lanes = 2", 0));
     net.play(net.now + 3.0);
     assert_eq!(net.outcome(0, 2), Some(Outcome::Superseded(2)), "its author learns that he was too late");
 }
 
-/// A machine that was away for long comes back with what it had.
-#[test]
-fn an_old_disk_catches_up_and_votes() {
-    let mut net = Net::new(3, 0, 6);
-    net.play(1.0);
-    net.commit(2, change(1, "early", "lanes = 1", 0));
-    net.play(net.now + 1.0);
-    net.kill(2);
-    net.commit_many(0, "function", 60);
-    net.begin(2);
-    net.play(net.now + 3.0);
-    agree(&net);
-    net.kill(0);
-    net.commit(1, change(2, "late", "lanes = 2", 0));
-    agree(&net);
-}
-
-/// Without a disk a machine learns and does not vote until both others answered; with one of these away nothing passes, as
-/// the two that are left could together forget what the three had chosen.
-#[test]
-fn a_lost_disk_does_not_vote_until_all_others_answered() {
-    let mut net = Net::new(3, 0, 7);
-    net.play(1.0);
-    net.commit(0, change(1, "early", "lanes = 1", 0));
-    net.kill(2);
-    net.disks[2].clear();
-    net.kill(1);
-    net.begin(2);
-    net.propose(0, 0, change(2, "late", "lanes = 2", 0));
-    net.play(net.now + 6.0);
-    assert_eq!(net.outcome(0, 2), Some(Outcome::Unknown));
-    assert!(!view(&mut net, 2).votes);
-    assert_eq!(heads(&net), [1, 1], "it learns all the same");
-    net.begin(1);
-    net.play(net.now + 3.0);
-    assert!(view(&mut net, 2).votes);
-    net.kill(0);
-    net.commit(2, change(3, "later", "lanes = 3", 0));
-    net.begin(0);
-    net.play(net.now + 3.0);
-    agree(&net);
-}
-
-/// One helped to choose a change and told its author, lost its disk, and dies again just when it was taken in: what it was
-/// told then binds it, although it has sent nothing since.
-#[test]
-fn what_it_was_told_when_taken_in_binds_it() {
-    let mut net = Net::new(3, 0, 17);
-    net.play(1.0);
-    net.commit(0, change(1, "early", "lanes = 1", 0));
-    net.play(net.now + 1.0);
-    net.kill(2);
-    // Nothing of what 1 says comes to 0, which leads: 1 alone knows that the change is chosen.
-    net.rule = Box::new(|_, from, to, _| match (from, to) {
-        (Place::Replica(1), Place::Replica(0)) => vec![],
-        _ => vec![0.001],
-    });
-    net.propose(0, 0, change(2, "late", "lanes = 2", 0));
-    net.propose(0, 1, change(2, "late", "lanes = 2", 0));
-    net.play(net.now + 0.5);
-    assert_eq!((net.outcome(0, 2), net.head(0)), (Some(Outcome::Committed(2)), 1));
-    net.kill(1);
-    net.disks[1].clear();
-    // 0 does not reach 2.
-    net.rule = Box::new(|_, from, to, _| match (from, to) {
-        (Place::Replica(0), Place::Replica(2)) => vec![],
-        _ => vec![0.001],
-    });
-    net.dies = Some((1, Dies::Stored(|record| *record == Record::Joined)));
-    net.begin(2);
-    net.begin(1);
-    net.play(net.now + 3.0);
-    assert!(net.machines[1].core.is_none(), "it died");
-    net.kill(0);
-    net.begin(1);
-    net.commit(2, change(3, "other", "lanes = 3", 0));
-    assert_eq!(places(&net, 2), [2]);
-    net.begin(0);
-    net.rule = calm();
-    net.play(net.now + 3.0);
-    agree(&net);
-}
-
-/// Five machines die, lose disks (two may lack one at a time) and are cut off one after the other while changes come: never
-/// two entries at a number, as `net` looks at each, and after it all are taken in and agree.
-#[test]
-fn disks_lost_one_after_the_other_lose_nothing() {
-    let (mut lost, mut committed) = (0, 0);
-    for seed in 0..12 {
-        let mut net = Net::new(5, 0, seed);
-        net.play(1.0);
-        for step in 1..40 {
-            let n = net.chance.random_range(0..5);
-            let bare =
-                |disk: &Vec<Record>| !disk.iter().any(|r| matches!(r, Record::Founded | Record::Joined));
-            let without = (0..5).filter(|o| *o == n || bare(&net.disks[*o])).count();
-            if net.chance.random_bool(0.6) {
-                net.kill(n);
-                if without <= 2 && net.chance.random_bool(0.5) {
-                    net.disks[n].clear();
-                    lost += 1;
-                }
-                net.begin(n);
-            }
-            let cut = net.chance.random_range(0..8);
-            net.rule = apart(move |place| usize::from(place == Place::Replica(cut)));
-            for id in [2 * step, 2 * step + 1] {
-                let machine = net.chance.random_range(0..5);
-                net.propose(0, machine, change(id, &format!("key {id}"), "lanes = 1", 0));
-            }
-            let seconds = net.chance.random_range(0.1..3.0);
-            net.play(net.now + seconds);
-        }
-        net.rule = calm();
-        net.play(net.now + 15.0);
-        agree(&net);
-        assert!((0..5).all(|n| view(&mut net, n).votes), "seed {seed}");
-        let told = net.mail.iter().filter_map(|(_, _, m)| match m {
-            Message::Proposed { id, outcome: Outcome::Committed(number) } => Some((*id, *number)),
-            _ => None,
-        });
-        for (id, number) in told {
-            assert_eq!(net.log.entries[&number].change.id, id, "seed {seed}");
-        }
-        committed += net.log.state.head();
-    }
-    assert!(lost > 60 && committed > 400, "{lost} disks lost, {committed} entries");
-}
-
-/// With a majority of disks lost nobody is taken in: the log would be a new one.
-#[test]
-fn most_disks_lost_is_no_log() {
-    let mut net = Net::new(3, 0, 8);
-    net.play(1.0);
-    net.commit(0, change(1, "early", "lanes = 1", 0));
-    for n in 1..3 {
-        net.kill(n);
-        net.disks[n].clear();
-        net.begin(n);
-    }
-    net.propose(0, 0, change(2, "late", "lanes = 2", 0));
-    net.play(net.now + 6.0);
-    assert_eq!(net.outcome(0, 2), Some(Outcome::Unknown));
-    assert!((1..3).all(|n| !view(&mut net, n).votes));
-}
-
 #[test]
 fn of_two_authors_at_once_on_one_key_one_learns_that_he_was_too_late() {
     let mut net = Net::new(3, 0, 9);
@@ -318,7 +127,7 @@
             || told == [Some(Outcome::Superseded(won)), Some(Outcome::Committed(won))],
         "{told:?}"
     );
-    agree(&net);
+    net.agree();
 }
 
 #[test]
@@ -330,7 +139,7 @@
     net.play(net.now + 4.0);
     let told = [net.outcome(1, 2), net.outcome(2, 3)];
     assert!(told.iter().all(|o| matches!(o, Some(Outcome::Committed(_)))), "{told:?}");
-    agree(&net);
+    net.agree();
 }
 
 /// Nobody leads yet, and three machines want to at the same moment.
@@ -349,9 +158,9 @@
         net.play(5.0);
         let told: Vec<_> = (0..3).map(|n| net.outcome(n, n as u64 + 1)).collect();
         assert!(told.iter().all(|o| matches!(o, Some(Outcome::Committed(_)))), "seed {seed}: {told:?}");
-        let prepared: u64 = (0..3).map(|n| view(&mut net, n).tally.prepared).sum();
+        let prepared: u64 = (0..3).map(|n| net.machine_view(n).tally.prepared).sum();
         assert!(prepared >= 2, "seed {seed}: they met");
-        agree(&net);
+        net.agree();
     }
 }
 
@@ -376,7 +185,7 @@
     net.propose(5, 0, first);
     net.play(net.now + 1.0);
     assert_eq!(net.outcome(5, 1), Some(Outcome::Unknown));
-    assert_eq!(places(&net, 1), [number]);
+    assert_eq!(net.places(1), [number]);
 }
 
 #[test]
@@ -409,40 +218,10 @@
     net.commit(0, change(u64::MAX, &"k".repeat(KEY), &"x".repeat(TEXT), 0));
     net.begin(2);
     net.play(net.now + 2.0);
-    agree(&net);
+    net.agree();
     assert_eq!(net.number(0), 1);
 }
 
-/// A machine begins from a rewritten disk as it ended; one that is behind what the others keep one by one gathers what is
-/// in force, and what it had of that when it died is as nothing.
-#[test]
-fn a_rewritten_disk_says_all_and_whoever_is_far_behind_gathers() {
-    let mut net = Net::new(3, 0, 14);
-    net.play(1.0);
-    net.kill(2);
-    net.commit_many(0, "function", 80);
-    for n in 0..2 {
-        net.compact(n);
-        let before = net.replica(n).state().clone();
-        net.kill(n);
-        net.begin(n);
-        assert_eq!(*net.replica(n).state(), before);
-    }
-    net.dies = Some((2, Dies::Stored(|record| matches!(record, Record::Held(_)))));
-    net.begin(2);
-    net.play(net.now + 3.0);
-    assert!(net.machines[2].core.is_none(), "it died");
-    net.begin(2);
-    assert_eq!(net.head(2), 0);
-    net.play(net.now + 3.0);
-    agree(&net);
-    net.kill(0);
-    net.commit(2, change(1, "late", "lanes = 1", 0));
-    net.begin(0);
-    net.play(net.now + 2.0);
-    agree(&net);
-}
-
 /// Messages come twice, late by seconds, and in any order, and a fifth is lost.
 #[test]
 fn repeated_and_late_messages_do_no_harm() {
@@ -469,7 +248,7 @@
         }
         net.rule = calm();
         net.play(net.now + 10.0);
-        agree(&net);
+        net.agree();
         assert!(net.log.state.head() >= 4, "seed {seed}: {}", net.log.state.head());
         assert!((0..3).all(|n| net.number(n) == net.log.state.head()), "seed {seed}");
     }
@@ -496,7 +275,7 @@
     }
     net.play(net.now + 0.1);
     assert_eq!(net.replica(1).compact(), before);
-    assert_eq!(view(&mut net, 1).tally.strange, 5);
+    assert_eq!(net.machine_view(1).tally.strange, 5);
 }
 
 /// What stands under a key, and the view in pages.
