Capacity: slopes by a bench, forms fitted to them, and a page that a command makes

What each role spends at 1,100 gateways was guessed from trials. The bench slopes measures 48 slopes by the thread's clock, each from four sizes or more, and writes a JSON file each; milletpath capacity fits a form, works out the rows of each role against what is granted, and solves for the part of the size at which a bound breaks. Assumptions stand in a file, with half and double.

--- /dev/null
+++ b/crates/capacity/src/lacks.rs
@@ -0,0 +1,56 @@
+//! Mechanisms that are not there, and those that fail by what the code says whatever they cost.
+
+use crate::assumed::Assumed;
+use crate::model::Lack;
+use crate::scale::Fleet;
+
+/// What is not there, and what fails by what the code says whatever it costs. A fleet that showed that a
+/// change gets known takes the first off the list.
+pub fn lacks(a: &Assumed, fleets: &[Fleet]) -> Vec<Lack> {
+    let asked = &a.asked;
+    let mut lacks = Vec::new();
+    lacks.extend(change(a, fleets));
+    // Equal regions that do not hear each other: each has a majority of all only while there is one.
+    let regions = (1..=asked.regions as usize).find(|r| asked.gateways / *r as f64 <= asked.gateways / 2.0);
+    if let Some(regions) = regions {
+        lacks.push(Lack {
+            what: "regions that lose each other keep standing for budgets".into(),
+            why: format!(
+                "by calculation from `peers::backing`: standing needs words of more than half of all \
+                 gateways, so of {regions} equal \
+                 regions apart none has it, nor of {}; each gateway then has its floor for as long",
+                asked.regions
+            ),
+            fails_at: regions as f64 / asked.regions,
+            below: false,
+        });
+    }
+    lacks
+}
+
+/// Changes of configuration: lacking, not shown at the size, or shown to come too late.
+fn change(a: &Assumed, fleets: &[Fleet]) -> Option<Lack> {
+    let (gateways, bound) = (a.asked.gateways, a.asked.change_in_force_s);
+    let shown: Vec<(f64, f64)> = fleets
+        .iter()
+        .filter_map(|f| {
+            f.known.get("change").and_then(|s| s.worst.or(s.p99)).map(|late| (f.gateways as f64, late))
+        })
+        .collect();
+    let largest = shown.iter().map(|s| s.0).fold(0.0, f64::max);
+    let late = shown.iter().filter(|s| s.1 > bound).min_by(|a, b| a.0.total_cmp(&b.0));
+    let (why, fails_at) = match late {
+        _ if shown.is_empty() => {
+            ("there is no mechanism: `serve` reads its charter at start only".into(), 1.0 / gateways)
+        }
+        Some((at, seconds)) => {
+            (format!("it took {seconds} s among {at} gateways in a scale run"), at / gateways)
+        }
+        None if largest < gateways => {
+            (format!("not shown among more than {largest} gateways in a scale run"), largest / gateways)
+        }
+        None => return None,
+    };
+    let what = format!("a change of configuration gets into every running gateway within {bound} s");
+    Some(Lack { what, why, fails_at: fails_at.min(1.0), below: false })
+}
--- /dev/null
+++ b/crates/capacity/tests/page.rs
@@ -0,0 +1,193 @@
+//! The page is what the command makes of the committed runs; a wrong figure moves it; scale runs find their
+//! place in it.
+
+use milletpath_capacity::assumed::Assumed;
+use milletpath_capacity::lacks::lacks;
+use milletpath_capacity::model::{Lack, Slopes};
+use milletpath_capacity::page::{ASSUMPTIONS, failing, number, rewrite, tables};
+use milletpath_capacity::roles::rows;
+use milletpath_capacity::run::{self, Run};
+use milletpath_capacity::scale;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use test_case::test_case;
+
+fn docs() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
+}
+
+/// The committed runs and what is assumed.
+fn committed() -> (Assumed, BTreeMap<String, Run>) {
+    let folder = docs().join("capacity");
+    (Assumed::read(&folder.join(ASSUMPTIONS)).unwrap(), run::read_all(&folder).unwrap())
+}
+
+/// What fails by such runs, in order.
+fn list(assumed: &Assumed, runs: BTreeMap<String, Run>) -> Vec<Lack> {
+    failing(&rows(assumed, &Slopes::new(runs)), &lacks(assumed, &[]))
+}
+
+/// A folder of its own with the committed runs, without scale runs.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("milletpath-capacity-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        for file in std::fs::read_dir(docs().join("capacity")).unwrap() {
+            let path = file.unwrap().path();
+            let name = path.file_name().unwrap();
+            if !name.to_string_lossy().starts_with("scale-") {
+                std::fs::copy(&path, folder.join(name)).unwrap();
+            }
+        }
+        Self(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn the_page_is_what_the_command_makes_of_the_runs() {
+    let page = std::fs::read_to_string(docs().join("CAPACITY.md")).unwrap();
+    let made = rewrite(&page, &tables(&docs().join("capacity")).unwrap()).unwrap();
+    assert!(
+        page == made,
+        "docs/CAPACITY.md is not up to date: milletpath capacity --page \
+     docs/CAPACITY.md"
+    );
+}
+
+/// Every slope that a row asks for is there, and each row with a bound has a verdict.
+#[test]
+fn no_row_of_the_page_is_without_its_run() {
+    let (assumed, runs) = committed();
+    for row in rows(&assumed, &Slopes::new(runs)) {
+        assert!(row.value.is_finite(), "{}: {:?}", row.what, row.source);
+    }
+}
+
+#[test]
+fn a_wrong_figure_moves_the_list() {
+    let (assumed, runs) = committed();
+    let before = list(&assumed, runs.clone());
+    let what = "one worker joins: nothing else is decided for";
+    let at = |list: &[Lack]| list.iter().position(|l| l.what == what);
+    // A thousandth of what it takes: it holds; a thousandfold: it fails at a smaller part of the size than
+    // before.
+    let planted = |times: f64| {
+        let mut runs = runs.clone();
+        for size in &mut runs.get_mut("list-join").unwrap().sizes {
+            (size.value, size.low, size.high) = (size.value * times, size.low * times, size.high * times);
+        }
+        list(&assumed, runs)
+    };
+    assert_eq!(at(&planted(1e-3)), None);
+    let (was, is) = (at(&before).expect("it fails today"), planted(1e3));
+    assert!(is[at(&is).unwrap()].fails_at < before[was].fails_at);
+    let folder = Folder::new("wrong");
+    let path = folder.0.join("list-join.json");
+    let good = tables(&folder.0).unwrap();
+    let mut run = run::read(&path).unwrap();
+    run.sizes[0].value *= 10.0;
+    std::fs::write(&path, serde_json::to_string(&run).unwrap()).unwrap();
+    assert_ne!(tables(&folder.0).unwrap(), good);
+}
+
+/// What is not there at all comes first, the rest in the order of the sizes at which it fails.
+#[test]
+fn the_list_is_in_order() {
+    let (assumed, runs) = committed();
+    let list = list(&assumed, runs);
+    assert!(list.windows(2).all(|pair| pair[0].fails_at <= pair[1].fails_at));
+    assert!(list.iter().all(|l| l.fails_at <= 1.0), "what fails beyond the size does not miss it");
+    let change =
+        list.iter().find(|l| l.what.starts_with("a change of configuration")).expect("it is lacking");
+    assert!((change.fails_at - 1.0 / 1_100.0).abs() < 1e-9);
+}
+
+/// A mechanism that holds at the size may fail at twice the size, and then says where.
+#[test]
+fn a_bound_is_solved_for_the_size_at_which_it_breaks() {
+    let (assumed, runs) = committed();
+    let rows = rows(&assumed, &Slopes::new(runs));
+    let known = rows.iter().find(|r| r.what == "workers known").unwrap();
+    assert!(!known.misses());
+    assert!((known.fails_at.unwrap() - 65_536.0 / 9_100.0).abs() < 0.01, "{:?}", known.fails_at);
+}
+
+#[test]
+fn a_run_that_is_not_there_is_said_to_be_not_run() {
+    let folder = Folder::new("missing");
+    std::fs::remove_file(folder.0.join("peers-age.json")).unwrap();
+    let made = tables(&folder.0).unwrap();
+    assert!(made.contains("not run: peers-age"));
+    assert!(made.contains("Not known, as it was not run"));
+}
+
+const FLEET: &str = r#"{"gateways": 1100, "seed": 3, "broken": [], "runs": ["peers", "changes"],
+ "control": {"cpu": {"p50": 0.004, "p99": 0.02, "worst": 0.05}, "bytes_in": {"p50": 7000, "p99": 9000, "worst": 11000}},
+ "known": {"change": {"p50": 0.2, "p99": 0.9, "worst": WORST}}}"#;
+
+/// A scale run that shows a change known to all takes it off the list, and stands in both tables; what it
+/// did not measure is said so.
+#[test_case("1.4", true; "in time")]
+#[test_case("3.2", false; "too late")]
+fn a_scale_run_takes_its_place(worst: &str, holds: bool) {
+    let folder = Folder::new(&format!("scale-{holds}"));
+    assert!(tables(&folder.0).unwrap().contains("Not run: no `scale-*.json`"));
+    let line = FLEET.replace('\n', "").replace("WORST", worst);
+    let before = line.replace("\"changes\"", "\"shares\"").replace("\"change\"", "\"death\"");
+    std::fs::write(folder.0.join("scale-after.json"), format!("{{\"progress\": 0.5}}\n{line}\n")).unwrap();
+    std::fs::write(folder.0.join("scale-before.json"), format!("{before}\n")).unwrap();
+    let made = tables(&folder.0).unwrap();
+    assert!(made.contains("| 0.4, 2, 5 **MISSES** | not measured | 7, 9, 11 |"), "{made}");
+    assert!(made.contains("| before | never |"));
+    let row = format!("| after | 0.2, 0.9, {worst} | {}", if holds { "holds" } else { "**MISSES**" });
+    assert!(made.contains(&row), "{row}");
+    assert_eq!(made.contains("| a change of configuration"), !holds);
+    let fleets = scale::read_all(&folder.0).unwrap();
+    assert!(fleets.iter().any(|f| f.ran("changes")) && fleets.iter().any(|f| !f.ran("changes")));
+}
+
+#[test_case("{\"gateways\": 3}\n", "no line of it is a scale run's last"; "no last line")]
+#[test_case("gateways\n", ":1:"; "no JSON")]
+#[test_case("{\"gateways\": -3, \"seed\": 1, \"control\": {}}\n", ":1:"; "fewer than none")]
+fn a_bad_scale_run_is_told_with_its_place(text: &str, wrong: &str) {
+    let folder = Folder::new(&format!("bad-{}", text.len()));
+    std::fs::write(folder.0.join("scale-bad.json"), text).unwrap();
+    let told = tables(&folder.0).unwrap_err();
+    assert!(told.contains("scale-bad.json") && told.contains(wrong), "{told}");
+}
+
+#[test_case("\"zipf\"", "\"zipff\"", "zipf is missing"; "misspelt")]
+#[test_case("\"value\": 1.6", "\"value\": 0", "zipf is no figure above 0"; "nothing")]
+#[test_case("\"gateways\": 1100", "\"gatewais\": 1100", "gatewais"; "an unknown figure")]
+fn a_bad_assumption_is_told_with_its_remedy(from: &str, to: &str, wrong: &str) {
+    let folder = Folder::new(&format!("assumed-{}", wrong.len()));
+    let path = folder.0.join(ASSUMPTIONS);
+    let text = std::fs::read_to_string(&path).unwrap();
+    assert!(text.contains(from));
+    std::fs::write(&path, text.replace(from, to)).unwrap();
+    let told = tables(&folder.0).unwrap_err();
+    assert!(told.contains(ASSUMPTIONS) && told.contains(wrong), "{told}");
+}
+
+#[test]
+fn a_page_without_its_marks_is_not_written_over() {
+    assert!(rewrite("# Capacity\n", "tables").unwrap_err().contains("add it where the tables belong"));
+}
+
+#[test_case(0.0, "0"; "nothing")]
+#[test_case(0.001234, "0.00123"; "small")]
+#[test_case(12.0, "12"; "whole")]
+#[test_case(999.6, "1,000"; "rounded up")]
+#[test_case(1234567.0, "1,234,567"; "large")]
+#[test_case(f64::NAN, "-"; "none")]
+fn a_number_reads_well(x: f64, text: &str) {
+    assert_eq!(number(x), text);
+}
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -1,6 +1,7 @@
 //! The milletpath program: sub-commands, logging and exit codes. 0 is fine, 1 that the thing asked failed, 2 wrong
 //! use or wrong input.
 
+mod capacity;
 mod day;
 mod log;
 mod peers;
@@ -50,6 +51,15 @@
         #[arg(long, value_name = "FILE")]
         charter: PathBuf,
     },
+    /// Print the tables of the capacity page from measured runs, or write them into the page
+    Capacity {
+        /// The folder of the runs and the assumptions
+        #[arg(long, value_name = "FOLDER", default_value = "docs/capacity")]
+        runs: PathBuf,
+        /// The page to write the tables into, between its marks
+        #[arg(long, value_name = "FILE")]
+        page: Option<PathBuf>,
+    },
     /// Run the router on the platform, by LB_NAME, LB_LISTEN and LB_CONFIG
     Platform,
     /// Tell what the gateway of a charter knows of the others
@@ -101,6 +111,7 @@
         },
         Wanted::Workers { charter } => workers::workers(&charter),
         Wanted::Peers { charter, json } => peers::peers(&charter, json),
+        Wanted::Capacity { runs, page } => capacity::capacity(&runs, page.as_deref()),
         Wanted::Platform => platform::platform(),
         Wanted::Day { file, seed, json, lag, cores, plant, records } => {
             let (plant, records) = (plant.as_deref(), records.as_deref());
