Capacity: where a form and the measured size differ, measured neighbours decide

The desk's memory at 9,100 workers misses its bound, its form (residual 27%, tables grow by doubling) would have it hold up to 1.01 of the size: the break was put at 1.

--- a/crates/capacity/benches/slopes/desk.rs
+++ b/crates/capacity/benches/slopes/desk.rs
@@ -3,7 +3,7 @@
 //! in four regions, 1 ms away and 30, 80 and 150 ms there and back; each holds one call of other gateways
 //! on average.
 
-use crate::list::{WORKERS, desk, entries};
+use crate::list::{desk, entries};
 use crate::measure::{Asked, Slope, allocated, look, size, spent};
 use milletpath_capacity::run::Size;
 use milletpath_gateway::desk::{Act, Come, Desk, End, Tag};
@@ -26,6 +26,9 @@
 const FLEET: f64 = 160_000.0;
 const WORK: f64 = 0.05;
 
+/// Workers that the desk is measured with; from few on, as a call's cost passes its bound early.
+const SOME: [usize; 7] = [30, 100, 300, 1_000, 3_000, 9_100, 30_000];
+
 /// What is played.
 #[derive(Clone, Copy)]
 pub struct Play {
@@ -304,7 +307,7 @@
      apart";
 
 pub fn workers(asked: &Asked) {
-    let sizes = sizes(asked, WORKERS.map(|workers| (workers as f64, Play { workers, ..USUAL })));
+    let sizes = sizes(asked, SOME.map(|workers| (workers as f64, Play { workers, ..USUAL })));
     CALL.write(asked, None, of(&sizes, |c| c.micros.clone()));
     Slope {
         name: "probes-workers",
@@ -338,7 +341,7 @@
 /// The same with a popularity that falls more slowly: more functions are known at a time.
 pub fn workers_flat(asked: &Asked) {
     let flat = Play { zipf: 1.1, ..USUAL };
-    let sizes = sizes(asked, WORKERS.map(|workers| (workers as f64, Play { workers, ..flat })));
+    let sizes = sizes(asked, SOME.map(|workers| (workers as f64, Play { workers, ..flat })));
     let fixed = &[("gateways", 1_100.0), ("functions", 33_000.0), ("calls a second", 145.0), ("zipf", 1.1)];
     let call = Slope { name: "call-workers-flat", fixed, group: "desk-flat", ..CALL };
     call.write(asked, None, of(&sizes, |c| c.micros.clone()));
@@ -364,7 +367,7 @@
 /// The gateway's own part of a cold start, with a popularity that falls slowly, so that there are hundreds of them.
 pub fn cold(asked: &Asked) {
     let sizes =
-        sizes(asked, WORKERS[..4].iter().map(|n| (*n as f64, Play { workers: *n, zipf: 1.1, ..USUAL })));
+        sizes(asked, SOME[2..6].iter().map(|n| (*n as f64, Play { workers: *n, zipf: 1.1, ..USUAL })));
     let fixed = &[("gateways", 1_100.0), ("functions", 33_000.0), ("calls a second", 145.0), ("zipf", 1.1)];
     let cold = Slope {
         name: "cold-start-p99",
--- a/crates/capacity/src/gateway.rs
+++ b/crates/capacity/src/gateway.rs
@@ -2,9 +2,8 @@
 //! it learns and decides.
 
 use crate::assumed::Assumed;
-use crate::model::{Ask, Kind, Place, Role, Slopes};
+use crate::model::{Ask, Kind, Place, Role, Slopes, between};
 use crate::popularity::Popularity;
-use crate::run::Run;
 use std::rc::Rc;
 
 /// As in `gateway::roll`: workers that may be known at a time.
@@ -362,7 +361,7 @@
     let gateways = a.asked.gateways;
     Ask::by_calculation(
         Role::Gateway,
-        Kind::Time,
+        Kind::State,
         "lanes busy in the whole fleet below which a function is not reported",
         "0.02 lanes at a gateway (`shares::counts`)",
         "lanes",
@@ -409,12 +408,3 @@
     let what = "answers of a gateway that adds up one bucket";
     Ask::by_calculation(Role::Gateway, Kind::Messages, what, mechanism, "kB/s", figure).may(NOTES_KB)
 }
-
-/// A measured figure between two neighbours: for what grows up to a ceiling, which no form has.
-fn between(run: &Run, at: f64) -> f64 {
-    let mut sizes: Vec<(f64, f64)> = run.sizes.iter().map(|s| (s.at, s.value)).collect();
-    sizes.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let Some(next) = sizes.iter().position(|s| s.0 >= at) else { return sizes.last().map_or(0.0, |s| s.1) };
-    let (from, to) = (if next == 0 { (0.0, 0.0) } else { sizes[next - 1] }, sizes[next]);
-    from.1 + (to.1 - from.1) * (at - from.0) / (to.0 - from.0)
-}
--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -242,18 +242,38 @@
         (ask.figure)(size, &figures)
     };
     row.fails_at = ask.may.and_then(|may| fails_at(&at, may));
-    // Where the form and what was measured at the size itself differ, what was measured holds.
-    row.fails_at = match row.fails_at {
-        Some(part) if row.misses() => Some(part.min(1.0)),
-        None if row.misses() => Some(1.0),
-        Some(part) if part < 1.0 => Some(1.0),
-        other => other,
-    };
+    // Where the form and what was measured at the size itself differ, what was measured holds, and what was measured
+    // on both sides of the bound.
+    let beyond = |part: Option<f64>| part.is_none_or(|part| part >= 1.0);
+    if row.may.is_some() && row.misses() == beyond(row.fails_at) {
+        let near = |size: f64| {
+            let figure = |(run, fit, p): &(&Run, Fit, Place)| match p.at * size {
+                at if run.second_axis.is_none() && at <= run.largest() => between(run, at),
+                at => fit.at(at, p.and * size),
+            };
+            (ask.figure)(size, &known.iter().map(figure).collect::<Vec<f64>>())
+        };
+        row.fails_at = ask.may.and_then(|may| fails_at(&near, may));
+        row.fails_at = match row.fails_at {
+            part if row.misses() => Some(part.unwrap_or(1.0).min(1.0)),
+            part => part.map(|part| part.max(1.0)),
+        };
+    }
     let least = |run: &Run| run.sizes.iter().map(|s| s.at).fold(f64::INFINITY, f64::min);
     row.below = row.fails_at.is_some_and(|part| known.iter().any(|(run, _, p)| p.at * part < least(run)));
     row
 }
 
+/// A measured figure between two neighbours, in a straight line; from nothing to the least size, and level past the
+/// largest.
+pub fn between(run: &Run, at: f64) -> f64 {
+    let mut sizes: Vec<(f64, f64)> = run.sizes.iter().map(|s| (s.at, s.value)).collect();
+    sizes.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let Some(next) = sizes.iter().position(|s| s.0 >= at) else { return sizes.last().map_or(0.0, |s| s.1) };
+    let (from, to) = (if next == 0 { (0.0, 0.0) } else { sizes[next - 1] }, sizes[next]);
+    from.1 + (to.1 - from.1) * (at - from.0) / (to.0 - from.0)
+}
+
 /// What a run measured at the very place, within a fiftieth of it.
 fn measured(run: &Run, place: &Place) -> Option<f64> {
     let near = |a: f64, b: f64| (a - b).abs() <= b / 50.0;
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -297,7 +297,7 @@
         return text;
     }
     text += "`milletpath scale FILE --seed N --json`: p50, p99, worst over the gateways.\n\n";
-    text += "| run | gateways | seed | cores of it | CPU, % of a core | MB | kB/s in | kB/s out | death \
+    text += "| run | gateways | seed | cores that ran | CPU, % of a core | MB | kB/s in | kB/s out | death \
      known, s | join known, s | change known, s | bounds broken |\n";
     text += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for f in fleets {
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -3,7 +3,7 @@
 
 use milletpath_capacity::assumed::Assumed;
 use milletpath_capacity::lacks::lacks;
-use milletpath_capacity::model::{Lack, Slopes};
+use milletpath_capacity::model::{Ask, Kind, Lack, Role, Slopes, work_out};
 use milletpath_capacity::page::{ASSUMPTIONS, failing, number, rewrite, tables};
 use milletpath_capacity::roles::rows;
 use milletpath_capacity::run::{self, Run};
@@ -120,6 +120,33 @@
     assert!((known.fails_at.unwrap() - 65_536.0 / 9_100.0).abs() < 0.01, "{:?}", known.fails_at);
 }
 
+/// Where the form would have a bound hold that the measured size breaks, the break lies between measured neighbours; and
+/// what the measured size keeps does not break before it.
+#[test]
+fn what_was_measured_at_the_size_goes_before_its_form() {
+    let (assumed, mut runs) = committed();
+    let what = "list, ring and figures of the fleet";
+    let row = |runs: &BTreeMap<String, Run>, may: f64| {
+        let ask = Ask::of(Role::Gateway, Kind::Memory, what, ("list-memory", assumed.workers()), 1.0, "MB");
+        work_out(&ask.may(may), &Slopes::new(runs.clone()))
+    };
+    // As 0.001 a worker, but for a bump at the size itself.
+    for size in &mut runs.get_mut("list-memory").unwrap().sizes {
+        size.value = size.at * if size.at == 9_100.0 { 0.0015 } else { 0.001 };
+    }
+    let broken = row(&runs, 12.5);
+    assert!(broken.misses());
+    let (from, to) = ((3_000.0, 3.0), (9_100.0, 13.65));
+    let at = from.0 + (to.0 - from.0) * (12.5 - from.1) / (to.1 - from.1);
+    assert!((broken.fails_at.unwrap() - at / 9_100.0).abs() < 1e-3, "{:?}", broken.fails_at);
+    // And a dip.
+    for size in &mut runs.get_mut("list-memory").unwrap().sizes {
+        size.value = size.at * if size.at == 9_100.0 { 0.0005 } else { 0.001 };
+    }
+    let kept = row(&runs, 5.0);
+    assert!(!kept.misses() && kept.fails_at.unwrap() >= 1.0, "{:?}", kept.fails_at);
+}
+
 #[test]
 fn a_run_that_is_not_there_is_said_to_be_not_run() {
     let folder = Folder::new("missing");
