Scale runs on the capacity page: what never learnt a change, what was not played, a full machine

The scale run's JSON tells of times with those that never learnt, plays left out and whether the machine was saturated. A change that one gateway never learnt counted as known in time.

--- a/crates/capacity/src/lacks.rs
+++ b/crates/capacity/src/lacks.rs
@@ -2,7 +2,7 @@
 
 use crate::assumed::Assumed;
 use crate::model::Lack;
-use crate::scale::Fleet;
+use crate::scale::{Fleet, Spread};
 
 /// What is not there, and what fails by what the code says whatever it costs. A fleet that showed that a
 /// change gets known takes the first off the list.
@@ -31,20 +31,20 @@
 /// Changes of configuration: lacking, not shown at the size, or shown to come too late.
 fn change(a: &Assumed, fleets: &[Fleet]) -> Option<Lack> {
     let (gateways, bound) = (a.asked.gateways, a.asked.change_in_force_s);
-    let shown: Vec<(f64, f64)> = fleets
-        .iter()
-        .filter_map(|f| {
-            f.known.get("change").and_then(|s| s.worst.or(s.p99)).map(|late| (f.gateways as f64, late))
-        })
-        .collect();
+    let shown: Vec<(f64, &Spread)> =
+        fleets.iter().filter_map(|f| Some((f.gateways as f64, f.known.get("change")?))).collect();
     let largest = shown.iter().map(|s| s.0).fold(0.0, f64::max);
-    let late = shown.iter().filter(|s| s.1 > bound).min_by(|a, b| a.0.total_cmp(&b.0));
+    let late = shown.iter().filter(|s| !s.1.within(bound)).min_by(|a, b| a.0.total_cmp(&b.0));
     let (why, fails_at) = match late {
         _ if shown.is_empty() => {
             ("there is no mechanism: `serve` reads its charter at start only".into(), 1.0 / gateways)
         }
-        Some((at, seconds)) => {
-            (format!("it took {seconds} s among {at} gateways in a scale run"), at / gateways)
+        Some((at, spread)) => {
+            let worst =
+                spread.worst.or(spread.p99).map_or("no time was measured".into(), |s| format!("{s} s"));
+            let never = spread.never.unwrap_or(0);
+            let why = format!("among {at} gateways in a scale run, at worst: {worst}; never learnt: {never}");
+            (why, at / gateways)
         }
         None if largest < gateways => {
             (format!("not shown among more than {largest} gateways in a scale run"), largest / gateways)
--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod roles;
 pub mod run;
 pub mod scale;
+mod scale_tables;
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -9,7 +9,8 @@
 use crate::popularity::{Popularity, least_exponent};
 use crate::roles::rows;
 use crate::run::{self, Run};
-use crate::scale::{self, Fleet, Spread};
+use crate::scale::{self, Fleet};
+use crate::scale_tables::{changes, scale_run};
 use std::fmt::Write;
 use std::path::Path;
 
@@ -284,98 +285,6 @@
     )
 }
 
-fn spread(of: Option<&Spread>, times: f64) -> String {
-    let Some(spread) = of else { return "not measured".into() };
-    let figure = |x: Option<f64>| x.map_or("-".into(), |x| number(x * times));
-    format!("{}, {}, {}", figure(spread.p50), figure(spread.p99), figure(spread.worst))
-}
-
-fn scale_run(a: &Assumed, fleets: &[Fleet]) -> String {
-    let mut text = String::from("## Scale run\n\n");
-    if fleets.is_empty() {
-        text += "Not run: no `scale-*.json` is among the runs.\n";
-        return text;
-    }
-    text += "`milletpath scale FILE --seed N --json`: p50, p99, worst over the gateways.\n\n";
-    text += "| run | gateways | seed | cores that ran | CPU, % of a core | MB | kB/s in | kB/s out | death \
-     known, s | join known, s | change known, s | bounds broken |\n";
-    text += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
-    for f in fleets {
-        let control = |key: &str, times: f64| spread(f.control.get(key), times);
-        let known = |key: &str| spread(f.known.get(key), 1.0);
-        let misses = |key: &str, times: f64, may: f64| {
-            let over = f.control.get(key).and_then(|s| s.p99).is_some_and(|p99| p99 * times > may);
-            if over { " **MISSES**" } else { "" }
-        };
-        let broken: Vec<String> =
-            f.broken.iter().map(|b| b.as_str().map_or_else(|| b.to_string(), str::to_owned)).collect();
-        let _ = writeln!(
-            text,
-            "| [{}](capacity/{}) | {} | {} | {} | {}{} | {}{} | {} | {} | {} | {} | {} | {} |",
-            f.file.trim_end_matches(".json"),
-            f.file,
-            number(f.gateways as f64),
-            f.seed,
-            f.runs.as_ref().map_or("not told".into(), |runs| runs.join(", ")),
-            control("cpu", 100.0),
-            misses("cpu", 100.0, a.asked.cpu_percent),
-            control("memory_mb", 1.0),
-            misses("memory_mb", 1.0, a.asked.memory_mb),
-            control("bytes_in", 1e-3),
-            control("bytes_out", 1e-3),
-            known("death"),
-            known("join"),
-            known("change"),
-            if broken.is_empty() { "none".into() } else { broken.join("; ") },
-        );
-    }
-    text
-}
-
-fn changes(a: &Assumed, fleets: &[Fleet]) -> String {
-    let mut text = String::from("## Changes of configuration, before and after\n\n");
-    let bound = a.asked.change_in_force_s;
-    let _ = writeln!(
-        text,
-        "{} a day, in force at all within {bound} s. Before: nothing carries a change; `serve` reads \
-         its charter at start.\n",
-        number(a.asked.changes_a_day)
-    );
-    let after: Vec<&Fleet> = fleets.iter().filter(|f| f.known.contains_key("change")).collect();
-    if after.is_empty() {
-        text += "After: not run.\n";
-        return text;
-    }
-    text += "| gateways | | change known, s | | CPU, % of a core | kB/s in | kB/s out | run |\n| --- | \
-     --- | --- | --- | --- | --- | --- | --- |\n";
-    for f in fleets {
-        let carries = f.known.get("change");
-        // A fleet of the same size without it is what it is compared with.
-        if carries.is_none() && !after.iter().any(|other| other.gateways == f.gateways) {
-            continue;
-        }
-        let verdict = match carries.and_then(|s| s.worst) {
-            Some(worst) if worst > bound => "**MISSES**",
-            Some(_) => "holds",
-            None => "",
-        };
-        let control = |key: &str, times: f64| spread(f.control.get(key), times);
-        let _ = writeln!(
-            text,
-            "| {} | {} | {} | {verdict} | {} | {} | {} | [{}](capacity/{}) |",
-            number(f.gateways as f64),
-            if carries.is_some() { "after" } else { "before" },
-            carries.map_or("never".into(), |_| spread(carries, 1.0)),
-            control("cpu", 100.0),
-            control("bytes_in", 1e-3),
-            control("bytes_out", 1e-3),
-            f.file.trim_end_matches(".json"),
-            f.file,
-        );
-    }
-    text
-}
-
 fn fails(rows: &[Row], lacking: &[Lack]) -> String {
     let mut text = String::from(
         "## What fails, by the size at which it does\n\nParts of the size asked for, all axes of a \
--- a/crates/capacity/src/scale.rs
+++ b/crates/capacity/src/scale.rs
@@ -11,6 +11,24 @@
     pub p50: Option<f64>,
     pub p99: Option<f64>,
     pub worst: Option<f64>,
+    /// Of what gets known: gateways, times over, that never learnt it.
+    pub never: Option<u64>,
+}
+
+impl Spread {
+    /// Whether all of it is known, and within a bound.
+    pub fn within(&self, bound: f64) -> bool {
+        self.never.unwrap_or(0) == 0 && self.worst.or(self.p99).is_some_and(|late| late <= bound)
+    }
+}
+
+/// What of the machine was in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+pub struct Machine {
+    /// So much that figures are also the measure of a crowd.
+    pub saturated: Option<bool>,
+    /// Part of all cores, over the whole run.
+    pub busy: Option<f64>,
 }
 
 /// One scale run.
@@ -30,6 +48,11 @@
     /// Seconds until a `death`, a `join`, a `change` is known to all.
     #[serde(default)]
     pub known: BTreeMap<String, Spread>,
+    /// Plays that were left out.
+    #[serde(default)]
+    pub not_played: Vec<String>,
+    #[serde(default)]
+    pub machine: Machine,
     /// Which cores ran, where that is told.
     #[serde(default)]
     pub runs: Option<Vec<String>>,
@@ -60,7 +83,8 @@
             let at = || format!("{}:{}", path.display(), number + 1);
             let value: serde_json::Value =
                 serde_json::from_str(line).map_err(|e| format!("{}: {e}; one JSON value a line", at()))?;
-            if value.get("gateways").is_some() && value.get("control").is_some() {
+            let has = |key: &str| value.get(key).is_some();
+            if has("gateways") && has("seed") && (has("control") || has("known")) {
                 let fleet: Fleet = serde_json::from_value(value).map_err(|e| format!("{}: {e}", at()))?;
                 fleets.push(Fleet { file: name.clone(), ..fleet });
             }
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -158,29 +158,43 @@
 
 const FLEET: &str = r#"{"gateways": 1100, "seed": 3, "broken": [], "runs": ["peers", "changes"],
  "control": {"cpu": {"p50": 0.004, "p99": 0.02, "worst": 0.05}, "bytes_in": {"p50": 7000, "p99": 9000, "worst": 11000}},
- "known": {"change": {"p50": 0.2, "p99": 0.9, "worst": WORST}}}"#;
+ "known": {"change": {"p50": 0.2, "p99": 0.9, "worst": WORST, "never": NEVER}},
+ "not_played": ["changes: none"], "machine": {"saturated": true}}"#;
 
 /// A scale run that shows a change known to all takes it off the list, and stands in both tables; what it
 /// did not measure is said so.
-#[test_case("1.4", true; "in time")]
-#[test_case("3.2", false; "too late")]
-fn a_scale_run_takes_its_place(worst: &str, holds: bool) {
-    let folder = Folder::new(&format!("scale-{holds}"));
+#[test_case("1.4", 0, true; "in time")]
+#[test_case("3.2", 0, false; "too late")]
+#[test_case("1.4", 2, false; "never at two")]
+fn a_scale_run_takes_its_place(worst: &str, never: u32, holds: bool) {
+    let folder = Folder::new(&format!("scale-{worst}-{never}"));
     assert!(tables(&folder.0).unwrap().contains("Not run: no `scale-*.json`"));
-    let line = FLEET.replace('\n', "").replace("WORST", worst);
+    let line = FLEET.replace('\n', "").replace("WORST", worst).replace("NEVER", &never.to_string());
     let before = line.replace("\"changes\"", "\"shares\"").replace("\"change\"", "\"death\"");
     std::fs::write(folder.0.join("scale-after.json"), format!("{{\"progress\": 0.5}}\n{line}\n")).unwrap();
     std::fs::write(folder.0.join("scale-before.json"), format!("{before}\n")).unwrap();
     let made = tables(&folder.0).unwrap();
     assert!(made.contains("| 0.4, 2, 5 **MISSES** | not measured | 7, 9, 11 |"), "{made}");
+    assert!(made.contains("| changes: none | saturated: figures are of a crowd too |"), "{made}");
     assert!(made.contains("| before | never |"));
-    let row = format!("| after | 0.2, 0.9, {worst} | {}", if holds { "holds" } else { "**MISSES**" });
+    let late = if never > 0 { format!("{worst}; never: {never}") } else { worst.to_owned() };
+    let row = format!("| after | 0.2, 0.9, {late} | {}", if holds { "holds" } else { "**MISSES**" });
     assert!(made.contains(&row), "{row}");
     assert_eq!(made.contains("| a change of configuration"), !holds);
     let fleets = scale::read_all(&folder.0).unwrap();
     assert!(fleets.iter().any(|f| f.ran("changes")) && fleets.iter().any(|f| !f.ran("changes")));
 }
 
+/// What a small fleet shows is not taken for the size.
+#[test]
+fn a_change_that_only_a_small_fleet_knew_stays_on_the_list() {
+    let folder = Folder::new("scale-small");
+    let line = FLEET.replace('\n', "").replace("WORST", "0.9").replace("NEVER", "0").replace("1100", "60");
+    std::fs::write(folder.0.join("scale-small.json"), line).unwrap();
+    let made = tables(&folder.0).unwrap();
+    assert!(made.contains("not shown among more than 60 gateways"), "{made}");
+}
+
 #[test_case("{\"gateways\": 3}\n", "no line of it is a scale run's last"; "no last line")]
 #[test_case("gateways\n", ":1:"; "no JSON")]
 #[test_case("{\"gateways\": -3, \"seed\": 1, \"control\": {}}\n", ":1:"; "fewer than none")]
