--- a/crates/capacity/src/gateway.rs
+++ b/crates/capacity/src/gateway.rs
@@ -282,7 +282,7 @@
         Ask::of(
             ROLE,
             Time,
-            "the same for budgets of workers (only where `in_flight` is stated)",
+            "one worker joins, its budgets: nothing else is decided for (only where `in_flight` is stated)",
             ("budgets-join", workers),
             1.0,
             "ms",
