--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -117,6 +117,19 @@
     if two.residual <= BETTER * best.residual { two } else { best }
 }
 
+/// All forms that fit nearly as well as the best: past what was measured they may tell different things.
+pub fn near(run: &Run) -> Vec<Fit> {
+    /// Times the residual of the best.
+    const NEARLY: f64 = 2.0;
+    let best = fit(run);
+    let mut forms = if run.second_axis.is_some() { TWO_AXES.to_vec() } else { ONE_AXIS.to_vec() };
+    if run.second_axis.is_none() && run.sizes.len() >= MANY {
+        forms.extend(TWO_TERMS);
+    }
+    let all = forms.into_iter().map(|form| fitted(form, &run.sizes));
+    all.filter(|f| f.residual <= (NEARLY * best.residual).max(NOISE)).collect()
+}
+
 fn best_of(forms: &[Form], sizes: &[Size]) -> Fit {
     let fits: Vec<Fit> = forms.iter().map(|form| fitted(*form, sizes)).collect();
     let least = fits.iter().map(|f| f.residual).fold(f64::INFINITY, f64::min);
--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -1,7 +1,7 @@
 //! What a mechanism comes to at the size asked for: a figure worked out from slopes, against what it may
 //! be, and the part of that size at which it fails.
 
-use crate::fit::{Fit, fit};
+use crate::fit::{Fit, fit, near};
 use crate::run::Run;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -189,6 +189,8 @@
     pub fails_at: Option<f64>,
     /// That lies below the smallest size that was measured: the form is carried on downwards.
     pub below: bool,
+    /// Past what was measured: the least and the most by forms that fit nearly as well.
+    pub range: Option<(f64, f64)>,
 }
 
 /// Times the size asked for up to which it is looked where a mechanism fails.
@@ -198,6 +200,12 @@
     pub fn misses(&self) -> bool {
         self.may.is_some_and(|may| self.value > may)
     }
+
+    /// Whether forms that fit nearly as well would have it the other way.
+    pub fn unsure(&self) -> bool {
+        let apart = |(low, high): (f64, f64), may: f64| low <= may && may < high;
+        self.range.zip(self.may).is_some_and(|(range, may)| apart(range, may))
+    }
 }
 
 /// Works one out.
@@ -220,6 +228,7 @@
         runs: ask.places.iter().map(|p| p.run).collect(),
         fails_at: None,
         below: false,
+        range: None,
     };
     if !missing.is_empty() {
         row.source = Source::NotRun(missing);
@@ -237,6 +246,16 @@
         None => Source::Measured,
         Some(beyond) => Source::Fitted(beyond),
     };
+    if matches!(row.source, Source::Fitted(beyond) if beyond > 1.0) {
+        let extreme = |pick: fn(f64, f64) -> f64| {
+            let of = |((run, fit, p), here): (&(&Run, Fit, Place), &f64)| match measured(run, p) {
+                Some(_) => *here,
+                None => near(run).iter().map(|f| f.at(p.at, p.and)).fold(fit.at(p.at, p.and), pick),
+            };
+            (ask.figure)(1.0, &known.iter().zip(&here).map(of).collect::<Vec<f64>>())
+        };
+        row.range = Some((extreme(f64::min), extreme(f64::max)));
+    }
     let at = |size: f64| {
         let figures: Vec<f64> = known.iter().map(|(_, fit, p)| fit.at(p.at * size, p.and * size)).collect();
         (ask.figure)(size, &figures)
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -63,7 +63,7 @@
             number(row.value),
             row.unit,
             row.may.map_or(String::new(), number),
-            source(&row.source)
+            figure_is(row)
         ),
         fails_at: row.fails_at.unwrap_or(1.0),
         below: row.below,
@@ -105,6 +105,14 @@
     }
 }
 
+/// Where a row's figure is from, and what other forms would make of it.
+fn figure_is(row: &Row) -> String {
+    let others = row.range.filter(|(low, high)| high - low > 0.01 * high);
+    let others = others
+        .map(|(low, high)| format!("; {} to {} by forms that fit nearly as well", number(low), number(high)));
+    source(&row.source) + &others.unwrap_or_default()
+}
+
 fn part(at: Option<f64>, below: bool) -> String {
     match at {
         Some(at) if below && at > 0.0 => format!("{} (below the least measured)", number(at)),
@@ -231,7 +239,9 @@
             let verdict = match (&row.source, row.may) {
                 (Source::NotRun(_), _) => "not run",
                 (_, None) => "",
+                _ if row.misses() && row.unsure() => "**MISSES**, by other forms it would hold",
                 _ if row.misses() => "**MISSES**",
+                _ if row.unsure() => "holds, by other forms it **MISSES**",
                 _ => "holds",
             };
             let runs = row
@@ -254,7 +264,7 @@
                     String::new()
                 },
                 row.mechanism,
-                source(&row.source),
+                figure_is(row),
             );
         }
         text.push('\n');
@@ -307,13 +317,12 @@
         rows.iter().filter(|r| r.may.is_some() && r.value.is_finite() && !r.misses()).collect();
     holds.sort_by(|a, b| a.fails_at.unwrap_or(f64::INFINITY).total_cmp(&b.fails_at.unwrap_or(f64::INFINITY)));
     for row in holds {
-        let _ =
-            writeln!(text, "| {} | {} | {} |", part(row.fails_at, row.below), row.what, source(&row.source));
+        let _ = writeln!(text, "| {} | {} | {} |", part(row.fails_at, row.below), row.what, figure_is(row));
     }
     let not_run: Vec<&Row> = rows.iter().filter(|r| matches!(r.source, Source::NotRun(_))).collect();
     if !not_run.is_empty() {
         text += "\nNot known, as it was not run:\n\n";
-        not_run.iter().for_each(|row| _ = writeln!(text, "- {} ({})", row.what, source(&row.source)));
+        not_run.iter().for_each(|row| _ = writeln!(text, "- {} ({})", row.what, figure_is(row)));
     }
     text
 }
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -147,6 +147,28 @@
     assert!(!kept.misses() && kept.fails_at.unwrap() >= 1.0, "{:?}", kept.fails_at);
 }
 
+/// What is carried on far past what was measured says by how much other forms differ, and whether they turn the verdict.
+#[test]
+fn a_verdict_that_hangs_on_the_form_is_said_to_do_so() {
+    let (_, mut runs) = committed();
+    let run = runs.get_mut("list-memory").unwrap();
+    // Between a square and a cube.
+    let at = [10.0, 20.0, 40.0, 80.0, 160.0];
+    run.sizes.truncate(at.len());
+    for (size, n) in run.sizes.iter_mut().zip(at) {
+        (size.at, size.value) = (n, n * n + 0.004 * n * n * n);
+    }
+    let slopes = Slopes::new(runs);
+    let row = |may: f64| {
+        let ask = Ask::of(Role::Gateway, Kind::Memory, "made", ("list-memory", 1_600.0), 1.0, "MB").may(may);
+        work_out(&ask, &slopes)
+    };
+    let (low, high) = row(1.0).range.unwrap();
+    assert!(low < high, "{low} to {high}");
+    assert!(row((low + high) / 2.0).unsure());
+    assert!(!row(high * 1.01).unsure() && !row(low * 0.99).unsure());
+}
+
 #[test]
 fn a_run_that_is_not_there_is_said_to_be_not_run() {
     let folder = Folder::new("missing");
