--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -283,7 +283,7 @@
          nowhere that the gateway knows of to its \
          first shot, which begins the load. What makes it up: a worker of which nothing was heard for 1 \
          s is probed first, and with so many \
-         workers to a gateway nearly every one is such; the call waits for that answer, at most for \
+         workers to a gateway most are such; the call waits for that answer, at most for \
          0.03 of its due time, and is looked at again \
          5 ms later at the latest. Workers 1, 30, 80 and 150 ms away, a quarter each: the ring knows no \
          regions.\n",
