--- /dev/null
+++ b/crates/gateway/src/hollow.rs
@@ -0,0 +1,277 @@
+//! A gateway without client sockets: the same desk, budgets, membership and link as `serve` has, in the same
+//! control thread, many of them in one process. Whoever runs it hands in the worker list and keeps the desk's
+//! time; what the control costs is read from the thread's own clock.
+
+use crate::office::Office;
+use crate::peering::{self, Link, Onlooker};
+use crate::sharing::Sharing;
+use milletpath_charter::House;
+use milletpath_peers::{Event, Parts, Peers, Tally};
+use milletpath_protocol::registry::Entry;
+use nix::time::{ClockId, clock_gettime};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+
+/// Seconds between two readings that a control thread gives of itself: often enough to see what a budget was
+/// at its lowest within a second, seldom enough to cost nothing beside the control.
+const READ: f64 = 0.25;
+
+/// Seconds whose lowest figures are kept until somebody takes them.
+const KEPT: usize = 16;
+
+/// Seconds on a clock that all processes of the machine share.
+pub fn clock() -> f64 {
+    seconds(ClockId::CLOCK_MONOTONIC)
+}
+
+/// Seconds of processor time that the calling thread has used.
+pub fn processor() -> f64 {
+    seconds(ClockId::CLOCK_THREAD_CPUTIME_ID)
+}
+
+fn seconds(clock: ClockId) -> f64 {
+    // Both clocks are there on every Linux; one that is not reads as 0 throughout, which shows.
+    clock_gettime(clock).map_or(0.0, |t| t.tv_sec() as f64 + t.tv_nsec() as f64 / 1e9)
+}
+
+/// The lowest figures of one second: at every moment of it the gateway could use at least so much.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Low {
+    /// The whole second, on [`clock`].
+    pub second: u64,
+    /// Its part of what is shared, as a multiple of one in the most.
+    pub part: f64,
+    /// Of each budget its part by the count alone, and what it might use.
+    pub budgets: BTreeMap<String, (f64, f64)>,
+}
+
+impl Low {
+    /// Lower where the other is. A budget that was not open all the while counts as none.
+    fn sink(&mut self, other: &Low) {
+        self.part = self.part.min(other.part);
+        self.budgets.retain(|name, _| other.budgets.contains_key(name));
+        for (name, (part, allowed)) in &mut self.budgets {
+            let seen = other.budgets[name];
+            (*part, *allowed) = (part.min(seen.0), allowed.min(seen.1));
+        }
+    }
+}
+
+/// Lows from single readings. A loan is subtracted by the lender before the borrower has it, and until after:
+/// so a borrower that had it at all its readings of a second, which lie this close, has a lender that lacked
+/// it at one of its own. Seconds with fewer readings, the first ones among them, are left out.
+#[derive(Clone, Debug, Default)]
+pub struct Lows {
+    low: Option<Low>,
+    /// Readings of that second, and when the last was.
+    readings: u32,
+    last: f64,
+    gap: f64,
+}
+
+impl Lows {
+    /// One more reading; gives the second before, once it is over.
+    pub fn see(&mut self, at: f64, part: f64, budgets: BTreeMap<String, (f64, f64)>) -> Option<Low> {
+        /// Readings that a second must have, and seconds between two of them at most.
+        const LEAST: u32 = 3;
+        const GAP: f64 = 0.45;
+        let seen = Low { second: at as u64, part, budgets };
+        let over = match &mut self.low {
+            Some(low) if low.second == seen.second => {
+                low.sink(&seen);
+                (self.readings, self.gap) = (self.readings + 1, self.gap.max(at - self.last));
+                None
+            }
+            low => {
+                let whole = self.readings >= LEAST && self.gap <= GAP;
+                (self.readings, self.gap) = (1, 0.0);
+                low.replace(seen).filter(|_| whole)
+            }
+        };
+        self.last = at;
+        over
+    }
+}
+
+/// What a control thread says of itself; times and counts since it began.
+#[derive(Clone, Debug, Default)]
+pub struct Reading {
+    /// When it was read, on [`clock`].
+    pub at: f64,
+    /// Seconds of processor time of the control thread.
+    pub control: f64,
+    /// Seconds of processor time that others spent inside its desk: the worker list and the desk's own
+    /// timers.
+    pub desk: f64,
+    pub tally: Tally,
+    /// The control thread, as the system names it: `PROCESS/task/THREAD`.
+    thread: Option<PathBuf>,
+    /// Gateways likely to be there, by its own word.
+    pub likely: f64,
+    /// Whole seconds that are over, each told once.
+    pub lows: VecDeque<Low>,
+}
+
+/// What is done with events of the membership.
+pub type Heed = Box<dyn FnMut(Event) + Send>;
+
+struct Look {
+    heed: Heed,
+    reading: Arc<Mutex<Reading>>,
+    killed: Arc<AtomicBool>,
+    /// When it reads next.
+    due: f64,
+    lows: Lows,
+    /// Processor time that the readings themselves took.
+    own: f64,
+}
+
+impl Onlooker for Look {
+    fn event(&mut self, event: Event) {
+        (self.heed)(event);
+    }
+
+    fn turn(&mut self, now: f64, peers: &mut Peers, sharing: &mut Sharing, parts: &Parts) {
+        if now < self.due {
+            return;
+        }
+        self.due = now + READ;
+        let (before, at) = (processor(), clock());
+        let mut reading = lock(&self.reading);
+        (reading.at, reading.control, reading.likely) = (at, before - self.own, parts.likely);
+        reading.tally = *peers.tally();
+        if reading.thread.is_none() {
+            reading.thread = std::fs::read_link("/proc/thread-self").ok();
+        }
+        let budgets = sharing.view(now).0.into_iter().map(|b| (b.name, (b.part, b.allowed)));
+        if let Some(low) = self.lows.see(at, parts.part, budgets.collect()) {
+            if reading.lows.len() == KEPT {
+                reading.lows.pop_front();
+            }
+            reading.lows.push_back(low);
+        }
+        drop(reading);
+        self.own += processor() - before;
+    }
+
+    fn killed(&self) -> bool {
+        self.killed.load(Ordering::Acquire)
+    }
+}
+
+fn lock(reading: &Mutex<Reading>) -> MutexGuard<'_, Reading> {
+    reading.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A hollow gateway that runs.
+pub struct Hollow {
+    office: Arc<Office>,
+    link: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+    reading: Arc<Mutex<Reading>>,
+    killed: Arc<AtomicBool>,
+    /// Nanoseconds of processor time that [`list`](Self::list) and [`turn`](Self::turn) took.
+    desk: AtomicU64,
+}
+
+impl Hollow {
+    /// Begins with a worker list, as `serve` does before its first call.
+    pub fn begin(house: House, list: &[Entry], heed: Heed) -> io::Result<Self> {
+        let stated = house.peers.clone().ok_or_else(|| io::Error::other("the charter has no peers"))?;
+        let link = Link::open(&stated, None)?;
+        let at = link.address()?;
+        let office = Office::new(house);
+        let reading = Arc::new(Mutex::new(Reading { at: clock(), ..Reading::default() }));
+        let killed = Arc::new(AtomicBool::new(false));
+        let look = Look {
+            heed,
+            reading: reading.clone(),
+            killed: killed.clone(),
+            due: f64::NEG_INFINITY,
+            lows: Lows::default(),
+            own: 0.0,
+        };
+        let mut hollow = Self { office, link: at, thread: None, reading, killed, desk: AtomicU64::new(0) };
+        hollow.list(true, list);
+        hollow.thread = Some(peering::start_watched(hollow.office.clone(), link, Some(Box::new(look)))?);
+        Ok(hollow)
+    }
+
+    /// Where it hears the others itself.
+    pub fn link(&self) -> SocketAddr {
+        self.link
+    }
+
+    /// One edition of the worker list.
+    pub fn list(&self, whole: bool, entries: &[Entry]) -> f64 {
+        self.within(|office| office.list(None, whole, entries))
+    }
+
+    /// Does what is due at the desk. To be called often, as the keeper of `serve` does.
+    pub fn turn(&self) {
+        self.within(|office| {
+            if office.overdue(0.0) {
+                office.tell(None, |desk, now| desk.turn(now));
+            }
+        });
+    }
+
+    /// Does something inside the desk; gives the processor time that it took.
+    fn within(&self, what: impl FnOnce(&Office)) -> f64 {
+        let before = processor();
+        what(&self.office);
+        let took = (processor() - before).max(0.0);
+        self.desk.fetch_add((took * 1e9) as u64, Ordering::Relaxed);
+        took
+    }
+
+    /// Its latest reading; takes the seconds that are over. A control thread that is too busy to read itself
+    /// is read by the system's word.
+    pub fn reading(&self) -> Reading {
+        /// Seconds past which a reading is of another time.
+        const OLD: f64 = 1.0;
+        let mut reading = lock(&self.reading);
+        let lows = std::mem::take(&mut reading.lows);
+        let mut reading = Reading { lows, ..reading.clone() };
+        reading.desk = self.desk.load(Ordering::Relaxed) as f64 / 1e9;
+        let now = clock();
+        if now - reading.at > OLD
+            && let Some(used) = reading.thread.as_deref().and_then(used)
+        {
+            (reading.at, reading.control) = (now, used);
+        }
+        reading
+    }
+
+    /// Whether its control thread still runs.
+    pub fn runs(&self) -> bool {
+        self.thread.as_ref().is_some_and(|t| !t.is_finished())
+    }
+
+    /// Begins its end: with a word to the others, or without as a process that is killed. Dropped, it is
+    /// waited for.
+    pub fn end(&self, killed: bool) {
+        self.killed.store(killed, Ordering::Release);
+        self.office.stopping.store(true, Ordering::Release);
+    }
+}
+
+/// Seconds of processor time of another thread.
+fn used(thread: &Path) -> Option<f64> {
+    let text = std::fs::read_to_string(Path::new("/proc").join(thread).join("schedstat")).ok()?;
+    text.split_whitespace().next()?.parse::<f64>().ok().map(|ns| ns / 1e9)
+}
+
+impl Drop for Hollow {
+    fn drop(&mut self) {
+        self.office.stopping.store(true, Ordering::Release);
+        if self.thread.take().is_some_and(|t| t.join().is_err()) {
+            tracing::error!("the control of a hollow gateway broke");
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! call on its core: door, desk, shot, answer.
 
 pub mod desk;
+pub mod hollow;
 pub mod indices;
 pub mod roll;
 pub mod signals;
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -61,8 +61,27 @@
     }
 }
 
+/// Looks on while a link runs, in its own thread.
+pub(crate) trait Onlooker: Send {
+    /// Takes an event in place of the log.
+    fn event(&mut self, event: Event);
+    /// Once in each turn of the thread, after all that was due.
+    fn turn(&mut self, now: f64, peers: &mut Peers, sharing: &mut Sharing, parts: &Parts);
+    /// Whether the link is to end as if its process had been killed, without a word to the others.
+    fn killed(&self) -> bool;
+}
+
 /// Starts the thread of a link.
 pub fn start(office: Arc<Office>, link: Link) -> io::Result<JoinHandle<()>> {
+    start_watched(office, link, None)
+}
+
+/// As [`start`], with somebody who looks on.
+pub(crate) fn start_watched(
+    office: Arc<Office>,
+    link: Link,
+    onlooker: Option<Box<dyn Onlooker>>,
+) -> io::Result<JoinHandle<()>> {
     let Some(stated) = office.house.peers.clone() else {
         return Err(io::Error::other("the charter has no peers"));
     };
@@ -72,7 +91,7 @@
     let sharing = Sharing::new(&office.house, life, stated.lease, now);
     let peers = Peers::new(who, terms(&office.house, &stated), stated.seeds, life, now);
     let mut running =
-        Running { peers, sharing, office, link, told: None, shared: f64::NEG_INFINITY, asks: 0 };
+        Running { peers, sharing, office, link, told: None, shared: f64::NEG_INFINITY, asks: 0, onlooker };
     // Before the first call is taken: what a former process of this name may have lent is not used.
     running.tell();
     std::thread::Builder::new().name("peers".into()).spawn(move || running.run())
@@ -111,6 +130,7 @@
     shared: f64,
     /// Questions of operators answered in this second.
     asks: u32,
+    onlooker: Option<Box<dyn Onlooker>>,
 }
 
 impl Running {
@@ -148,9 +168,15 @@
                 read = 0;
                 self.peers.turn(now);
             }
-            self.tell();
+            let parts = self.tell();
             self.post();
             self.log();
+            if let Some(onlooker) = &mut self.onlooker {
+                onlooker.turn(self.office.now(), &mut self.peers, &mut self.sharing, &parts);
+            }
+        }
+        if self.onlooker.as_ref().is_some_and(|o| o.killed()) {
+            return;
         }
         self.peers.leave(self.office.now());
         self.tell();
@@ -213,8 +239,8 @@
         }
     }
 
-    /// Tells the desk where it changes something, or before what it was told ends.
-    fn tell(&mut self) {
+    /// Tells the desk where it changes something, or before what it was told ends; gives what is one's own.
+    fn tell(&mut self) -> Parts {
         /// Seconds after which it is told anew that all is as it was.
         const AGAIN: f64 = 0.2;
         let now = self.office.now();
@@ -233,6 +259,7 @@
             self.office.tell(None, |desk, _| desk.share(share));
         }
         self.share(parts);
+        parts
     }
 
     /// Takes what others say of budgets, and does what is due there; all of it inside the desk.
@@ -255,6 +282,10 @@
 
     fn log(&mut self) {
         for event in self.peers.events() {
+            if let Some(onlooker) = &mut self.onlooker {
+                onlooker.event(event);
+                continue;
+            }
             match event {
                 Event::Joined { name, at } => tracing::info!(name, %at, "a gateway is there"),
                 Event::Suspected { name } => tracing::info!(name, "a gateway does not answer"),
--- a/crates/milletpath/src/main.rs
+++ b/crates/milletpath/src/main.rs
@@ -5,6 +5,7 @@
 mod log;
 mod peers;
 mod platform;
+mod scale;
 mod serve;
 mod workers;
 
@@ -60,6 +61,23 @@
         #[arg(long)]
         json: bool,
     },
+    /// Play a plan of a large fleet: hollow gateways beside real ones; prints what control costs and which bounds broke
+    Scale {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Another seed than the file's
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Another number of gateways than the file's
+        #[arg(long, value_parser = clap::value_parser!(u32).range(2..=4000))]
+        gateways: Option<u32>,
+        /// The report as JSON, in the last line
+        #[arg(long)]
+        json: bool,
+    },
+    /// A process of hollow gateways, which takes its orders from `scale`
+    #[command(hide = true)]
+    ScaleHost,
     /// Play a scripted day through real sockets; prints rules and service
     Day {
         #[arg(value_name = "FILE")]
@@ -102,6 +120,8 @@
         Wanted::Workers { charter } => workers::workers(&charter),
         Wanted::Peers { charter, json } => peers::peers(&charter, json),
         Wanted::Platform => platform::platform(),
+        Wanted::Scale { file, seed, gateways, json } => scale::scale(&file, seed, gateways, json),
+        Wanted::ScaleHost => scale::host(),
         Wanted::Day { file, seed, json, lag, cores, plant, records } => {
             let (plant, records) = (plant.as_deref(), records.as_deref());
             day::day(&day::Asked { file: &file, seed, json, lag, cores, plant, records })
--- /dev/null
+++ b/crates/scale/src/fleet.rs
@@ -0,0 +1,480 @@
+//! The fleet of a run: its processes, the links between them, and the books that are kept of both. It begins
+//! and ends gateways, hears what they say, and stops the run when its time or the machine's room is over.
+
+use crate::book::{Book, Says};
+use crate::budgets::Sums;
+use crate::charter;
+use crate::children::{Heard, Host, Real};
+use crate::machine::{self, Cores};
+use crate::plan::Plan;
+use crate::relay::{Relay, Ways};
+use crate::wire::{Low, Order, Reading, Told};
+use milletpath_gateway::hollow::{Lows, clock};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs::File;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// Why a run ends before its plan does.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Over {
+    /// Told to.
+    Stopped,
+    /// Its time is over.
+    Limit,
+    /// It has more memory than it may, in GB.
+    Memory(f64),
+    /// A process of it failed.
+    Failed(String),
+}
+
+/// Threads of the relay: letters of a full fleet fill two, and a third has room for what comes at once.
+const CARRIERS: usize = 3;
+
+/// Gateways up to which real ones are asked for their budgets four times a second; what they answer grows
+/// with the fleet, and past this it would be a load of its own.
+const ASKED: usize = 200;
+
+/// Words that wait to be heard; whoever has more to say waits.
+const HEARD: usize = 4096;
+
+/// Seconds between two looks at the machine, and between two readings of all hollow gateways.
+const LOOK: f64 = 1.0;
+const READ: f64 = 2.0;
+
+/// Where a run has its programs and files.
+#[derive(Clone, Debug)]
+pub struct Stage {
+    pub program: PathBuf,
+    pub folder: PathBuf,
+}
+
+/// Real gateways as the threads see them that ask and call them: where each is, while it is there.
+type Places = Arc<Mutex<BTreeMap<usize, (SocketAddr, SocketAddr)>>>;
+
+pub struct Fleet {
+    pub plan: Plan,
+    pub relay: Relay,
+    pub book: Book,
+    pub sums: Sums,
+    stage: Stage,
+    links: Vec<SocketAddr>,
+    workers: Vec<SocketAddr>,
+    key: PathBuf,
+    hosts: Vec<Host>,
+    reals: BTreeMap<usize, Real>,
+    pub places: Places,
+    lives: u64,
+    heard: Receiver<Heard>,
+    tell: SyncSender<Heard>,
+    /// To begin anew as soon as they have ended.
+    anew: BTreeSet<usize>,
+    /// Told to begin or to end, and not yet heard to have.
+    pub pending: BTreeSet<usize>,
+    /// The latest reading of each hollow gateway; the number asked for last, and hosts that have not answered
+    /// it.
+    pub readings: BTreeMap<usize, Reading>,
+    number: u64,
+    awaited: usize,
+    /// Editions of the worker list that are not yet taken by all hosts; the processor time of the slowest so
+    /// far.
+    pub listing: usize,
+    pub slowest: f64,
+    stop: Arc<AtomicBool>,
+    pub began: f64,
+    looked: f64,
+    read_at: f64,
+    /// Part of all cores that was in use, second by second.
+    pub busy: Vec<(f64, f64)>,
+    cores: Option<Cores>,
+    pub most_memory: f64,
+    asking: Arc<AtomicBool>,
+}
+
+impl Fleet {
+    pub fn new(
+        plan: &Plan,
+        text: &str,
+        stage: Stage,
+        workers: Vec<SocketAddr>,
+        stop: Arc<AtomicBool>,
+    ) -> io::Result<Self> {
+        let regions = 0..plan.regions.len();
+        let latency = |a: usize, b: usize| if a == b { plan.links.within } else { plan.links.between[a][b] };
+        let ways = Ways {
+            regions: (0..plan.gateways).map(|g| plan.region_of(g)).collect(),
+            latency: regions.clone().map(|a| regions.clone().map(|b| latency(a, b)).collect()).collect(),
+            loss: plan.links.loss,
+        };
+        let relay = Relay::start(ways, CARRIERS, plan.seed)?;
+        let links = relay.addresses()?;
+        let key = stage.folder.join("peers.key");
+        std::fs::write(&key, format!("the secret of a scale run on loopback, with the seed {}", plan.seed))?;
+        let (tell, heard) = sync_channel(HEARD);
+        let mut hosts = Vec::new();
+        for number in 0..plan.processes.min(plan.gateways - plan.real) {
+            let log = File::create(stage.folder.join(format!("host-{number}.log")))?;
+            let host = Host::start(&stage.program, number, log, tell.clone())?;
+            let (text, seed) = (text.to_owned(), plan.seed);
+            let (links, key) = (links.clone(), key.clone());
+            host.order(Order::Plan { text, gateways: plan.gateways, seed, links, key });
+            hosts.push(host);
+        }
+        let now = clock();
+        Ok(Self {
+            relay,
+            book: Book::new(plan.gateways, now),
+            sums: Sums::new(plan.gateways),
+            stage,
+            links,
+            workers,
+            key,
+            hosts,
+            reals: BTreeMap::new(),
+            places: Places::default(),
+            lives: 0,
+            heard,
+            tell,
+            anew: BTreeSet::new(),
+            pending: BTreeSet::new(),
+            readings: BTreeMap::new(),
+            number: 0,
+            awaited: 0,
+            listing: 0,
+            slowest: 0.0,
+            stop,
+            began: now,
+            looked: now,
+            read_at: now,
+            busy: Vec::new(),
+            cores: Cores::read(),
+            most_memory: 0.0,
+            asking: Arc::new(AtomicBool::new(true)),
+            plan: plan.clone(),
+        })
+    }
+
+    pub fn is_real(&self, gateway: usize) -> bool {
+        gateway < self.plan.real
+    }
+
+    fn host_of(&self, gateway: usize) -> usize {
+        (gateway - self.plan.real) % self.hosts.len()
+    }
+
+    /// Begins one.
+    pub fn begin(&mut self, gateway: usize) -> Result<(), Over> {
+        self.pending.insert(gateway);
+        if !self.is_real(gateway) {
+            self.hosts[self.host_of(gateway)].order(Order::Begin { gateway });
+            return Ok(());
+        }
+        let failed = |e: io::Error| Over::Failed(format!("gateway {gateway} can't begin: {e}"));
+        let path = self.stage.folder.join(format!("gateway-{gateway}.hcl"));
+        let text = charter::text(&self.plan, gateway, &self.links, &self.workers, &self.key);
+        std::fs::write(&path, &text).map_err(failed)?;
+        self.lives += 1;
+        let life = self.lives;
+        let real =
+            Real::start(&self.stage.program, &path, (gateway, life), self.tell.clone()).map_err(failed)?;
+        self.relay.is_at(gateway, real.link);
+        self.book.began(gateway, real.began);
+        self.pending.remove(&gateway);
+        if self.plan.gateways <= ASKED {
+            self.ask(gateway, &text, real.link).map_err(failed)?;
+        }
+        self.place(gateway, Some((real.address, real.link)));
+        self.reals.insert(gateway, real);
+        Ok(())
+    }
+
+    fn place(&self, gateway: usize, at: Option<(SocketAddr, SocketAddr)>) {
+        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+        match at {
+            Some(at) => _ = places.insert(gateway, at),
+            None => _ = places.remove(&gateway),
+        }
+    }
+
+    /// Asks a real gateway for its budgets as an operator would, for as long as it is there.
+    fn ask(&self, gateway: usize, text: &str, link: SocketAddr) -> io::Result<()> {
+        let mistakes = |m: Vec<_>| io::Error::other(format!("its charter can't be read: {m:?}"));
+        let mut house = milletpath_charter::read(text).map_err(mistakes)?;
+        house.peers.iter_mut().for_each(|p| p.listen = link);
+        let (asking, tell, places) = (self.asking.clone(), self.tell.clone(), self.places.clone());
+        let there = move || {
+            let places = places.lock().unwrap_or_else(PoisonError::into_inner);
+            places.get(&gateway).is_some_and(|(_, at)| *at == link)
+        };
+        std::thread::Builder::new().name("ask".into()).spawn(move || {
+            /// Seconds between two questions.
+            const EACH: f64 = 0.25;
+            let mut lows = Lows::default();
+            while asking.load(Ordering::Acquire) {
+                std::thread::sleep(Duration::from_secs_f64(EACH));
+                if !there() {
+                    return;
+                }
+                let Ok(told) = milletpath_gateway::ask(&house) else { continue };
+                let budgets = told.budgets.into_iter().map(|b| (b.name, (b.part, b.allowed))).collect();
+                if let Some(low) = lows.see(clock(), told.view.part, budgets) {
+                    let low = Low { second: low.second, part: low.part, budgets: low.budgets };
+                    let _ = tell.send(Heard::RealLow { gateway, low });
+                }
+            }
+        })?;
+        Ok(())
+    }
+
+    /// Ends some at once; those that are to begin anew do so when they have ended.
+    pub fn end(&mut self, gateways: &[usize], killed: bool, anew: bool) -> Result<(), Over> {
+        let mut by_host: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let running: Vec<usize> = gateways.iter().copied().filter(|g| self.book.runs(*g)).collect();
+        for gateway in running {
+            if killed {
+                self.relay.gone(gateway);
+            }
+            if anew {
+                self.anew.insert(gateway);
+            }
+            self.pending.insert(gateway);
+            let Some(real) = self.reals.remove(&gateway) else {
+                if self.is_real(gateway) {
+                    // On its way out already.
+                    continue;
+                }
+                by_host.entry(self.host_of(gateway)).or_default().push(gateway);
+                continue;
+            };
+            self.place(gateway, None);
+            if killed {
+                let at = clock();
+                drop(real);
+                self.ended(gateway, at)?;
+            } else {
+                let failed = |e| Over::Failed(format!("gateway {gateway} can't be told to stop: {e}"));
+                real.leave(gateway, self.tell.clone()).map_err(failed)?;
+            }
+        }
+        for (host, gateways) in by_host {
+            self.hosts[host].order(Order::End { gateways, killed });
+        }
+        Ok(())
+    }
+
+    fn ended(&mut self, gateway: usize, at: f64) -> Result<(), Over> {
+        self.book.ended(gateway, at);
+        self.readings.remove(&gateway);
+        self.pending.remove(&gateway);
+        if self.anew.remove(&gateway) { self.begin(gateway) } else { Ok(()) }
+    }
+
+    /// Passes one edition of the worker list to all hollow gateways.
+    pub fn list(&mut self, workers: &[usize], generation: u32, there: bool) {
+        for host in &self.hosts {
+            host.order(Order::List { workers: workers.to_vec(), generation, there });
+        }
+        self.listing += self.hosts.len();
+    }
+
+    /// Hears what there is until then, and looks after the run meanwhile.
+    pub fn pump(&mut self, until: f64) -> Result<(), Over> {
+        /// Seconds for which it waits at a time.
+        const TURN: f64 = 0.05;
+        loop {
+            let now = clock();
+            self.look(now)?;
+            let left = until - now;
+            if left <= 0.0 {
+                return Ok(());
+            }
+            if let Ok(heard) = self.heard.recv_timeout(Duration::from_secs_f64(left.min(TURN))) {
+                self.hear(heard)?;
+                while let Ok(more) = self.heard.try_recv() {
+                    self.hear(more)?;
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, heard: Heard) -> Result<(), Over> {
+        match heard {
+            Heard::Host(told) => return self.told(told),
+            Heard::HostEnded(number) => {
+                return Err(Over::Failed(format!("host {number} ended; its log is host-{number}.log")));
+            }
+            Heard::Real { gateway, life, about, there, at } => {
+                if self.reals.get(&gateway).is_some_and(|r| r.life == life) {
+                    self.said(gateway, about, there, at);
+                }
+            }
+            Heard::RealEnded { gateway, at } => return self.ended(gateway, at),
+            Heard::RealLow { gateway, low } => self.sums.low(gateway, &low),
+        }
+        Ok(())
+    }
+
+    fn said(&mut self, observer: usize, about: usize, there: bool, at: f64) {
+        self.book.said(observer, about, if there { Says::Here } else { Says::Gone }, at);
+    }
+
+    fn told(&mut self, told: Told) -> Result<(), Over> {
+        match told {
+            Told::Began { gateway, link, at } => {
+                self.relay.is_at(gateway, link);
+                self.book.began(gateway, at);
+                self.pending.remove(&gateway);
+            }
+            Told::Failed { gateway, why } => {
+                return Err(Over::Failed(format!("gateway {gateway}: {why}")));
+            }
+            Told::Ended { gateway, at } => return self.ended(gateway, at),
+            Told::Events(events) => {
+                for (observer, about, there, at) in events {
+                    self.said(observer as usize, about as usize, there, at);
+                }
+            }
+            Told::Listed { slowest, .. } => {
+                self.listing = self.listing.saturating_sub(1);
+                self.slowest = self.slowest.max(slowest);
+            }
+            Told::Readings { number, readings } => {
+                for reading in readings {
+                    reading.lows.iter().for_each(|low| self.sums.low(reading.gateway, low));
+                    self.readings.insert(reading.gateway, reading);
+                }
+                self.awaited -= usize::from(number == self.number && self.awaited > 0);
+            }
+        }
+        Ok(())
+    }
+
+    fn read(&mut self) {
+        self.number += 1;
+        self.awaited = self.hosts.len();
+        self.hosts.iter().for_each(|host| host.order(Order::Read { number: self.number }));
+    }
+
+    /// Reads all hollow gateways now, and waits for what they say.
+    pub fn read_now(&mut self) -> Result<(), Over> {
+        /// Seconds for which a host that is slow is waited for.
+        const WAIT: f64 = 15.0;
+        self.read();
+        let until = clock() + WAIT;
+        self.read_at = until;
+        while self.awaited > 0 && clock() < until {
+            self.pump(clock() + 0.02)?;
+        }
+        self.read_at = clock();
+        Ok(())
+    }
+
+    /// Looks whether the run may go on, and at the machine now and then.
+    fn look(&mut self, now: f64) -> Result<(), Over> {
+        if self.stop.load(Ordering::Acquire) {
+            return Err(Over::Stopped);
+        }
+        if now - self.began > self.plan.limit {
+            return Err(Over::Limit);
+        }
+        if now >= self.read_at + READ {
+            self.read_at = now;
+            self.read();
+        }
+        if now >= self.looked + LOOK {
+            self.looked = now;
+            self.sums.turn(now);
+            let cores = Cores::read();
+            if let (Some(cores), Some(before)) = (cores, self.cores) {
+                self.busy.push((now, cores.since(before)));
+            }
+            self.cores = cores;
+            let memory: f64 = self.processes().into_iter().filter_map(machine::memory).sum::<f64>() / 1e3;
+            self.most_memory = self.most_memory.max(memory);
+            if memory > self.plan.memory_gb {
+                return Err(Over::Memory(memory));
+            }
+        }
+        Ok(())
+    }
+
+    /// All processes of the run, this one among them.
+    pub fn processes(&self) -> Vec<u32> {
+        let hosts = self.hosts.iter().map(Host::process);
+        let reals = self.reals.values().map(Real::process);
+        std::iter::once(std::process::id()).chain(hosts).chain(reals).collect()
+    }
+
+    /// Memory of each gateway that runs, in MB: a hollow one's part of its host, a real one's process.
+    pub fn memory(&self) -> BTreeMap<usize, f64> {
+        let mut in_host: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        for gateway in (self.plan.real..self.plan.gateways).filter(|g| self.book.runs(*g)) {
+            in_host.entry(self.host_of(gateway)).or_default().push(gateway);
+        }
+        let mut memory = BTreeMap::new();
+        for (host, gateways) in in_host {
+            if let Some(all) = machine::memory(self.hosts[host].process()) {
+                let each = all / gateways.len() as f64;
+                memory.extend(gateways.into_iter().map(|g| (g, each)));
+            }
+        }
+        let real = self.reals.iter().filter_map(|(g, r)| Some((*g, machine::memory(r.process())?)));
+        memory.extend(real);
+        memory
+    }
+
+    /// Processor time of the control thread of each real gateway.
+    pub fn real_control(&self) -> BTreeMap<usize, f64> {
+        let of = |(g, r): (&usize, &Real)| Some((*g, machine::thread(r.process(), "peers")?));
+        self.reals.iter().filter_map(of).collect()
+    }
+
+    /// When each real gateway began, so that two readings are known to be of one process.
+    pub fn real_lives(&self) -> BTreeMap<usize, u64> {
+        self.reals.iter().map(|(g, r)| (*g, r.life)).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.asking.store(false, Ordering::Release);
+        // Nobody waits to be heard any more.
+        self.heard = sync_channel(0).1;
+        // All are let go at once, so that each has its time while the others are waited for.
+        self.hosts.iter_mut().for_each(Host::release);
+        self.reals.clear();
+    }
+}
+
+/// A folder for the files of a run.
+pub fn folder() -> io::Result<PathBuf> {
+    let folder = std::env::temp_dir().join(format!("milletpath-scale-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
+
+/// Raises the descriptors that this process may have as far as the system allows, and tells whether these
+/// suffice.
+pub fn descriptors(wanted: u64) -> io::Result<()> {
+    use nix::sys::resource::{Resource, getrlimit, setrlimit};
+    let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE)?;
+    if soft < wanted && soft < hard {
+        setrlimit(Resource::RLIMIT_NOFILE, wanted.min(hard), hard)?;
+    }
+    if hard < wanted {
+        let wrong =
+            format!("{wanted} open files are wanted and the system allows {hard}: have fewer gateways");
+        return Err(io::Error::other(wrong));
+    }
+    Ok(())
+}
+
+/// Removes the folder of a run that went well.
+pub fn tidy(folder: &Path) {
+    let _ = std::fs::remove_dir_all(folder);
+}
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,22 @@
+//! The scale run: hollow gateways, which are the real cores in many threads of a few processes, beside some
+//! real `milletpath serve` processes that cannot tell them apart; regions and zones with latencies between
+//! them; plays in order; a report by what passed on the sockets and by the threads' own clocks.
+//!
+//! [`plan`] reads what is asked for, [`run`] plays it, [`report`] says what it came to. [`host`] is the
+//! process that hollow gateways share, [`relay`] the links between all.
+
+pub mod book;
+pub mod budgets;
+pub mod children;
+pub mod host;
+pub mod machine;
+pub mod plan;
+pub mod relay;
+pub mod report;
+pub mod run;
+pub mod spread;
+pub mod wire;
+
+mod charter;
+mod fleet;
+mod standins;
--- /dev/null
+++ b/crates/scale/src/plan.rs
@@ -0,0 +1,400 @@
+//! Plans of scale runs, in HCL: how many gateways in which regions, what their control has to keep, what
+//! befalls them in which order. What a figure means, its unit and its bounds stand in
+//! `docs/operators/scale.md`.
+
+use hcl_edit::parser::parse_body;
+use milletpath_charter::page::{Mistake, Page, Section};
+use milletpath_protocol::is_name;
+
+/// A whole plan. Times in seconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub name: String,
+    pub seed: u64,
+    pub gateways: usize,
+    /// Of them, processes of `milletpath serve`.
+    pub real: usize,
+    /// That the hollow ones are spread over.
+    pub processes: usize,
+    pub peers: Peers,
+    pub budgets: Budgets,
+    pub zones: Vec<Zone>,
+    pub regions: Vec<String>,
+    pub links: Links,
+    pub workers: Workers,
+    /// Calls a second that all real gateways together get, of so many functions.
+    pub calls: f64,
+    pub functions: usize,
+    pub runs: Vec<Core>,
+    pub grant: Grant,
+    pub plays: Vec<Play>,
+    /// For the whole run; what is not played by then is left out and said to be.
+    pub limit: f64,
+    /// Resident memory of all processes of the run together, in GB.
+    pub memory_gb: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Peers {
+    pub period: f64,
+    pub lease: f64,
+    pub floor: f64,
+}
+
+/// What all gateways share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budgets {
+    /// Calls a second of the one client group, over all gateways.
+    pub quota: f64,
+    /// Orders to load of each gateway within a window.
+    pub window: f64,
+    pub orders: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Zone {
+    pub name: String,
+    pub region: usize,
+}
+
+/// Seconds that a letter takes from one zone to another, and the part of letters that are lost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Links {
+    pub within: f64,
+    /// Between regions, by their numbers.
+    pub between: Vec<Vec<f64>>,
+    pub loss: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Workers {
+    pub hollow: usize,
+    pub real: usize,
+}
+
+/// A core that a run can have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Core {
+    Membership,
+    Budgets,
+    List,
+}
+
+/// What the control of one gateway may use; what is not stated is not judged.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Grant {
+    /// Part of a core.
+    pub cpu: Option<f64>,
+    pub memory_mb: Option<f64>,
+    /// Bytes a second, each way.
+    pub bytes: Option<f64>,
+    /// Seconds until a change is known to all.
+    pub change: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Play {
+    pub label: String,
+    pub what: What,
+    /// Seconds that the fleet has until all believe what is so; none where that is not waited for.
+    pub settle: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// All begin, spread evenly.
+    Start { over: f64 },
+    /// Nothing happens; the cost of control is measured.
+    Settled { seconds: f64 },
+    /// So many leave and begin anew under their names.
+    Restarts { gateways: usize, over: f64 },
+    /// So many neighbours of one zone are killed at once, and begin anew after some time.
+    Rack { gateways: usize, away: f64 },
+    /// All of a zone.
+    Zone { zone: usize, away: f64 },
+    /// Two regions that do not hear each other.
+    Cut { regions: (usize, usize), seconds: f64 },
+    /// The workers of a zone go, then come back in so many editions.
+    List { zone: usize, editions: usize, over: f64 },
+}
+
+impl What {
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Start { .. } => "start",
+            Self::Settled { .. } => "settled",
+            Self::Restarts { .. } => "restarts",
+            Self::Rack { .. } => "rack",
+            Self::Zone { .. } => "zone",
+            Self::Cut { .. } => "cut",
+            Self::List { .. } => "list",
+        }
+    }
+}
+
+/// All that a run should play; those that it has not are named in its report.
+pub const PLAYS: [&str; 8] = ["start", "settled", "restarts", "rack", "zone", "cut", "list", "changes"];
+
+const LONG: f64 = 86_400.0;
+
+/// Gateways that a run may have: more have no place in one machine's ports and memory.
+const MOST: u32 = 4_000;
+
+impl Plan {
+    /// The zone of a gateway: neighbours by number stand in different zones.
+    pub fn zone_of(&self, gateway: usize) -> usize {
+        gateway % self.zones.len()
+    }
+
+    pub fn region_of(&self, gateway: usize) -> usize {
+        self.zones[self.zone_of(gateway)].region
+    }
+
+    /// The gateways of a zone.
+    pub fn in_zone(&self, zone: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..self.gateways).filter(move |g| self.zone_of(*g) == zone)
+    }
+
+    /// Seconds from one gateway to another.
+    pub fn latency(&self, from: usize, to: usize) -> f64 {
+        let (from, to) = (self.region_of(from), self.region_of(to));
+        if from == to { self.links.within } else { self.links.between[from][to] }
+    }
+
+    pub fn has(&self, core: Core) -> bool {
+        self.runs.contains(&core)
+    }
+}
+
+/// Reads a plan, for another number of gateways where one is given; the error holds every mistake, in its
+/// order.
+pub fn read(text: &str, gateways: Option<usize>) -> Result<Plan, Vec<Mistake>> {
+    let page = Page::new(text);
+    let body = match parse_body(text) {
+        Ok(body) => body,
+        Err(e) => {
+            let (line, column) = (e.location().line(), e.location().column());
+            let wrong = format!("no HCL here: {}", e.message());
+            let remedy = "mend the line and start again".to_owned();
+            return Err(vec![Mistake { line, column, wrong, remedy }]);
+        }
+    };
+    let mut top = Section::whole(&page, &body);
+    top.title = "the plan".into();
+    let plan = whole(&top, gateways);
+    drop(top);
+    let mistakes = page.mistakes();
+    if mistakes.is_empty() { Ok(plan) } else { Err(mistakes) }
+}
+
+/// A block that must be there.
+fn needed<'p>(top: &Section<'p>, key: &'static str, example: &str) -> Option<Section<'p>> {
+    let block = top.block(key);
+    if block.is_none() {
+        top.mistake(0, format!("the plan has no {key}"), format!("add {key} {{ {example} }}"));
+    }
+    block
+}
+
+fn whole(top: &Section<'_>, wanted: Option<usize>) -> Plan {
+    let name = top.parsed("name", "\"size\"", |t| is_name(t).then(|| t.to_owned()));
+    if !top.has("name") {
+        top.missing("name", "\"size\"");
+    }
+    let stated = top.count("gateways", "gateways", 2..=MOST);
+    if !top.has("gateways") {
+        top.missing("gateways", "60");
+    }
+    let gateways = wanted.or(stated).unwrap_or(2);
+    let real = top.count("real", "gateways", 0..=64).unwrap_or(0);
+    if real >= gateways {
+        let wrong = format!("real of {real} leaves no hollow gateway among {gateways}");
+        top.mistake(top.place("real"), wrong, "make real less than gateways");
+    }
+    let (regions, zones) = places(top);
+    if zones.len() > gateways {
+        let wrong = format!("{} zones, but {gateways} gateways only", zones.len());
+        top.mistake(top.place("gateways"), wrong, "have a gateway in each zone, or fewer zones");
+    }
+    let links = links(top, &regions);
+    let peers = needed(top, "peers", "period = 0.4, lease = 12");
+    let peers = peers.as_ref();
+    let of = |key, within, usual| peers.and_then(|p| p.figure(key, "seconds", within)).unwrap_or(usual);
+    let terms = Peers {
+        period: of("period", 0.05..=60.0, 0.4),
+        lease: of("lease", 0.1..=600.0, 12.0),
+        floor: peers.and_then(|p| p.figure("floor", "of its part", 0.0..=1.0)).unwrap_or(0.5),
+    };
+    if let Some(p) = peers.filter(|_| terms.lease < 4.0 * terms.period) {
+        let wrong = format!("lease of peers is shorter than four periods of {}", terms.period);
+        p.mistake(p.place("lease"), wrong, format!("make it {} or more", 4.0 * terms.period));
+    }
+    let budgets = needed(top, "budgets", "quota = 100");
+    let budgets = budgets.as_ref();
+    let figure = |key, unit, usual| budgets.and_then(|b| b.figure(key, unit, 0.001..=1e9)).unwrap_or(usual);
+    let budgets = Budgets {
+        quota: figure("quota", "calls a second", 100.0),
+        window: figure("window", "seconds", 10.0),
+        orders: figure("orders", "orders", 20.0),
+    };
+    let workers = needed(top, "workers", "hollow = 600, real = 3");
+    let workers = workers.as_ref();
+    let count = |key, most, usual| workers.and_then(|w| w.count(key, "workers", 1..=most)).unwrap_or(usual);
+    let workers = Workers { hollow: count("hollow", 60_000, 600), real: count("real", 64, 3) };
+    let functions = top.block("functions");
+    let functions = functions.as_ref();
+    let calls = functions.and_then(|f| f.figure("calls", "calls a second", 0.0..=1_000.0)).unwrap_or(0.0);
+    let names = functions.and_then(|f| f.count("names", "functions", 1..=1_000_000)).unwrap_or(1);
+    let control = needed(top, "control", "runs = [\"membership\", \"budgets\", \"list\"]");
+    let cores = [("membership", Core::Membership), ("budgets", Core::Budgets), ("list", Core::List)];
+    let known = |text: &str| cores.iter().find(|(word, _)| *word == text).map(|(_, core)| *core);
+    let shape = "[\"membership\", \"budgets\", \"list\"]";
+    let runs = control.as_ref().and_then(|c| c.list("runs", shape, known)).unwrap_or_default();
+    if let Some(c) = control.as_ref().filter(|_| !runs.contains(&Core::Membership)) {
+        c.mistake(c.place("runs"), "no run goes without membership", format!("write runs = {shape}"));
+    }
+    let grant = top.block("grant");
+    let grant = grant.as_ref();
+    let granted = |key, unit| grant.and_then(|g| g.figure(key, unit, 0.000_001..=1e12));
+    let grant = Grant {
+        cpu: granted("cpu", "cores"),
+        memory_mb: granted("memory_mb", "MB"),
+        bytes: granted("bytes", "bytes a second"),
+        change: granted("change", "seconds"),
+    };
+    Plan {
+        name: name.unwrap_or_default(),
+        seed: top.figure("seed", "chance", 0.0..=9e15).map_or(1, |s| s as u64),
+        gateways,
+        real,
+        processes: top.count("processes", "processes", 1..=16).unwrap_or(8),
+        peers: terms,
+        budgets,
+        workers,
+        calls,
+        functions: names,
+        runs,
+        grant,
+        plays: plays(top, gateways, &zones, &regions),
+        limit: top.figure("limit", "seconds", 1.0..=LONG).unwrap_or(300.0),
+        memory_gb: top.figure("memory_gb", "GB", 0.1..=1e5).unwrap_or(12.0),
+        zones,
+        regions,
+        links,
+    }
+}
+
+/// Regions, and the zones of all of them.
+fn places(top: &Section<'_>) -> (Vec<String>, Vec<Zone>) {
+    let (mut regions, mut zones) = (Vec::new(), Vec::<Zone>::new());
+    for section in top.blocks("region", true) {
+        let named = |text: &str| is_name(text).then(|| text.to_owned());
+        let names = section.list("zones", "[\"north-1\", \"north-2\"]", named).unwrap_or_default();
+        if names.is_empty() {
+            section.missing("zones", "[\"north-1\", \"north-2\"]");
+        }
+        for name in names {
+            if zones.iter().any(|z| z.name == name) {
+                let wrong = format!("a zone {name} stands here for the second time");
+                section.mistake(section.place("zones"), wrong, "give each its own name");
+            }
+            zones.push(Zone { name, region: regions.len() });
+        }
+        regions.push(section.label.clone());
+    }
+    if zones.is_empty() {
+        top.mistake(0, "the plan has no region", "add region \"north\" { zones = [\"north-1\"] }");
+        (regions, zones) = (vec!["all".into()], vec![Zone { name: "all".into(), region: 0 }]);
+    }
+    (regions, zones)
+}
+
+fn links(top: &Section<'_>, regions: &[String]) -> Links {
+    let section = needed(top, "links", "within = 1, across = 90");
+    let section = section.as_ref();
+    let figure = |key, usual| {
+        section.and_then(|s| s.figure(key, "milliseconds", 0.0..=10_000.0)).unwrap_or(usual) / 1e3
+    };
+    let (within, across) = (figure("within", 1.0), figure("across", 90.0));
+    let mut between = vec![vec![across; regions.len()]; regions.len()];
+    for pair in section.map(|s| s.blocks("pair", true)).unwrap_or_default() {
+        let ms = pair.figure("ms", "milliseconds", 0.0..=10_000.0);
+        if !pair.has("ms") {
+            pair.missing("ms", "30");
+        }
+        if let (Some((a, b)), Some(ms)) = (two(&pair, regions), ms) {
+            (between[a][b], between[b][a]) = (ms / 1e3, ms / 1e3);
+        }
+    }
+    let loss = section.and_then(|s| s.figure("loss", "of the letters", 0.0..=0.9)).unwrap_or(0.0);
+    Links { within, between, loss }
+}
+
+/// Two regions by their names.
+fn two(section: &Section<'_>, regions: &[String]) -> Option<(usize, usize)> {
+    let known = |text: &str| regions.iter().position(|r| r == text);
+    let both = section.list("regions", "[\"north\", \"south\"]", known);
+    if !section.has("regions") {
+        section.missing("regions", "[\"north\", \"south\"]");
+    }
+    let both = both?;
+    if let [a, b] = both[..]
+        && a != b
+    {
+        return Some((a, b));
+    }
+    let wrong = format!("regions of {} are not two", section.title);
+    section.mistake(section.place("regions"), wrong, "name two regions of the plan");
+    None
+}
+
+fn plays(top: &Section<'_>, gateways: usize, zones: &[Zone], regions: &[String]) -> Vec<Play> {
+    let mut plays: Vec<Play> = Vec::new();
+    let words: Vec<(&str, &str)> = PLAYS.iter().filter(|w| **w != "changes").map(|w| (*w, *w)).collect();
+    for s in top.blocks("play", true) {
+        let word = s.word("does", &words);
+        if !s.has("does") {
+            s.missing("does", "\"start\"");
+        }
+        let seconds = |key, usual| s.figure(key, "seconds", 0.0..=LONG).unwrap_or(usual);
+        let zone = || {
+            let known = |text: &str| zones.iter().position(|z| z.name == text);
+            let zone = s.parsed("zone", "the name of a zone above", known);
+            if !s.has("zone") {
+                s.missing("zone", &format!("\"{}\"", zones[0].name));
+            }
+            zone.unwrap_or(0)
+        };
+        // More than all but one can't go; a smaller fleet has smaller plays.
+        let some = |usual: usize| {
+            let most = (gateways - 1).max(1);
+            s.count("gateways", "gateways", 1..=MOST).unwrap_or(usual).min(most)
+        };
+        let what = match word {
+            Some("start") => What::Start { over: seconds("over", 10.0) },
+            Some("settled") => What::Settled { seconds: seconds("seconds", 10.0) },
+            Some("restarts") => What::Restarts { gateways: some(40), over: seconds("over", 10.0) },
+            Some("rack") => What::Rack { gateways: some(20), away: seconds("away", 10.0) },
+            Some("zone") => What::Zone { zone: zone(), away: seconds("away", 10.0) },
+            Some("cut") => {
+                let regions = two(&s, regions).unwrap_or((0, 0));
+                What::Cut { regions, seconds: seconds("seconds", 10.0) }
+            }
+            Some("list") => {
+                let editions = s.count("editions", "editions", 1..=100_000).unwrap_or(100);
+                What::List { zone: zone(), editions, over: seconds("over", 10.0) }
+            }
+            _ => continue,
+        };
+        if plays.is_empty() && !matches!(what, What::Start { .. }) {
+            let wrong = format!("{} comes before any start", s.title);
+            s.mistake(s.at, wrong, "let the first play be one that does = \"start\"");
+        }
+        let settle = s.figure("settle", "seconds", 0.1..=LONG);
+        plays.push(Play { label: s.label.clone(), what, settle });
+    }
+    if plays.is_empty() {
+        top.mistake(0, "the plan plays nothing", "add play \"begin\" { does = \"start\" }");
+    }
+    plays
+}
--- /dev/null
+++ b/crates/scale/src/report.rs
@@ -0,0 +1,434 @@
+//! What a run came to: figures, the bounds that were broken, what was not played. As a table for people, and
+//! as one JSON object. What was not measured stands in neither.
+
+use crate::book::Learnt;
+use crate::budgets::Worst;
+use crate::fleet::Over;
+use crate::machine::SATURATED;
+use crate::plan::{PLAYS, Plan};
+use crate::spread::{Known, Spread, Times};
+use crate::standins::Counts;
+use serde_json::{Map, Value, json};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Whether and when all believed what was so.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settled {
+    pub after: Option<f64>,
+    pub waited: f64,
+    /// Gateways that all others believed to be there, of those that were.
+    pub agreed: usize,
+    pub of: usize,
+}
+
+/// What control cost by gateway, in a time in which nothing happened. Rates are by the second.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Cost {
+    pub seconds: f64,
+    /// The fleet was settled at the end of it.
+    pub settled: bool,
+    /// Part of all cores that was in use.
+    pub busy: Option<f64>,
+    /// Hollow gateways whose control thread gave no reading in time.
+    pub unread: usize,
+    pub cpu: Vec<(usize, f64)>,
+    /// Of that, what was spent inside the desk on the worker list and the desk's own timers.
+    pub desk: Vec<(usize, f64)>,
+    pub memory: Vec<(usize, f64)>,
+    pub bytes_in: Vec<(usize, f64)>,
+    pub bytes_out: Vec<(usize, f64)>,
+    pub letters_in: Vec<(usize, f64)>,
+    pub letters_out: Vec<(usize, f64)>,
+}
+
+/// A flood of list changes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Listed {
+    pub workers: usize,
+    pub editions: usize,
+    /// Seconds until all desks had all editions.
+    pub took: f64,
+    /// Seconds of processor time of the longest edition inside one desk: when all went at once, and as they
+    /// came back.
+    pub slowest_gone: f64,
+    pub slowest: f64,
+    /// Seconds of processor time of each desk in all.
+    pub desk: Option<Spread>,
+}
+
+/// One play.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Played {
+    pub label: String,
+    pub does: &'static str,
+    /// Seconds from the start of the run, and that it took.
+    pub at: f64,
+    pub took: f64,
+    pub settled: Option<Settled>,
+    /// How many knew who was gone before those came back, of how many.
+    pub gone_known: Option<(usize, usize)>,
+    pub learnt: Learnt,
+    pub cost: Option<Cost>,
+    pub list: Option<Listed>,
+}
+
+/// What of the machine was in use. Parts are of all cores.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Machine {
+    pub cores: usize,
+    pub busy: Option<f64>,
+    /// While the cost of control was measured, at the worst.
+    pub measuring: Option<f64>,
+    /// In the worst second.
+    pub highest: Option<f64>,
+    /// By the processes of the run.
+    pub own: f64,
+    pub memory_gb: f64,
+    /// Letters dropped by the system at the relay's sockets, and by the relay for want of room.
+    pub dropped: u64,
+    pub crowded: u64,
+    /// Letters lost by the plan's word.
+    pub lost: u64,
+}
+
+impl Machine {
+    /// What was measured is then also the measure of a crowd.
+    pub fn saturated(&self) -> bool {
+        self.busy.into_iter().chain(self.measuring).any(|busy| busy > SATURATED)
+    }
+}
+
+pub struct Report {
+    pub name: String,
+    pub gateways: usize,
+    pub real: usize,
+    pub seed: u64,
+    pub took: f64,
+    /// Which bound, by how much, where.
+    pub broken: Vec<String>,
+    pub plays: Vec<Played>,
+    /// Plays that the plan has and the run had no time for; plays that the plan has not.
+    pub unplayed: Vec<String>,
+    pub budgets: BTreeMap<String, Worst>,
+    pub machine: Machine,
+    pub calls: Option<Counts>,
+    pub over: Option<Over>,
+}
+
+impl Report {
+    pub fn new(
+        plan: &Plan,
+        plays: Vec<Played>,
+        budgets: BTreeMap<String, Worst>,
+        machine: Machine,
+        calls: Option<Counts>,
+        over: Option<Over>,
+        took: f64,
+    ) -> Self {
+        let whole = plays.len() - usize::from(over.is_some() && !plays.is_empty());
+        let mut unplayed: Vec<String> = (plan.plays[whole..].iter())
+            .map(|p| format!("{} ({}): the run ended before its end", p.label, p.what.word()))
+            .collect();
+        let absent = PLAYS.iter().filter(|w| !plan.plays.iter().any(|p| p.what.word() == **w));
+        unplayed.extend(absent.map(|word| match *word {
+            "changes" => "changes: there is no such core yet".to_owned(),
+            word => format!("{word}: not in the plan"),
+        }));
+        let measuring = plays.iter().filter_map(|p| p.cost.as_ref()?.busy).max_by(f64::total_cmp);
+        let machine = Machine { measuring, ..machine };
+        let mut report = Self {
+            name: plan.name.clone(),
+            gateways: plan.gateways,
+            real: plan.real,
+            seed: plan.seed,
+            took,
+            broken: Vec::new(),
+            plays,
+            unplayed,
+            budgets,
+            machine,
+            calls,
+            over,
+        };
+        report.broken = report.judge(plan);
+        report
+    }
+
+    /// The bounds that were broken.
+    fn judge(&self, plan: &Plan) -> Vec<String> {
+        let mut broken = Vec::new();
+        match &self.over {
+            Some(Over::Stopped) => broken.push("the run was stopped".into()),
+            Some(Over::Limit) => {
+                broken.push(format!("the run was not over after its limit of {} s", plan.limit))
+            }
+            Some(Over::Memory(gb)) => {
+                broken
+                    .push(format!("memory of the run: {gb:.1} GB where {} GB are its most", plan.memory_gb));
+            }
+            Some(Over::Failed(why)) => broken.push(format!("a process failed: {why}")),
+            None => {}
+        }
+        for play in &self.plays {
+            if let Some(Settled { after: None, waited, agreed, of }) = play.settled {
+                broken.push(format!(
+                    "never settled in {}: {agreed} of {of} believed by all after {waited:.1} s",
+                    play.label
+                ));
+            }
+            let Some(cost) = &play.cost else { continue };
+            let mut see = |what: &str, unit: &str, figures: &[(usize, f64)], most: Option<f64>| {
+                let Some(most) = most else { return };
+                let over: Vec<_> = figures.iter().filter(|(_, f)| *f > most).collect();
+                let Some((gateway, worst)) = over.iter().max_by(|a, b| a.1.total_cmp(&b.1)) else { return };
+                let (over, of) = (over.len(), figures.len());
+                broken.push(format!(
+                    "control.{what} in {}: {} {unit} at gateway-{gateway} where {} are granted, \
+                     over it at {over} of {of}",
+                    play.label,
+                    short(*worst),
+                    short(most),
+                ));
+            };
+            see("cpu", "of a core", &cost.cpu, plan.grant.cpu);
+            see("memory_mb", "MB", &cost.memory, plan.grant.memory_mb);
+            see("bytes_in", "bytes a second", &cost.bytes_in, plan.grant.bytes);
+            see("bytes_out", "bytes a second", &cost.bytes_out, plan.grant.bytes);
+        }
+        for (name, worst) in &self.budgets {
+            if worst.broken > 0 {
+                let (sum, bound) = (short(worst.sum), short(worst.bound));
+                let during = worst.during.as_deref().unwrap_or("the run");
+                let (broken_in, of) = (worst.broken, worst.seconds);
+                broken.push(format!(
+                    "budget {name}: all together might use {sum} where there is {bound}, \
+                     in {broken_in} of {of} seconds, first in {during}"
+                ));
+            }
+        }
+        broken
+    }
+
+    /// The cost of control that counts: of the last time that it was measured.
+    fn cost(&self) -> Option<&Cost> {
+        self.plays.iter().rev().find_map(|p| p.cost.as_ref())
+    }
+
+    /// What was learnt in all plays.
+    fn known(&self) -> [(&'static str, Option<Known>); 3] {
+        let all = |of: fn(&Learnt) -> &Times| {
+            let mut times = Times::default();
+            for play in &self.plays {
+                times.seconds.extend(&of(&play.learnt).seconds);
+                times.never += of(&play.learnt).never;
+            }
+            times.known()
+        };
+        [("death", all(|l| &l.death)), ("join", all(|l| &l.join)), ("healing", all(|l| &l.healing))]
+    }
+
+    pub fn json(&self) -> Value {
+        let mut report = json!({
+            "plan": self.name, "gateways": self.gateways, "real": self.real, "seed": self.seed,
+            "seconds": self.took, "broken": self.broken, "not_played": self.unplayed,
+            "plays": self.plays.iter().map(Played::json).collect::<Vec<_>>(),
+            "machine": self.machine.json(),
+        });
+        if let Some(control) = self.cost().map(Cost::json).filter(|c| !c.is_empty()) {
+            report["control"] = Value::Object(control);
+        }
+        let known = known(&self.known());
+        if !known.is_empty() {
+            report["known"] = Value::Object(known);
+        }
+        if !self.budgets.is_empty() {
+            report["budgets"] = json!(self.budgets);
+        }
+        if let Some(Counts { sent, handled }) = self.calls {
+            report["calls"] = json!({"sent": sent, "handled": handled});
+        }
+        report
+    }
+}
+
+/// What is there of several, by name.
+fn known(known: &[(&'static str, Option<Known>)]) -> Map<String, Value> {
+    known.iter().filter_map(|(name, known)| Some(((*name).to_owned(), json!((*known)?)))).collect()
+}
+
+/// A figure with as many digits as mean something.
+fn short(figure: f64) -> String {
+    match figure.abs() {
+        x if x >= 100.0 => format!("{figure:.0}"),
+        x if x >= 1.0 => format!("{figure:.2}"),
+        _ => format!("{figure:.5}"),
+    }
+}
+
+impl Cost {
+    /// Each figure's spread over the gateways.
+    fn spreads(&self) -> Vec<(&'static str, Spread)> {
+        let all = [
+            ("cpu", &self.cpu),
+            ("cpu_desk", &self.desk),
+            ("memory_mb", &self.memory),
+            ("bytes_in", &self.bytes_in),
+            ("bytes_out", &self.bytes_out),
+            ("letters_in", &self.letters_in),
+            ("letters_out", &self.letters_out),
+        ];
+        let spread = |figures: &[(usize, f64)]| Spread::of(figures.iter().map(|(_, f)| *f).collect());
+        all.into_iter().filter_map(|(name, figures)| Some((name, spread(figures)?))).collect()
+    }
+
+    fn json(&self) -> Map<String, Value> {
+        self.spreads().into_iter().map(|(name, spread)| (name.to_owned(), json!(spread))).collect()
+    }
+}
+
+impl Played {
+    fn json(&self) -> Value {
+        let mut play = json!({
+            "label": self.label, "does": self.does, "at": self.at, "seconds": self.took,
+            "false_deaths": self.learnt.false_deaths,
+        });
+        if let Some(Settled { after, waited, agreed, of }) = self.settled {
+            play["settled"] = match after {
+                Some(after) => json!({"after": after, "believed_by_all": agreed, "of": of}),
+                None => json!({"waited": waited, "believed_by_all": agreed, "of": of}),
+            };
+        }
+        if let Some((knew, of)) = self.gone_known {
+            play["gone_known"] = json!({"by": knew, "of": of});
+        }
+        let times = [&self.learnt.death, &self.learnt.join, &self.learnt.healing].map(Times::known);
+        let [death, join, healing] = times;
+        let known = known(&[("death", death), ("join", join), ("healing", healing)]);
+        if !known.is_empty() {
+            play["known"] = Value::Object(known);
+        }
+        if let Some(cost) = &self.cost {
+            play["control"] = Value::Object(cost.json());
+            play["measured"] =
+                json!({"seconds": cost.seconds, "fleet_settled": cost.settled, "unread": cost.unread});
+            cost.busy.iter().for_each(|busy| play["measured"]["busy"] = json!(busy));
+        }
+        if let Some(l) = &self.list {
+            play["list"] = json!({
+                "workers": l.workers, "editions": l.editions, "seconds": l.took,
+                "slowest_gone": l.slowest_gone, "slowest": l.slowest,
+            });
+            l.desk.iter().for_each(|desk| play["list"]["desk"] = json!(desk));
+        }
+        play
+    }
+}
+
+impl Machine {
+    fn json(&self) -> Value {
+        let mut machine = json!({
+            "cores": self.cores, "own": self.own, "saturated": self.saturated(), "memory_gb": self.memory_gb,
+            "letters_dropped": self.dropped, "letters_crowded": self.crowded,
+            "letters_lost_by_plan": self.lost,
+        });
+        self.busy.iter().for_each(|busy| machine["busy"] = json!(busy));
+        self.measuring.iter().for_each(|busy| machine["busy_measuring"] = json!(busy));
+        self.highest.iter().for_each(|highest| machine["busy_highest"] = json!(highest));
+        machine
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { name, gateways, real, seed, took, .. } = self;
+        writeln!(f, "{name}: {gateways} gateways, {real} of them real, seed {seed}, {took:.0} s")?;
+        if let Some(cost) = self.cost() {
+            let state = if cost.settled { "settled" } else { "NOT settled" };
+            writeln!(f, "control of one gateway, over {:.0} s, fleet {state}", cost.seconds)?;
+            writeln!(f, "  {:<22} {:>12} {:>12} {:>12}", "", "p50", "p99", "worst")?;
+            for (name, s) in cost.spreads() {
+                let unit = match name {
+                    "cpu" => "cpu, of a core",
+                    "cpu_desk" => "  of it in the desk",
+                    "memory_mb" => "memory, MB",
+                    "bytes_in" => "bytes in a second",
+                    "bytes_out" => "bytes out a second",
+                    "letters_in" => "letters in a second",
+                    _ => "letters out a second",
+                };
+                let (p50, p99, worst) = (short(s.p50), short(s.p99), short(s.worst));
+                writeln!(f, "  {unit:<22} {p50:>12} {p99:>12} {worst:>12}")?;
+            }
+        }
+        writeln!(f, "plays")?;
+        for play in &self.plays {
+            write!(f, "  {:<12} {:<9} from {:>6.1} s, {:>6.1} s", play.label, play.does, play.at, play.took)?;
+            match play.settled {
+                Some(Settled { after: Some(after), of, .. }) => {
+                    write!(f, "; all {of} agree after {after:.1} s")?
+                }
+                Some(Settled { waited, agreed, of, .. }) => {
+                    write!(f, "; NEVER SETTLED, {agreed} of {of} believed by all after {waited:.1} s")?;
+                }
+                None => {}
+            }
+            if let Some((knew, of)) = play.gone_known {
+                write!(f, "; {knew} of {of} knew who was gone")?;
+            }
+            if play.learnt.false_deaths > 0 {
+                write!(f, "; {} times one was wrongly said to be gone", play.learnt.false_deaths)?;
+            }
+            if let Some(l) = &play.list {
+                let (workers, editions, ms) = (l.workers, l.editions, 1e3 * l.slowest);
+                write!(f, "; {workers} workers in {editions} editions, the slowest {ms:.1} ms in one desk")?;
+            }
+            writeln!(f)?;
+        }
+        for (what, known) in self.known() {
+            let Some(Known { spread, learnt, never }) = known else { continue };
+            let times = spread.map_or_else(String::new, |s| {
+                format!("p50 {:.2} s, p99 {:.2} s, worst {:.2} s; ", s.p50, s.p99, s.worst)
+            });
+            writeln!(f, "{what} known: {times}{learnt} learnt it, {never} never")?;
+        }
+        for (name, w) in &self.budgets {
+            let (sum, bound, (least, most)) = (short(w.sum), short(w.bound), w.gateways);
+            let seconds = w.seconds;
+            writeln!(
+                f,
+                "budget {name}: {sum} of {bound} at worst, in {seconds} seconds of {least} to {most} gateways"
+            )?;
+        }
+        if let Some(Counts { sent, handled }) = self.calls {
+            writeln!(f, "calls to real gateways: {sent}, handled {handled}")?;
+        }
+        let m = &self.machine;
+        let busy = m.busy.map_or("unknown".into(), |b| format!("{:.0}%", 100.0 * b));
+        let (own, memory) = (100.0 * m.own, m.memory_gb);
+        writeln!(f, "machine: {busy} of {} cores in use, {own:.0}% by this run; {memory:.1} GB", m.cores)?;
+        if m.saturated() {
+            let measuring = m
+                .measuring
+                .map_or(String::new(), |b| format!(" ({:.0}% while control was measured)", 100.0 * b));
+            writeln!(
+                f,
+                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors"
+            )?;
+        }
+        if m.dropped + m.crowded > 0 {
+            writeln!(
+                f,
+                "letters dropped for want of room: {} by the system, {} by the relay",
+                m.dropped, m.crowded
+            )?;
+        }
+        for unplayed in &self.unplayed {
+            writeln!(f, "not played: {unplayed}")?;
+        }
+        match self.broken.len() {
+            0 => writeln!(f, "bounds: all kept"),
+            _ => self.broken.iter().try_for_each(|b| writeln!(f, "BROKEN {b}")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,379 @@
+//! Plays a plan: one play after the other, each with what it measured; and what could not be played any more.
+
+use crate::book::Learnt;
+use crate::fleet::{Fleet, Over, Stage, folder};
+use crate::machine::{self, Cores};
+use crate::plan::{Core, Plan, What};
+use crate::relay::Passed;
+use crate::report::{Cost, Played, Report, Settled};
+use crate::standins::{Calls, StandIns};
+use crate::wire::Reading;
+use milletpath_gateway::hollow::clock;
+use oorandom::Rand64;
+use std::collections::BTreeMap;
+use std::io::{self, IsTerminal, Write};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+/// How a plan is to be played.
+pub struct Asked<'a> {
+    /// The plan's text, as hosts read it themselves.
+    pub text: &'a str,
+    /// The program that hosts and real gateways are started from.
+    pub program: PathBuf,
+    /// Set from elsewhere, it ends the run.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// Descriptors beside the gateways' own: pipes, files, workers, clients.
+const SPARE: u64 = 256;
+
+pub fn run(plan: &Plan, asked: Asked<'_>) -> io::Result<Report> {
+    crate::fleet::descriptors(plan.gateways as u64 + 4 * plan.real as u64 + SPARE)?;
+    let folder = folder()?;
+    let report = staged(plan, asked, folder.clone());
+    match &report {
+        Ok(report) if report.broken.is_empty() => crate::fleet::tidy(&folder),
+        _ => eprintln!("charters and logs of the run are in {}", folder.display()),
+    }
+    report
+}
+
+fn staged(plan: &Plan, asked: Asked<'_>, folder: PathBuf) -> io::Result<Report> {
+    let stand_ins = StandIns::start(plan.workers.real, plan.seed)?;
+    let stage = Stage { program: asked.program, folder };
+    let before = (Cores::read(), machine::used(std::process::id()));
+    let fleet = Fleet::new(plan, asked.text, stage, stand_ins.addresses.clone(), asked.stop)?;
+    let calls = Calls::start(plan, fleet.places.clone())?;
+    let mut stage = Playing {
+        chance: Rand64::new(u128::from(plan.seed) ^ 0x5ca1e),
+        fleet,
+        calls,
+        played: Vec::new(),
+        generation: 0,
+        terminal: io::stderr().is_terminal(),
+    };
+    let over = stage.plays().err();
+    stage.end(plan, over, before)
+}
+
+struct Playing {
+    fleet: Fleet,
+    calls: Calls,
+    chance: Rand64,
+    played: Vec<Played>,
+    /// Of the worker list: processes under one name are told apart by it.
+    generation: u32,
+    terminal: bool,
+}
+
+impl Playing {
+    fn plays(&mut self) -> Result<(), Over> {
+        for play in self.fleet.plan.plays.clone() {
+            let began = clock();
+            self.fleet.sums.play(began, &play.label);
+            let mut played = Played::new(&play, began - self.fleet.began);
+            let done = self.play(&play.what, &mut played);
+            let done = done.and_then(|()| self.settle(play.settle, &mut played));
+            played.took = clock() - began;
+            played.learnt = self.fleet.book.take();
+            // What a play that was broken off had measured is kept.
+            self.played.push(played);
+            done?;
+        }
+        Ok(())
+    }
+
+    fn play(&mut self, what: &What, played: &mut Played) -> Result<(), Over> {
+        match *what {
+            What::Start { over } => {
+                let all = self.shuffled((0..self.fleet.plan.gateways).collect());
+                self.one_by_one(&all, over, |fleet, gateway| fleet.begin(gateway))
+            }
+            What::Settled { seconds } => self.measure(seconds, played),
+            What::Restarts { gateways, over } => {
+                let mut some = self.shuffled((0..self.fleet.plan.gateways).collect());
+                some.truncate(gateways);
+                self.one_by_one(&some, over, |fleet, gateway| fleet.end(&[gateway], false, true))
+            }
+            What::Rack { gateways, away } => {
+                let zone = self.chance.rand_range(0..self.fleet.plan.zones.len() as u64) as usize;
+                let rack: Vec<usize> = self.fleet.plan.in_zone(zone).take(gateways).collect();
+                self.away(&rack, away, played)
+            }
+            What::Zone { zone, away } => {
+                let all: Vec<usize> = self.fleet.plan.in_zone(zone).collect();
+                self.away(&all, away, played)
+            }
+            What::Cut { regions, seconds } => self.cut(regions, seconds),
+            What::List { zone, editions, over } => self.list(zone, editions, over, played),
+        }
+    }
+
+    fn shuffled(&mut self, mut all: Vec<usize>) -> Vec<usize> {
+        for n in (1..all.len()).rev() {
+            all.swap(n, self.chance.rand_range(0..n as u64 + 1) as usize);
+        }
+        all
+    }
+
+    /// Does something to each, spread evenly over some seconds, and waits until it is done.
+    fn one_by_one(
+        &mut self,
+        all: &[usize],
+        over: f64,
+        mut what: impl FnMut(&mut Fleet, usize) -> Result<(), Over>,
+    ) -> Result<(), Over> {
+        let began = clock();
+        for (n, gateway) in all.iter().enumerate() {
+            self.fleet.pump(began + over * n as f64 / all.len() as f64)?;
+            what(&mut self.fleet, *gateway)?;
+            if n % 16 == 0 {
+                self.progress(&format!("{n} of {}", all.len()));
+            }
+        }
+        self.done()
+    }
+
+    /// Waits until all that was told to begin or to end has.
+    fn done(&mut self) -> Result<(), Over> {
+        while !self.fleet.pending.is_empty() {
+            self.fleet.pump(clock() + 0.05)?;
+        }
+        Ok(())
+    }
+
+    /// Kills some at once, and begins them anew after some seconds.
+    fn away(&mut self, some: &[usize], away: f64, played: &mut Played) -> Result<(), Over> {
+        let began = clock();
+        self.fleet.end(some, true, false)?;
+        self.done()?;
+        // That they are gone should be known by the time they come back; how many knew it is told.
+        self.wait(began + away, |_| false)?;
+        played.gone_known = Some((self.fleet.book.settled(), self.fleet.book.running()));
+        self.one_by_one(some, 0.0, |fleet, gateway| fleet.begin(gateway))
+    }
+
+    fn cut(&mut self, regions: (usize, usize), seconds: f64) -> Result<(), Over> {
+        let of: Vec<usize> = (0..self.fleet.plan.gateways).map(|g| self.fleet.plan.region_of(g)).collect();
+        let began = clock();
+        self.fleet.relay.cut(regions, true);
+        self.fleet.book.cut(move |a, b| {
+            let pair = (of[a], of[b]);
+            pair == regions || pair == (regions.1, regions.0)
+        });
+        let done = self.wait(began + seconds, |_| false);
+        self.fleet.relay.cut(regions, false);
+        self.fleet.book.mended(clock());
+        done
+    }
+
+    fn list(&mut self, zone: usize, editions: usize, over: f64, played: &mut Played) -> Result<(), Over> {
+        if !self.fleet.plan.has(Core::List) {
+            return Ok(());
+        }
+        let plan = &self.fleet.plan;
+        let workers: Vec<usize> =
+            (0..plan.workers.hollow).filter(|w| crate::charter::worker_zone(plan, *w) == zone).collect();
+        let editions = editions.min(workers.len());
+        self.fleet.read_now()?;
+        let before = desks(&self.fleet.readings);
+        self.fleet.slowest = 0.0;
+        self.fleet.list(&workers, self.generation, false);
+        self.listed()?;
+        let gone = self.fleet.slowest;
+        self.generation += 1;
+        let began = clock();
+        for (n, edition) in workers.chunks(workers.len().div_ceil(editions.max(1))).enumerate() {
+            self.fleet.pump(began + over * n as f64 / editions as f64)?;
+            self.fleet.list(edition, self.generation, true);
+        }
+        self.listed()?;
+        let took = clock() - began;
+        self.fleet.read_now()?;
+        let after = desks(&self.fleet.readings);
+        let used = after.iter().filter_map(|(g, desk)| Some(desk - before.get(g)?)).collect();
+        played.list = Some(crate::report::Listed {
+            workers: workers.len(),
+            editions,
+            took,
+            slowest_gone: gone,
+            slowest: self.fleet.slowest,
+            desk: crate::spread::Spread::of(used),
+        });
+        Ok(())
+    }
+
+    /// Waits until all hosts have taken all editions.
+    fn listed(&mut self) -> Result<(), Over> {
+        while self.fleet.listing > 0 {
+            self.fleet.pump(clock() + 0.05)?;
+        }
+        Ok(())
+    }
+
+    fn wait(&mut self, until: f64, enough: impl Fn(&Fleet) -> bool) -> Result<(), Over> {
+        /// Seconds between two looks.
+        const LOOK: f64 = 0.2;
+        loop {
+            let now = clock();
+            if now >= until || enough(&self.fleet) {
+                return Ok(());
+            }
+            self.progress("");
+            self.fleet.pump(until.min(now + LOOK))?;
+        }
+    }
+
+    /// Waits until all that run believe what is so, for some seconds at most.
+    fn settle(&mut self, most: Option<f64>, played: &mut Played) -> Result<(), Over> {
+        let Some(most) = most else { return Ok(()) };
+        let began = clock();
+        let all = |fleet: &Fleet| fleet.book.settled() == fleet.book.running();
+        let done = self.wait(began + most, all);
+        let settled = all(&self.fleet);
+        let (agreed, of) = (self.fleet.book.agreed(), self.fleet.book.running());
+        let waited = clock() - began;
+        // Of one that was broken off nobody knows whether it would have.
+        if done.is_ok() || settled {
+            played.settled = Some(Settled { after: settled.then_some(waited), waited, agreed, of });
+        }
+        done
+    }
+
+    /// What control costs while nothing happens.
+    fn measure(&mut self, seconds: f64, played: &mut Played) -> Result<(), Over> {
+        let mut before = self.look()?;
+        let began = (clock(), Cores::read());
+        self.wait(began.0 + seconds, |_| false)?;
+        let after = self.look()?;
+        let took = after.at - before.at;
+        let mut cost = Cost { seconds: took, ..Cost::default() };
+        for (gateway, now) in &after.readings {
+            // Of one process, and one that was read lately both times.
+            let Some(then) = before.readings.remove(gateway) else { continue };
+            let between = now.at - then.at;
+            if between < 0.5 * took || now.control < then.control {
+                cost.unread += 1;
+                continue;
+            }
+            let (control, desk) = ((now.control - then.control) / between, (now.desk - then.desk) / took);
+            cost.cpu.push((*gateway, control + desk));
+            cost.desk.push((*gateway, desk));
+        }
+        for (gateway, now) in &after.control {
+            let same = before.lives.get(gateway) == after.lives.get(gateway);
+            if let Some(then) = before.control.get(gateway).filter(|_| same) {
+                cost.cpu.push((*gateway, (now - then) / took));
+            }
+        }
+        for (gateway, (now, then)) in after.passed.iter().zip(&before.passed).enumerate() {
+            if !self.fleet.book.runs(gateway) {
+                continue;
+            }
+            let rate = |now: u64, then: u64| (now - then) as f64 / took;
+            cost.bytes_in.push((gateway, rate(now.bytes_in, then.bytes_in)));
+            cost.bytes_out.push((gateway, rate(now.bytes_out, then.bytes_out)));
+            cost.letters_in.push((gateway, rate(now.letters_in, then.letters_in)));
+            cost.letters_out.push((gateway, rate(now.letters_out, then.letters_out)));
+        }
+        cost.memory = self.fleet.memory().into_iter().collect();
+        cost.settled = self.fleet.book.settled() == self.fleet.book.running();
+        if let (Some(then), Some(now)) = (began.1, Cores::read()) {
+            cost.busy = Some(now.since(then));
+        }
+        played.cost = Some(cost);
+        Ok(())
+    }
+
+    fn look(&mut self) -> Result<Look, Over> {
+        self.fleet.read_now()?;
+        Ok(Look {
+            at: clock(),
+            readings: self.fleet.readings.clone(),
+            passed: self.fleet.relay.passed(),
+            control: self.fleet.real_control(),
+            lives: self.fleet.real_lives(),
+        })
+    }
+
+    /// One line that is written over and over, for whoever looks on.
+    fn progress(&self, what: &str) {
+        if !self.terminal {
+            return;
+        }
+        let play = self.fleet.plan.plays.get(self.played.len()).map_or("", |p| p.label.as_str());
+        let (settled, running) = (self.fleet.book.settled(), self.fleet.book.running());
+        let at = clock() - self.fleet.began;
+        let busy = self.fleet.busy.last().map_or(0.0, |(_, busy)| 100.0 * busy);
+        let _ = write!(
+            io::stderr(),
+            "\r\x1b[K{at:6.1} s  {play}: {running} run, {settled} believe what is so; \
+             {busy:.0}% of the cores busy  {what}"
+        );
+    }
+
+    fn end(self, plan: &Plan, over: Option<Over>, before: (Option<Cores>, f64)) -> io::Result<Report> {
+        let Self { fleet, calls, played, terminal, .. } = self;
+        if terminal {
+            let _ = write!(io::stderr(), "\r\x1b[K");
+        }
+        let took = clock() - fleet.began;
+        let processes = fleet.processes();
+        let own: f64 = processes.iter().map(|p| machine::used(*p)).sum::<f64>() - before.1;
+        let busy = before.0.zip(Cores::read()).map(|(then, now)| now.since(then));
+        let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
+        let dropped = machine::dropped(&fleet.relay.ports());
+        let machine = crate::report::Machine {
+            cores,
+            busy,
+            measuring: None,
+            highest: fleet
+                .busy
+                .iter()
+                .map(|(_, busy)| *busy)
+                .fold(None, |most, b| Some(most.map_or(b, |m: f64| m.max(b)))),
+            own: own / took.max(1e-9) / cores as f64,
+            memory_gb: fleet.most_memory,
+            dropped,
+            crowded: fleet.relay.crowded(),
+            lost: fleet.relay.lost(),
+        };
+        let calls = calls.end();
+        let mut fleet = fleet;
+        let sums = std::mem::replace(&mut fleet.sums, crate::budgets::Sums::new(plan.gateways));
+        // From here on nothing of the run is left.
+        drop(fleet);
+        Ok(Report::new(plan, played, sums.end(), machine, calls, over, took))
+    }
+}
+
+/// What is read before and after a time.
+struct Look {
+    at: f64,
+    readings: BTreeMap<usize, Reading>,
+    passed: Vec<Passed>,
+    control: BTreeMap<usize, f64>,
+    lives: BTreeMap<usize, u64>,
+}
+
+fn desks(readings: &BTreeMap<usize, Reading>) -> BTreeMap<usize, f64> {
+    readings.iter().map(|(g, r)| (*g, r.desk)).collect()
+}
+
+impl Played {
+    fn new(play: &crate::plan::Play, at: f64) -> Self {
+        Self {
+            label: play.label.clone(),
+            does: play.what.word(),
+            at,
+            took: 0.0,
+            settled: None,
+            gone_known: None,
+            learnt: Learnt::default(),
+            cost: None,
+            list: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scale/src/wire.rs
@@ -0,0 +1,91 @@
+//! What a run and its host processes say to each other: one JSON object a line, orders on the host's standard
+//! input, what it tells on its standard output. A host ends when its input does.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Order {
+    /// Comes first, and once.
+    Plan {
+        /// The plan's text, and the number of gateways and the seed where they are not its own.
+        text: String,
+        gateways: usize,
+        seed: u64,
+        /// Where each gateway is reached by the others.
+        links: Vec<SocketAddr>,
+        key: PathBuf,
+    },
+    Begin {
+        gateway: usize,
+    },
+    /// End, with a word to the others or killed.
+    End {
+        gateways: Vec<usize>,
+        killed: bool,
+    },
+    /// One edition of the worker list for all gateways there: these workers are there, in that generation, or
+    /// gone.
+    List {
+        workers: Vec<usize>,
+        generation: u32,
+        there: bool,
+    },
+    /// Tell the readings.
+    Read {
+        number: u64,
+    },
+}
+
+/// One event: observer, about, whether that is there, and when.
+pub type Event = (u32, u32, bool, f64);
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Told {
+    Began {
+        gateway: usize,
+        link: SocketAddr,
+        at: f64,
+    },
+    /// It could not begin, or its control thread ended by itself.
+    Failed {
+        gateway: usize,
+        why: String,
+    },
+    Ended {
+        gateway: usize,
+        at: f64,
+    },
+    Events(Vec<Event>),
+    /// An edition is taken by all gateways there: the processor time that it took at the slowest.
+    Listed {
+        workers: usize,
+        slowest: f64,
+    },
+    Readings {
+        number: u64,
+        readings: Vec<Reading>,
+    },
+}
+
+/// What one hollow gateway used and had; times and counts since it began.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Reading {
+    pub gateway: usize,
+    pub at: f64,
+    pub control: f64,
+    pub desk: f64,
+    pub likely: f64,
+    pub lows: Vec<Low>,
+}
+
+/// The least that it could use at every moment of a second.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Low {
+    pub second: u64,
+    pub part: f64,
+    /// By budget: its part by the count alone, and what it might use.
+    pub budgets: BTreeMap<String, (f64, f64)>,
+}
--- /dev/null
+++ b/crates/scale/tests/book.rs
@@ -0,0 +1,121 @@
+//! Who believes what of whom, and how long it took: stories told to the book by hand.
+
+use milletpath_scale::book::{Book, Says};
+
+const HERE: Says = Says::Here;
+const GONE: Says = Says::Gone;
+
+/// So many that run since 1 s, and all know all since 2 s.
+fn together(size: usize) -> Book {
+    let mut book = Book::new(size, 0.0);
+    (0..size).for_each(|g| book.began(g, 1.0));
+    for observer in 0..size {
+        (0..size).filter(|about| *about != observer).for_each(|about| book.said(observer, about, HERE, 2.0));
+    }
+    book
+}
+
+#[test]
+fn a_fleet_is_settled_when_all_believe_in_all() {
+    let mut book = Book::new(3, 0.0);
+    (0..3).for_each(|g| book.began(g, 1.0));
+    assert_eq!((book.settled(), book.agreed(), book.running()), (0, 0, 3));
+    for (observer, about) in [(0, 1), (0, 2), (1, 2), (2, 1)] {
+        book.said(observer, about, HERE, 2.5);
+    }
+    // The first knows all; the last is known by all, and so is the second.
+    assert_eq!((book.settled(), book.agreed()), (1, 2));
+    book.said(1, 0, HERE, 3.0);
+    book.said(2, 0, HERE, 4.0);
+    assert_eq!((book.settled(), book.agreed()), (3, 3));
+    let mut seconds = book.take().join.seconds;
+    seconds.sort_by(f32::total_cmp);
+    assert_eq!(seconds, [1.5, 1.5, 1.5, 1.5, 2.0, 3.0]);
+}
+
+#[test]
+fn a_death_is_learnt_by_each_who_believed_in_it() {
+    let mut book = together(4);
+    book.take();
+    book.ended(3, 10.0);
+    assert_eq!((book.settled(), book.running()), (0, 3));
+    book.said(0, 3, GONE, 14.0);
+    book.said(1, 3, GONE, 15.0);
+    assert_eq!(book.settled(), 2);
+    let learnt = book.take();
+    assert_eq!((learnt.death.seconds, learnt.death.never, learnt.false_deaths), (vec![4.0, 5.0], 1, 0));
+    // What was never learnt in its time is not counted once more.
+    assert_eq!(book.take().death.never, 0);
+}
+
+/// Begun anew at once: the new process may be known before the former is known to be gone.
+#[test]
+fn a_restart_is_a_death_and_a_join_in_whatever_order() {
+    let mut book = together(3);
+    book.take();
+    book.ended(0, 10.0);
+    book.began(0, 10.5);
+    book.said(1, 0, HERE, 11.0);
+    book.said(1, 0, GONE, 12.0);
+    book.said(2, 0, GONE, 11.5);
+    book.said(2, 0, HERE, 12.5);
+    book.said(0, 1, HERE, 11.0);
+    book.said(0, 2, HERE, 11.0);
+    assert_eq!(book.settled(), 3);
+    let learnt = book.take();
+    assert_eq!(learnt.false_deaths, 0);
+    assert_eq!(learnt.death.seconds, [2.0, 1.5]);
+    assert_eq!(learnt.join.seconds, [0.5, 2.0, 0.5, 0.5]);
+}
+
+#[test]
+fn a_former_process_has_no_word_and_nothing_to_learn() {
+    let mut book = together(3);
+    book.take();
+    book.ended(0, 10.0);
+    book.ended(1, 10.0);
+    book.began(0, 20.0);
+    // Said before the end, heard after it.
+    book.said(0, 2, HERE, 9.0);
+    book.said(2, 0, GONE, 21.0);
+    book.said(2, 1, GONE, 21.0);
+    assert_eq!(book.settled(), 0);
+    let learnt = book.take();
+    assert_eq!((learnt.death.seconds.len(), learnt.join.seconds.len()), (2, 0));
+    assert_eq!((learnt.death.never, learnt.join.never), (0, 2));
+}
+
+#[test]
+fn one_that_runs_and_is_said_to_be_gone_is_wronged() {
+    let mut book = together(3);
+    book.said(0, 1, GONE, 5.0);
+    book.said(0, 1, HERE, 6.0);
+    assert_eq!(book.take().false_deaths, 1);
+    assert_eq!(book.settled(), 3);
+}
+
+#[test]
+fn behind_a_cut_nobody_is_wronged_and_all_must_heal() {
+    let mut book = together(4);
+    book.take();
+    book.cut(|a, b| (a < 2) != (b < 2));
+    book.said(0, 3, GONE, 5.0);
+    book.said(0, 1, GONE, 5.0);
+    book.mended(10.0);
+    assert_eq!(book.settled(), 3);
+    book.said(0, 3, HERE, 12.0);
+    book.said(0, 1, HERE, 12.0);
+    let learnt = book.take();
+    // Only the one on the same side was wronged, and only the other was healed.
+    assert_eq!((learnt.false_deaths, learnt.healing.seconds, learnt.healing.never), (1, vec![2.0], 0));
+    assert_eq!(book.settled(), 4);
+}
+
+#[test]
+fn who_is_not_of_this_fleet_is_passed_over() {
+    let mut book = together(2);
+    book.said(7, 0, HERE, 3.0);
+    book.said(0, 7, HERE, 3.0);
+    book.said(0, 0, GONE, 3.0);
+    assert_eq!(book.settled(), 2);
+}
--- /dev/null
+++ b/crates/scale/tests/budgets.rs
@@ -0,0 +1,94 @@
+//! Sums of budgets over gateways: what counts as used together, and when that is more than there is.
+
+use milletpath_gateway::hollow::Lows;
+use milletpath_scale::budgets::Sums;
+use milletpath_scale::wire::Low;
+use std::collections::BTreeMap;
+
+fn low(second: u64, part: f64, allowed: f64) -> Low {
+    Low { second, part, budgets: BTreeMap::from([("quota all".to_owned(), (2.0, allowed))]) }
+}
+
+#[test]
+fn what_is_there_is_shared_whole_and_no_bound_is_broken() {
+    let mut sums = Sums::new(3);
+    sums.play(100.0, "quiet");
+    // One has borrowed what the two others lent.
+    for (gateway, allowed) in [(0, 4.0), (1, 1.0), (2, 1.0)] {
+        sums.low(gateway, &low(101, 1.0, allowed));
+    }
+    let worst = sums.end();
+    let quota = &worst["quota all"];
+    assert_eq!((quota.sum, quota.bound, quota.broken, quota.gateways), (6.0, 6.0, 0, (3, 3)));
+    assert_eq!((worst["share"].sum, worst["share"].bound), (3.0, 3.0));
+}
+
+#[test]
+fn more_than_there_is_is_found_and_put_down_to_its_play() {
+    let mut sums = Sums::new(3);
+    sums.play(100.0, "quiet");
+    sums.play(200.0, "apart");
+    (0..3).for_each(|g| sums.low(g, &low(150, 1.0, 2.0)));
+    // Two halves of a fleet that each spend the whole.
+    (0..3).for_each(|g| sums.low(g, &low(205, 1.5, 2.0)));
+    sums.turn(400.0);
+    let worst = sums.end();
+    let share = &worst["share"];
+    assert_eq!((share.sum, share.bound, share.broken, share.seconds), (4.5, 3.0, 1, 2));
+    assert_eq!(share.during.as_deref(), Some("apart"));
+    assert_eq!((worst["quota all"].broken, worst["quota all"].during.clone()), (0, None));
+}
+
+#[test]
+fn two_processes_of_one_name_do_not_count_together() {
+    let mut sums = Sums::new(2);
+    sums.low(0, &low(10, 2.0, 4.0));
+    sums.low(0, &low(10, 2.0, 4.0));
+    let worst = sums.end();
+    assert_eq!((worst["share"].sum, worst["share"].broken), (2.0, 0));
+}
+
+#[test]
+fn a_reading_that_comes_when_its_second_is_closed_changes_nothing() {
+    let mut sums = Sums::new(1);
+    sums.low(0, &low(10, 1.0, 1.0));
+    sums.turn(100.0);
+    sums.low(0, &low(9, 9.0, 9.0));
+    assert_eq!(sums.end()["share"].seconds, 1);
+}
+
+fn budgets(allowed: f64) -> BTreeMap<String, (f64, f64)> {
+    BTreeMap::from([("orders".to_owned(), (20.0, allowed))])
+}
+
+#[test]
+fn of_a_second_the_lowest_counts() {
+    let mut lows = Lows::default();
+    for (at, part, allowed) in [(5.1, 1.0, 20.0), (5.4, 0.5, 30.0), (5.8, 1.0, 25.0)] {
+        assert_eq!(lows.see(at, part, budgets(allowed)), None);
+    }
+    let low = lows.see(6.1, 1.0, budgets(99.0)).expect("a second");
+    assert_eq!((low.second, low.part, low.budgets["orders"]), (5, 0.5, (20.0, 20.0)));
+}
+
+/// A lender may have been without what it lent just when nobody looked.
+#[test]
+fn a_second_with_gaps_is_left_out() {
+    let mut lows = Lows::default();
+    for at in [5.1, 5.2, 5.9] {
+        lows.see(at, 1.0, budgets(20.0));
+    }
+    assert_eq!(lows.see(6.1, 1.0, budgets(20.0)), None);
+    // Nor the next, of which there is one reading.
+    assert_eq!(lows.see(7.1, 1.0, budgets(20.0)), None);
+}
+
+#[test]
+fn a_budget_that_was_not_open_all_the_while_counts_as_none() {
+    let mut lows = Lows::default();
+    lows.see(5.1, 1.0, BTreeMap::new());
+    lows.see(5.4, 1.0, budgets(20.0));
+    lows.see(5.7, 1.0, budgets(20.0));
+    let low = lows.see(6.0, 1.0, budgets(20.0)).expect("a second");
+    assert!(low.budgets.is_empty());
+}
--- /dev/null
+++ b/crates/scale/tests/plan.rs
@@ -0,0 +1,118 @@
+//! Plans as people write them: what a sound one says, and what is told of one that is not.
+
+use milletpath_scale::plan::{Core, Plan, What, read};
+use proptest::prelude::*;
+use test_case::test_case;
+
+fn file(name: &str) -> String {
+    let path = std::path::PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../plans").join(name);
+    std::fs::read_to_string(path).expect("a plan")
+}
+
+const SMALL: &str = r#"name = "tiny"
+gateways = 6
+real = 1
+region "a" { zones = ["a1", "a2"] }
+region "b" { zones = ["b1"] }
+links {
+  within = 1
+  across = 50
+}
+peers { period = 0.2 }
+budgets { quota = 10 }
+workers { hollow = 10 }
+control { runs = ["membership"] }
+play "begin" { does = "start" }
+"#;
+
+/// What is told of the small plan with one line written otherwise.
+fn told(line: &str, instead: &str) -> Vec<String> {
+    assert!(SMALL.contains(line), "{line}");
+    let text = SMALL.replace(line, instead);
+    read(&text, None).expect_err("a mistake").iter().map(ToString::to_string).collect()
+}
+
+fn sound(text: &str, gateways: Option<usize>) -> Plan {
+    read(text, gateways).unwrap_or_else(|mistakes| panic!("{mistakes:?}"))
+}
+
+#[test_case("size.hcl", 1100, 4, 10)]
+#[test_case("size-small.hcl", 60, 3, 6)]
+fn the_plans_that_come_along_are_sound(name: &str, gateways: usize, regions: usize, zones: usize) {
+    let plan = sound(&file(name), None);
+    assert_eq!((plan.gateways, plan.regions.len(), plan.zones.len()), (gateways, regions, zones));
+    assert!(plan.has(Core::Membership) && plan.has(Core::Budgets) && plan.has(Core::List));
+    let words: Vec<_> = plan.plays.iter().map(|p| p.what.word()).collect();
+    assert_eq!(words, ["start", "settled", "restarts", "rack", "zone", "cut", "list"]);
+}
+
+#[test]
+fn links_take_as_long_as_they_say_both_ways() {
+    let plan = sound(&file("size.hcl"), None);
+    // Neighbours by number stand in different zones: 0 in north-1, 3 in south-1, 6 in east-1, 10 in north-1
+    // again.
+    assert_eq!(plan.latency(0, 10), 0.001);
+    assert_eq!((plan.latency(0, 3), plan.latency(3, 0)), (0.03, 0.03));
+    assert_eq!((plan.latency(0, 6), plan.latency(3, 6)), (0.07, 0.1));
+    assert_eq!(plan.in_zone(0).take(3).collect::<Vec<_>>(), [0, 10, 20]);
+}
+
+#[test]
+fn another_number_of_gateways_is_played_by_the_same_plan() {
+    let plan = sound(&file("size.hcl"), Some(30));
+    assert_eq!(plan.gateways, 30);
+    // Not more than all but one can be restarted.
+    let restarts = plan.plays.iter().find(|p| p.what.word() == "restarts").map(|p| p.what.clone());
+    assert_eq!(restarts, Some(What::Restarts { gateways: 29, over: 10.0 }));
+}
+
+#[test_case("gateways = 6", "gatways = 6", "2:1: the plan knows no gatways; did you mean gateways?")]
+#[test_case(
+    "gateways = 6",
+    "gateways = 1",
+    "2:1: gateways of the plan is no number of gateways from 2 to 4000"
+)]
+#[test_case("real = 1", "real = 6", "3:1: real of 6 leaves no hollow gateway among 6")]
+#[test_case("zones = [\"b1\"]", "zones = [\"a1\"]", "a zone a1 stands here for the second time")]
+#[test_case("period = 0.2", "period = 9", "lease of peers is shorter than four periods of 9")]
+#[test_case("\"membership\"", "\"list\"", "13:11: no run goes without membership")]
+#[test_case("\"membership\"", "\"gossip\"", "13:11: runs of control holds what it can't")]
+#[test_case("does = \"start\"", "does = \"stat\"", "14:16: does of play \"begin\" can't be \"stat\"")]
+#[test_case("does = \"start\"", "does = \"settled\"", "14:1: play \"begin\" comes before any start")]
+#[test_case(
+    "play \"begin\"",
+    "play \"x\" { does = \"zone\" }\nplay \"begin\"",
+    "14:1: play \"x\" has no zone"
+)]
+#[test_case("workers { hollow = 10 }", "", "the plan has no workers; add workers { hollow = 600, real = 3 }")]
+#[test_case("across = 50", "across = 50 +", "no HCL here")]
+fn a_mistake_is_told_with_its_place_and_remedy(line: &str, instead: &str, wanted: &str) {
+    let told = told(line, instead);
+    assert!(told.iter().any(|m| m.contains(wanted)), "{told:#?}");
+}
+
+#[test]
+fn a_cut_is_between_two_regions() {
+    let cut = |regions: &str| {
+        let text = format!("{SMALL}play \"cut\" {{\n  does = \"cut\"\n  regions = {regions}\n}}\n");
+        read(&text, None).map(|p| p.plays[1].what.clone()).map_err(|m| m[0].to_string())
+    };
+    assert_eq!(cut("[\"a\", \"b\"]"), Ok(What::Cut { regions: (0, 1), seconds: 10.0 }));
+    let wrong = cut("[\"a\", \"a\"]").unwrap_err();
+    assert!(wrong.starts_with("17:3: regions of play \"cut\" are not two"), "{wrong}");
+}
+
+proptest! {
+    /// Whatever stands in a plan, it is read or refused.
+    #[test]
+    fn no_text_breaks_the_reader(
+        at in 0..SMALL.len(),
+        text in "[ -~\n]{0,20}",
+        gateways in proptest::option::of(2usize..50),
+    ) {
+        let broken = format!("{}{text}{}", &SMALL[..at], &SMALL[at..]);
+        if let Err(mistakes) = read(&broken, gateways) {
+            prop_assert!(!mistakes.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/plans/size-small.hcl
@@ -0,0 +1,102 @@
+# A small fleet, in some two minutes on any machine: cargo run --release -- scale plans/size-small.hcl
+name      = "size-small"
+seed      = 1
+gateways  = 60
+real      = 2 # of them processes of `milletpath serve`
+processes = 4 # that the others share
+limit     = 240 # seconds
+
+region "north" { zones = ["north-1", "north-2"] }
+region "south" { zones = ["south-1", "south-2"] }
+region "east" { zones = ["east-1", "east-2"] }
+
+links {
+  within = 1  # ms inside a region
+  across = 60 # between regions that are not named below
+  loss   = 0.01
+
+  pair "north-south" {
+    regions = ["north", "south"]
+    ms      = 30
+  }
+}
+
+# Words go round among 60 within some seconds; three leases of the usual would do too, but only just
+# (figures.md).
+peers {
+  period = 0.4
+  lease  = 6
+  floor  = 0.5
+}
+
+# So little for each that a real gateway with calls has to borrow.
+budgets {
+  quota  = 60 # calls a second, of all
+  window = 10
+  orders = 20 # of each gateway within a window
+}
+
+workers {
+  hollow = 300
+  real   = 3
+}
+
+functions {
+  names = 8
+  calls = 10 # a second, at the real gateways
+}
+
+control { runs = ["membership", "budgets", "list"] }
+
+# Wide, so that no busy machine breaks them: what is granted at the full size stands in size.hcl. None for the
+# processor: a debug build beside other tests uses many times as much.
+grant {
+  memory_mb = 256
+  bytes     = 60000
+}
+
+play "begin" {
+  does   = "start"
+  over   = 5
+  settle = 60
+}
+
+play "quiet" {
+  does    = "settled"
+  seconds = 8
+}
+
+play "roll" {
+  does     = "restarts"
+  gateways = 6
+  over     = 3
+  settle   = 60
+}
+
+play "rack-gone" {
+  does     = "rack"
+  gateways = 5
+  away     = 12
+  settle   = 60
+}
+
+play "zone-gone" {
+  does   = "zone"
+  zone   = "south-1"
+  away   = 12
+  settle = 60
+}
+
+play "apart" {
+  does    = "cut"
+  regions = ["north", "east"]
+  seconds = 10
+  settle  = 60
+}
+
+play "workers-back" {
+  does     = "list"
+  zone     = "east-1"
+  editions = 25
+  over     = 2
+}
