--- a/crates/gateway/src/changing.rs
+++ b/crates/gateway/src/changing.rs
@@ -59,9 +59,28 @@
     pub not_kept: u64,
 }
 
+/// Looks on while changes are followed, in that thread.
+pub(crate) trait Onlooker: Send {
+    /// The desk has taken all up to this number.
+    fn applied(&mut self, number: u64);
+    /// Once in each turn of the thread, after all that was due.
+    fn turn(&mut self, follower: &Follower);
+    /// Whether it is to end as if its process had been killed: what was not kept by then is not.
+    fn killed(&self) -> bool;
+}
+
 /// Starts the thread of a feed. What was in force when the last process of this gateway ended is so again
 /// before this comes back.
 pub fn start(office: Arc<Office>, feed: Feed) -> io::Result<JoinHandle<()>> {
+    start_watched(office, feed, None)
+}
+
+/// As [`start`], with somebody who looks on.
+pub(crate) fn start_watched(
+    office: Arc<Office>,
+    feed: Feed,
+    onlooker: Option<Box<dyn Onlooker>>,
+) -> io::Result<JoinHandle<()>> {
     let Some(stated) = office.house.changes.clone() else {
         return Err(io::Error::other("the charter has no changes"));
     };
@@ -99,6 +118,7 @@
         counts: (0, 0),
         heard: Heard::Unknown,
         look: now,
+        onlooker,
     };
     running.apply();
     std::thread::Builder::new().name("changes".into()).spawn(move || running.run())
@@ -125,6 +145,7 @@
     heard: Heard,
     /// When it is looked at next what is worth a line in the log.
     look: f64,
+    onlooker: Option<Box<dyn Onlooker>>,
 }
 
 impl Running {
@@ -162,6 +183,12 @@
             self.post();
             self.keeping.keep(&self.follower, now);
             self.log(now);
+            if let Some(onlooker) = &mut self.onlooker {
+                onlooker.turn(&self.follower);
+            }
+        }
+        if self.onlooker.as_ref().is_some_and(|o| o.killed()) {
+            return;
         }
         self.keeping.next = f64::NEG_INFINITY;
         self.keeping.keep(&self.follower, self.office.now());
@@ -211,6 +238,7 @@
                 amendments.iter().for_each(|amendment| desk.amend(amendment, &house.functions));
             });
             tracing::info!(number, entries, "changes are in force");
+            self.onlooker.iter_mut().for_each(|onlooker| onlooker.applied(number));
         }
     }
 
--- a/crates/milletpath/src/control/client.rs
+++ b/crates/gateway/src/control_client.rs
@@ -2,10 +2,10 @@
 //! each sent again until it is answered or its time is over. Nobody is believed for being quick: of several
 //! answers the one counts that knows of the latest entry.
 
-use super::Told as Machine;
 use milletpath_changes::message::{self, Key, LARGEST, Message};
 use milletpath_changes::{Change, Outcome};
 use milletpath_charter::Changes;
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
@@ -56,7 +56,7 @@
 
 impl Client {
     pub fn new(stated: &Changes) -> io::Result<Self> {
-        let key = milletpath_gateway::control_key(&stated.key)?;
+        let key = crate::control_key(&stated.key)?;
         let any: IpAddr = match stated.control.first() {
             Some(SocketAddr::V6(_)) => Ipv6Addr::UNSPECIFIED.into(),
             _ => Ipv4Addr::UNSPECIFIED.into(),
@@ -64,6 +64,11 @@
         Ok(Self { socket: UdpSocket::bind((any, 0))?, key, control: stated.control.clone() })
     }
 
+    /// Where it hears answers.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     fn send(&self, to: SocketAddr, message: &Message) {
         if let Some(datagram) = message::seal(&self.key, message) {
             // As if lost on its way: it is sent again.
@@ -187,7 +192,7 @@
     }
 
     /// What each control machine knows, in the order of their numbers; none for one that doesn't answer.
-    pub fn machines(&self) -> Vec<Option<Machine>> {
+    pub fn machines<T: DeserializeOwned>(&self) -> Vec<Option<T>> {
         let read = |text: Option<Vec<u8>>| serde_json::from_slice(&text?).ok();
         self.told(&self.control).into_iter().map(read).collect()
     }
--- a/crates/gateway/src/hollow.rs
+++ b/crates/gateway/src/hollow.rs
@@ -1,10 +1,13 @@
-//! A gateway without client sockets: the same desk, budgets, membership and link as `serve` has, in the same
-//! control thread, many of them in one process. Whoever runs it hands in the worker list and keeps the desk's
-//! time; what the control costs is read from the thread's own clock.
+//! A gateway without client sockets: the same desk, budgets, membership, link and follower of changes as
+//! `serve` has, in the same control threads, many of them in one process. Whoever runs it hands in the worker list and keeps the desk's
+//! time; what the control costs is read from the threads' own clocks.
 
+use crate::changing::{self, Feed};
 use crate::office::Office;
 use crate::peering::{self, Link, Onlooker};
 use crate::sharing::Sharing;
+use crate::telling::cpu;
+use milletpath_changes::Follower;
 use milletpath_charter::House;
 use milletpath_peers::{Event, Parts, Peers, Tally};
 use milletpath_protocol::registry::Entry;
@@ -26,17 +29,8 @@
 
 /// Seconds on a clock that all processes of the machine share.
 pub fn clock() -> f64 {
-    seconds(ClockId::CLOCK_MONOTONIC)
-}
-
-/// Seconds of processor time that the calling thread has used.
-pub fn processor() -> f64 {
-    seconds(ClockId::CLOCK_THREAD_CPUTIME_ID)
-}
-
-fn seconds(clock: ClockId) -> f64 {
-    // Both clocks are there on every Linux; one that is not reads as 0 throughout, which shows.
-    clock_gettime(clock).map_or(0.0, |t| t.tv_sec() as f64 + t.tv_nsec() as f64 / 1e9)
+    // It is there on every Linux; one that is not reads as 0 throughout, which shows.
+    clock_gettime(ClockId::CLOCK_MONOTONIC).map_or(0.0, |t| t.tv_sec() as f64 + t.tv_nsec() as f64 / 1e9)
 }
 
 /// The lowest figures of one second: at every moment of it the gateway could use at least so much.
@@ -115,6 +109,20 @@
     pub likely: f64,
     /// Whole seconds that are over, each told once.
     pub lows: VecDeque<Low>,
+    pub changes: Option<Following>,
+}
+
+/// What the thread that follows changes says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Following {
+    /// When it was read, on [`clock`].
+    pub at: f64,
+    /// Seconds of its processor time.
+    pub cpu: f64,
+    /// What is in force.
+    pub number: u64,
+    pub digest: u64,
+    thread: Option<PathBuf>,
 }
 
 /// What is done with events of the membership.
@@ -141,7 +149,7 @@
             return;
         }
         self.due = now + READ;
-        let (before, at) = (processor(), clock());
+        let (before, at) = (cpu(), clock());
         let mut reading = lock(&self.reading);
         (reading.at, reading.control, reading.likely) = (at, before - self.own, parts.likely);
         reading.tally = *peers.tally();
@@ -156,7 +164,7 @@
             reading.lows.push_back(low);
         }
         drop(reading);
-        self.own += processor() - before;
+        self.own += cpu() - before;
     }
 
     fn killed(&self) -> bool {
@@ -164,49 +172,98 @@
     }
 }
 
-fn lock(reading: &Mutex<Reading>) -> MutexGuard<'_, Reading> {
+/// What is done when the desk has taken all changes up to a number.
+pub type Hear = Box<dyn FnMut(u64) + Send>;
+
+/// Looks on at the thread that follows changes.
+struct Watch {
+    hear: Hear,
+    following: Arc<Mutex<Following>>,
+    killed: Arc<AtomicBool>,
+    due: f64,
+    own: f64,
+}
+
+impl changing::Onlooker for Watch {
+    fn applied(&mut self, number: u64) {
+        let before = cpu();
+        (self.hear)(number);
+        self.own += cpu() - before;
+    }
+
+    fn turn(&mut self, follower: &Follower) {
+        let at = clock();
+        if at < self.due {
+            return;
+        }
+        self.due = at + READ;
+        let before = cpu();
+        let mut following = lock(&self.following);
+        (following.at, following.cpu) = (at, before - self.own);
+        (following.number, following.digest) = (follower.state().head(), follower.state().digest());
+        if following.thread.is_none() {
+            following.thread = std::fs::read_link("/proc/thread-self").ok();
+        }
+        drop(following);
+        self.own += cpu() - before;
+    }
+
+    fn killed(&self) -> bool {
+        self.killed.load(Ordering::Acquire)
+    }
+}
+
+fn lock<T>(reading: &Mutex<T>) -> MutexGuard<'_, T> {
     reading.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// A hollow gateway that runs.
 pub struct Hollow {
     office: Arc<Office>,
-    link: SocketAddr,
-    thread: Option<JoinHandle<()>>,
+    /// Where it hears other gateways, and changes.
+    pub link: Option<SocketAddr>,
+    pub feed: Option<SocketAddr>,
+    threads: Vec<JoinHandle<()>>,
     reading: Arc<Mutex<Reading>>,
+    following: Arc<Mutex<Following>>,
     killed: Arc<AtomicBool>,
     /// Nanoseconds of processor time that [`list`](Self::list) and [`turn`](Self::turn) took.
     desk: AtomicU64,
 }
 
 impl Hollow {
-    /// Begins with a worker list, as `serve` does before its first call.
-    pub fn begin(house: House, list: &[Entry], heed: Heed) -> io::Result<Self> {
-        let stated = house.peers.clone().ok_or_else(|| io::Error::other("the charter has no peers"))?;
-        let link = Link::open(&stated, None)?;
-        let at = link.address()?;
-        let office = Office::new(house);
-        let reading = Arc::new(Mutex::new(Reading { at: clock(), ..Reading::default() }));
+    /// Begins with a worker list, as `serve` does before its first call: with a link where the charter has
+    /// peers, and a follower where it has changes.
+    pub fn begin(house: House, list: &[Entry], heed: Heed, hear: Hear) -> io::Result<Self> {
+        let link = house.peers.as_ref().map(|stated| Link::open(stated, None)).transpose()?;
+        let feed = house.changes.as_ref().map(Feed::open).transpose()?;
         let killed = Arc::new(AtomicBool::new(false));
-        let look = Look {
-            heed,
-            reading: reading.clone(),
+        let mut hollow = Self {
+            office: Office::new(house),
+            link: link.as_ref().map(Link::address).transpose()?,
+            feed: feed.as_ref().map(Feed::address).transpose()?,
+            threads: Vec::new(),
+            reading: Arc::new(Mutex::new(Reading { at: clock(), ..Reading::default() })),
+            following: Arc::new(Mutex::new(Following { at: clock(), ..Following::default() })),
             killed: killed.clone(),
-            due: f64::NEG_INFINITY,
-            lows: Lows::default(),
-            own: 0.0,
+            desk: AtomicU64::new(0),
         };
-        let mut hollow = Self { office, link: at, thread: None, reading, killed, desk: AtomicU64::new(0) };
         hollow.list(true, list);
-        hollow.thread = Some(peering::start_watched(hollow.office.clone(), link, Some(Box::new(look)))?);
+        if let Some(feed) = feed {
+            let following = hollow.following.clone();
+            let watch = Watch { hear, following, killed: killed.clone(), due: f64::NEG_INFINITY, own: 0.0 };
+            let watch: Box<dyn changing::Onlooker> = Box::new(watch);
+            hollow.threads.push(changing::start_watched(hollow.office.clone(), feed, Some(watch))?);
+        }
+        if let Some(link) = link {
+            let reading = hollow.reading.clone();
+            let (due, lows) = (f64::NEG_INFINITY, Lows::default());
+            let look: Box<dyn Onlooker> = Box::new(Look { heed, reading, killed, due, lows, own: 0.0 });
+            hollow.threads.push(peering::start_watched(hollow.office.clone(), link, Some(look))?);
+        }
         Ok(hollow)
     }
 
-    /// Where it hears the others itself.
-    pub fn link(&self) -> SocketAddr {
-        self.link
-    }
-
     /// One edition of the worker list.
     pub fn list(&self, whole: bool, entries: &[Entry]) -> f64 {
         self.within(|office| office.list(None, whole, entries))
@@ -223,9 +280,9 @@
 
     /// Does something inside the desk; gives the processor time that it took.
     fn within(&self, what: impl FnOnce(&Office)) -> f64 {
-        let before = processor();
+        let before = cpu();
         what(&self.office);
-        let took = (processor() - before).max(0.0);
+        let took = (cpu() - before).max(0.0);
         self.desk.fetch_add((took * 1e9) as u64, Ordering::Relaxed);
         took
     }
@@ -240,17 +297,29 @@
         let mut reading = Reading { lows, ..reading.clone() };
         reading.desk = self.desk.load(Ordering::Relaxed) as f64 / 1e9;
         let now = clock();
-        if now - reading.at > OLD
+        if self.link.is_none() {
+            // No link, and no thread of it: that costs nothing.
+            reading.at = now;
+        } else if now - reading.at > OLD
             && let Some(used) = reading.thread.as_deref().and_then(used)
         {
             (reading.at, reading.control) = (now, used);
         }
+        if self.feed.is_some() {
+            let mut following = lock(&self.following).clone();
+            if now - following.at > OLD
+                && let Some(used) = following.thread.as_deref().and_then(used)
+            {
+                (following.at, following.cpu) = (now, used);
+            }
+            reading.changes = Some(following);
+        }
         reading
     }
 
-    /// Whether its control thread still runs.
+    /// Whether its control threads still run.
     pub fn runs(&self) -> bool {
-        self.thread.as_ref().is_some_and(|t| !t.is_finished())
+        self.threads.iter().all(|t| !t.is_finished())
     }
 
     /// Begins its end: with a word to the others, or without as a process that is killed. Dropped, it is
@@ -270,8 +339,10 @@
 impl Drop for Hollow {
     fn drop(&mut self) {
         self.office.stopping.store(true, Ordering::Release);
-        if self.thread.take().is_some_and(|t| t.join().is_err()) {
-            tracing::error!("the control of a hollow gateway broke");
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                tracing::error!("the control of a hollow gateway broke");
+            }
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! connections, keeps time and watches the cores (`keeper.rs`). Reading down `serve.rs` shows the whole way of a
 //! call on its core: door, desk, shot, answer.
 
+pub mod control_client;
 pub mod desk;
 pub mod hollow;
 pub mod indices;
--- a/crates/milletpath/src/change.rs
+++ b/crates/milletpath/src/change.rs
@@ -2,9 +2,9 @@
 //! force.
 
 use crate::changes::{Known, State};
-use crate::control::client::{Client, Told, chance};
 use milletpath_changes::{Change, Outcome};
 use milletpath_charter::{House, Subject};
+use milletpath_gateway::control_client::{Client, Told, chance};
 use std::path::Path;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
--- a/crates/milletpath/src/changes.rs
+++ b/crates/milletpath/src/changes.rs
@@ -1,9 +1,9 @@
 //! `milletpath changes`: what the control machines know of what is in force, and where it is not.
 
 use crate::control::Told;
-use crate::control::client::Client;
 use milletpath_charter::Changes;
 use milletpath_gateway::Followed;
+use milletpath_gateway::control_client::Client;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
@@ -57,7 +57,7 @@
 
 impl Known {
     pub fn ask(client: &Client) -> Self {
-        let told = client.machines();
+        let told: Vec<Option<Told>> = client.machines();
         let views = || told.iter().flatten().map(|told| &told.view);
         let latest = views().max_by_key(|view| view.number);
         let (head, digest) = latest.map_or((0, 0), |view| (view.number, view.digest));
--- a/crates/milletpath/src/control.rs
+++ b/crates/milletpath/src/control.rs
@@ -2,7 +2,6 @@
 //! `milletpath-changes`: what it is to store is on the disk before anything goes out that builds on it. A
 //! change that its charter can't take is refused here, before anybody decides on it.
 
-pub mod client;
 mod records;
 
 use milletpath_changes::message::{self, Key, LARGEST, LONGEST_DENIAL, Message};
@@ -69,7 +68,14 @@
         tracing::warn!("begins without a log: learns from the others, and votes once all of them answered");
     }
     let terms = Terms::default();
-    let replica = Replica::new(number, stated.control.clone(), terms, client::chance(), 0.0, stored);
+    let replica = Replica::new(
+        number,
+        stated.control.clone(),
+        terms,
+        milletpath_gateway::control_client::chance(),
+        0.0,
+        stored,
+    );
     let head = replica.state().head();
     tracing::info!(number, %at, head, "a control machine");
     // For whoever started it.
--- a/crates/scale/src/children.rs
+++ b/crates/scale/src/children.rs
@@ -28,6 +28,20 @@
         there: bool,
         at: f64,
     },
+    /// A real gateway has in force all changes up to a number.
+    RealChanged {
+        gateway: usize,
+        life: u64,
+        number: u64,
+        at: f64,
+    },
+    /// What became of a change: when it was proposed and when that was known, its number or why it has none.
+    Answered {
+        change: usize,
+        at: f64,
+        answered: f64,
+        outcome: Result<u64, String>,
+    },
     /// A real gateway has ended after it was told to.
     RealEnded {
         gateway: usize,
@@ -127,7 +141,9 @@
     pub life: u64,
     /// Where clients reach it, and where it hears other gateways.
     pub address: SocketAddr,
-    pub link: SocketAddr,
+    pub link: Option<SocketAddr>,
+    /// Where it hears changes.
+    pub feed: Option<SocketAddr>,
     pub began: f64,
 }
 
@@ -147,12 +163,14 @@
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let (output, log) = (child.stdout.take(), child.stderr.take());
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut real = Self { child, life, address: nowhere, link: nowhere, began };
+        let mut real = Self { child, life, address: nowhere, link: None, feed: None, began };
         if let Some(log) = log {
             std::thread::Builder::new().name("log".into()).spawn(move || {
                 for line in BufReader::new(log).lines().map_while(Result::ok) {
                     if let Some((about, there)) = believes(&line) {
                         let _ = heard.send(Heard::Real { gateway, life, about, there, at: clock() });
+                    } else if let Some(number) = holds(&line) {
+                        let _ = heard.send(Heard::RealChanged { gateway, life, number, at: clock() });
                     }
                 }
             })?;
@@ -161,8 +179,11 @@
             .lines()
             .map_while(Result::ok)
         {
-            if let Some(at) = line.strip_prefix("peers on udp://").and_then(|at| at.trim().parse().ok()) {
-                real.link = at;
+            if let Some(at) = line.strip_prefix("peers on udp://") {
+                real.link = at.trim().parse().ok();
+            }
+            if let Some(at) = line.strip_prefix("changes on udp://") {
+                real.feed = at.trim().parse().ok();
             }
             if let Some(at) = line.strip_prefix("listening on http://").and_then(|at| at.trim().parse().ok())
             {
@@ -196,6 +217,15 @@
     }
 }
 
+/// The number up to which a line of a gateway's log says that all changes are in force.
+pub fn holds(line: &str) -> Option<u64> {
+    if !line.contains("\"changes are in force\"") {
+        return None;
+    }
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    line["fields"]["number"].as_u64()
+}
+
 /// What a line of a gateway's log says of another: its number, and whether it is there.
 pub fn believes(line: &str) -> Option<(usize, bool)> {
     // Most lines are of other things.
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -3,12 +3,15 @@
 
 use crate::book::{Book, Says};
 use crate::budgets::Sums;
+use crate::changed::Changed;
 use crate::charter;
 use crate::children::{Heard, Host, Real};
+use crate::control::{self, AUTHORS, Author, Machine};
 use crate::machine::{self, Cores};
-use crate::plan::Plan;
+use crate::plan::{Core, Plan};
 use crate::relay::{Relay, Ways};
-use crate::wire::{Low, Order, Reading, Told};
+use crate::wire::{Low, Order, Places, Reading, Told};
+use milletpath_changes::ReplicaView;
 use milletpath_gateway::hollow::{Lows, clock};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
@@ -55,20 +58,24 @@
 }
 
 /// Real gateways as the threads see them that ask and call them: where each is, while it is there.
-type Places = Arc<Mutex<BTreeMap<usize, (SocketAddr, SocketAddr)>>>;
+type Reached = Arc<Mutex<BTreeMap<usize, (SocketAddr, Option<SocketAddr>)>>>;
 
 pub struct Fleet {
     pub plan: Plan,
     pub relay: Relay,
+    pub lines: Lines,
     pub book: Book,
     pub sums: Sums,
+    pub changed: Changed,
+    /// Changes that authors were told to propose in this run, and control machines.
+    changes: usize,
+    machines: Vec<Option<Machine>>,
     stage: Stage,
-    links: Vec<SocketAddr>,
+    places: Places,
     workers: Vec<SocketAddr>,
-    key: PathBuf,
     hosts: Vec<Host>,
     reals: BTreeMap<usize, Real>,
-    pub places: Places,
+    pub reached: Reached,
     lives: u64,
     heard: Receiver<Heard>,
     tell: SyncSender<Heard>,
@@ -107,36 +114,52 @@
         let regions = 0..plan.regions.len();
         let latency = |a: usize, b: usize| if a == b { plan.links.within } else { plan.links.between[a][b] };
         let ways = Ways {
-            regions: (0..plan.gateways).map(|g| plan.region_of(g)).collect(),
+            regions: Lines::of(plan).regions(plan),
             latency: regions.clone().map(|a| regions.clone().map(|b| latency(a, b)).collect()).collect(),
             loss: plan.links.loss,
         };
         let relay = Relay::start(ways, CARRIERS, plan.seed)?;
-        let links = relay.addresses()?;
-        let key = stage.folder.join("peers.key");
-        std::fs::write(&key, format!("the secret of a scale run on loopback, with the seed {}", plan.seed))?;
+        let all = relay.addresses()?;
+        let links = all[..plan.gateways].to_vec();
+        let control = all[plan.gateways..][..plan.control].to_vec();
+        let places = Places { links, control, folder: stage.folder.clone() };
+        for key in [charter::peers_key(&places), charter::changes_key(&places)] {
+            std::fs::write(
+                key,
+                format!("the secret of a scale run on loopback, with the seed {}", plan.seed),
+            )?;
+        }
+        let mut machines = Vec::new();
+        for number in 0..plan.control {
+            let machine = control::start(&stage.program, &places, number, true)?;
+            relay.is_at(plan.gateways + number, machine.at);
+            machines.push(Some(machine));
+        }
         let (tell, heard) = sync_channel(HEARD);
         let mut hosts = Vec::new();
         for number in 0..plan.processes.min(plan.gateways - plan.real) {
             let log = File::create(stage.folder.join(format!("host-{number}.log")))?;
             let host = Host::start(&stage.program, number, log, tell.clone())?;
             let (text, seed) = (text.to_owned(), plan.seed);
-            let (links, key) = (links.clone(), key.clone());
-            host.order(Order::Plan { text, gateways: plan.gateways, seed, links, key });
+            let places = places.clone();
+            host.order(Order::Plan { text, gateways: plan.gateways, seed, places });
             hosts.push(host);
         }
         let now = clock();
         Ok(Self {
             relay,
+            lines: Lines::of(plan),
             book: Book::new(plan.gateways, now),
             sums: Sums::new(plan.gateways),
+            changed: Changed::new(plan.gateways, now),
+            changes: 0,
+            machines,
             stage,
-            links,
+            places,
             workers,
-            key,
             hosts,
             reals: BTreeMap::new(),
-            places: Places::default(),
+            reached: Reached::default(),
             lives: 0,
             heard,
             tell,
@@ -176,25 +199,24 @@
         }
         let failed = |e: io::Error| Over::Failed(format!("gateway {gateway} can't begin: {e}"));
         let path = self.stage.folder.join(format!("gateway-{gateway}.hcl"));
-        let text = charter::text(&self.plan, gateway, &self.links, &self.workers, &self.key);
+        let text = charter::text(&self.plan, gateway, &self.places, &self.workers);
         std::fs::write(&path, &text).map_err(failed)?;
         self.lives += 1;
         let life = self.lives;
         let real =
             Real::start(&self.stage.program, &path, (gateway, life), self.tell.clone()).map_err(failed)?;
-        self.relay.is_at(gateway, real.link);
-        self.book.began(gateway, real.began);
-        self.pending.remove(&gateway);
-        if self.plan.gateways <= ASKED {
-            self.ask(gateway, &text, real.link).map_err(failed)?;
+        self.began(gateway, (real.link, real.feed), real.began);
+        if let Some(link) = real.link.filter(|_| self.plan.gateways <= ASKED && self.plan.has(Core::Budgets))
+        {
+            self.ask(gateway, &text, link).map_err(failed)?;
         }
         self.place(gateway, Some((real.address, real.link)));
         self.reals.insert(gateway, real);
         Ok(())
     }
 
-    fn place(&self, gateway: usize, at: Option<(SocketAddr, SocketAddr)>) {
-        let mut places = self.places.lock().unwrap_or_else(PoisonError::into_inner);
+    fn place(&self, gateway: usize, at: Option<(SocketAddr, Option<SocketAddr>)>) {
+        let mut places = self.reached.lock().unwrap_or_else(PoisonError::into_inner);
         match at {
             Some(at) => _ = places.insert(gateway, at),
             None => _ = places.remove(&gateway),
@@ -206,10 +228,10 @@
         let mistakes = |m: Vec<_>| io::Error::other(format!("its charter can't be read: {m:?}"));
         let mut house = milletpath_charter::read(text).map_err(mistakes)?;
         house.peers.iter_mut().for_each(|p| p.listen = link);
-        let (asking, tell, places) = (self.asking.clone(), self.tell.clone(), self.places.clone());
+        let (asking, tell, places) = (self.asking.clone(), self.tell.clone(), self.reached.clone());
         let there = move || {
             let places = places.lock().unwrap_or_else(PoisonError::into_inner);
-            places.get(&gateway).is_some_and(|(_, at)| *at == link)
+            places.get(&gateway).is_some_and(|(_, at)| *at == Some(link))
         };
         std::thread::Builder::new().name("ask".into()).spawn(move || {
             /// Seconds between two questions.
@@ -238,6 +260,7 @@
         for gateway in running {
             if killed {
                 self.relay.gone(gateway);
+                self.lines.feed(gateway).into_iter().for_each(|feed| self.relay.gone(feed));
             }
             if anew {
                 self.anew.insert(gateway);
@@ -269,11 +292,89 @@
 
     fn ended(&mut self, gateway: usize, at: f64) -> Result<(), Over> {
         self.book.ended(gateway, at);
+        self.changed.ended(gateway);
         self.readings.remove(&gateway);
         self.pending.remove(&gateway);
         if self.anew.remove(&gateway) { self.begin(gateway) } else { Ok(()) }
     }
 
+    /// Has authors propose so many changes, spread evenly over some seconds from then on.
+    pub fn propose(&mut self, changes: usize, from: f64, over: f64) -> Result<(), Over> {
+        let failed = |e: io::Error| Over::Failed(format!("an author can't begin: {e}"));
+        let mut wanted: Vec<Vec<control::Wanted>> = vec![Vec::new(); AUTHORS];
+        for n in 0..changes {
+            wanted[n % AUTHORS].push((self.changes + n, from + over * n as f64 / changes as f64));
+        }
+        self.changes += changes;
+        self.changed.expected(changes);
+        for (number, wanted) in wanted.into_iter().enumerate().filter(|(_, w)| !w.is_empty()) {
+            let author = Author::new(&self.places).map_err(failed)?;
+            self.relay.is_at(self.lines.author(number), author.at().map_err(failed)?);
+            author.propose(wanted, self.tell.clone()).map_err(failed)?;
+        }
+        Ok(())
+    }
+
+    /// The control machine that leads, by the word of those that run.
+    pub fn leader(&self) -> Result<Option<usize>, Over> {
+        let views = self.control_views()?;
+        let leads = views.into_iter().filter(|(_, view)| view.as_ref().is_some_and(|v| v.leads));
+        Ok(leads.max_by_key(|(_, view)| view.as_ref().map(|v| v.ballot)).map(|(number, _)| number))
+    }
+
+    /// What the control machines that run tell.
+    pub fn control_views(&self) -> Result<BTreeMap<usize, Option<ReplicaView>>, Over> {
+        let failed = |e: io::Error| Over::Failed(format!("control machines can't be asked: {e}"));
+        let running = || self.machines.iter().enumerate().filter_map(|(n, m)| Some((n, m.as_ref()?.at)));
+        let at: Vec<SocketAddr> = running().map(|(_, at)| at).collect();
+        let views = control::views(&self.places, &at).map_err(failed)?;
+        Ok(running().map(|(n, _)| n).zip(views).collect())
+    }
+
+    /// Number and digest of what is in force at each gateway that runs; none for one that does not say.
+    pub fn states(&mut self) -> Result<BTreeMap<usize, Option<(u64, u64)>>, Over> {
+        self.read_now()?;
+        let failed = |e: io::Error| Over::Failed(format!("gateways can't be asked: {e}"));
+        let mut states = BTreeMap::new();
+        for gateway in (self.plan.real..self.plan.gateways).filter(|g| self.book.runs(*g)) {
+            let changes = self.readings.get(&gateway).and_then(|r| r.changes);
+            states.insert(gateway, changes.map(|c| (c.number, c.digest)));
+        }
+        let (who, at): (Vec<usize>, Vec<SocketAddr>) =
+            self.reals.iter().filter_map(|(g, r)| Some((*g, r.feed?))).unzip();
+        let real = control::states(&self.places, &at).map_err(failed)?;
+        states.extend(who.into_iter().zip(real));
+        Ok(states)
+    }
+
+    /// Kills control machines.
+    pub fn kill_control(&mut self, machines: &[usize]) {
+        for number in machines {
+            self.relay.gone(self.lines.machine(*number));
+            self.machines[*number] = None;
+        }
+    }
+
+    /// Begins those again that were killed, with their logs.
+    pub fn begin_control(&mut self) -> Result<(), Over> {
+        for number in 0..self.machines.len() {
+            if self.machines[number].is_some() {
+                continue;
+            }
+            let failed = |e| Over::Failed(format!("control machine {number} can't begin: {e}"));
+            let machine = control::start(&self.stage.program, &self.places, number, false).map_err(failed)?;
+            self.relay.is_at(self.lines.machine(number), machine.at);
+            self.machines[number] = Some(machine);
+        }
+        Ok(())
+    }
+
+    /// Processor time and memory in MB of each control machine that runs, with its process.
+    pub fn control_used(&self) -> BTreeMap<usize, (u32, f64, Option<f64>)> {
+        let used = |m: &Machine| (m.process(), machine::used(m.process()), machine::memory(m.process()));
+        self.machines.iter().enumerate().filter_map(|(n, m)| Some((n, used(m.as_ref()?)))).collect()
+    }
+
     /// Passes one edition of the worker list to all hollow gateways.
     pub fn list(&mut self, workers: &[usize], generation: u32, there: bool) {
         for host in &self.hosts {
@@ -313,23 +414,37 @@
                     self.said(gateway, about, there, at);
                 }
             }
+            Heard::RealChanged { gateway, life, number, at } => {
+                if self.reals.get(&gateway).is_some_and(|r| r.life == life) {
+                    self.changed.said(gateway, number, at);
+                }
+            }
+            Heard::Answered { change, at, answered, outcome } => {
+                self.changed.answered(change, at, answered, outcome);
+            }
             Heard::RealEnded { gateway, at } => return self.ended(gateway, at),
             Heard::RealLow { gateway, low } => self.sums.low(gateway, &low),
         }
         Ok(())
     }
 
+    /// A gateway runs, and hears others and changes there.
+    fn began(&mut self, gateway: usize, (link, feed): (Option<SocketAddr>, Option<SocketAddr>), at: f64) {
+        link.into_iter().for_each(|link| self.relay.is_at(gateway, link));
+        let feed = self.lines.feed(gateway).zip(feed);
+        feed.into_iter().for_each(|(line, feed)| self.relay.is_at(line, feed));
+        self.book.began(gateway, at);
+        self.changed.began(gateway, at);
+        self.pending.remove(&gateway);
+    }
+
     fn said(&mut self, observer: usize, about: usize, there: bool, at: f64) {
         self.book.said(observer, about, if there { Says::Here } else { Says::Gone }, at);
     }
 
     fn told(&mut self, told: Told) -> Result<(), Over> {
         match told {
-            Told::Began { gateway, link, at } => {
-                self.relay.is_at(gateway, link);
-                self.book.began(gateway, at);
-                self.pending.remove(&gateway);
-            }
+            Told::Began { gateway, link, feed, at } => self.began(gateway, (link, feed), at),
             Told::Failed { gateway, why } => {
                 return Err(Over::Failed(format!("gateway {gateway}: {why}")));
             }
@@ -339,6 +454,11 @@
                     self.said(observer as usize, about as usize, there, at);
                 }
             }
+            Told::Changed(changes) => {
+                for (gateway, number, at) in changes {
+                    self.changed.said(gateway as usize, number, at);
+                }
+            }
             Told::Listed { slowest, .. } => {
                 self.listing = self.listing.saturating_sub(1);
                 self.slowest = self.slowest.max(slowest);
@@ -388,6 +508,13 @@
         }
         if now >= self.looked + LOOK {
             self.looked = now;
+            for (number, machine) in self.machines.iter_mut().enumerate() {
+                if machine.as_mut().is_some_and(|m| !m.runs()) {
+                    let why =
+                        format!("control machine {number} ended by itself; its log is control-{number}.told");
+                    return Err(Over::Failed(why));
+                }
+            }
             self.sums.turn(now);
             let cores = Cores::read();
             if let (Some(cores), Some(before)) = (cores, self.cores) {
@@ -403,11 +530,30 @@
         Ok(())
     }
 
+    /// Whether all that run believe what is so; and have in force what was made, where that is all there is.
+    pub fn settled(&self) -> bool {
+        match self.plan.has(Core::Membership) {
+            true => self.book.settled() == self.book.running(),
+            false => self.pending.is_empty() && self.changed.settled(),
+        }
+    }
+
+    /// Bytes that each gateway that runs keeps of what is in force.
+    pub fn state_bytes(&self) -> Vec<(usize, f64)> {
+        let size = |gateway: usize| {
+            let kept = std::fs::metadata(charter::state_file(&self.places, gateway)).ok()?;
+            Some((gateway, kept.len() as f64))
+        };
+        let there = 0..if self.plan.control > 0 { self.plan.gateways } else { 0 };
+        there.filter(|g| self.book.runs(*g)).filter_map(size).collect()
+    }
+
     /// All processes of the run, this one among them.
     pub fn processes(&self) -> Vec<u32> {
         let hosts = self.hosts.iter().map(Host::process);
         let reals = self.reals.values().map(Real::process);
-        std::iter::once(std::process::id()).chain(hosts).chain(reals).collect()
+        let machines = self.machines.iter().flatten().map(Machine::process);
+        std::iter::once(std::process::id()).chain(hosts).chain(reals).chain(machines).collect()
     }
 
     /// Memory of each gateway that runs, in MB: a hollow one's part of its host, a real one's process.
@@ -428,9 +574,9 @@
         memory
     }
 
-    /// Processor time of the control thread of each real gateway.
-    pub fn real_control(&self) -> BTreeMap<usize, f64> {
-        let of = |(g, r): (&usize, &Real)| Some((*g, machine::thread(r.process(), "peers")?));
+    /// Processor time of a thread of that name of each real gateway.
+    pub fn real_thread(&self, name: &str) -> BTreeMap<usize, f64> {
+        let of = |(g, r): (&usize, &Real)| Some((*g, machine::thread(r.process(), name)?));
         self.reals.iter().filter_map(of).collect()
     }
 
@@ -448,6 +594,45 @@
         // All are let go at once, so that each has its time while the others are waited for.
         self.hosts.iter_mut().for_each(Host::release);
         self.reals.clear();
+        self.machines.clear();
+    }
+}
+
+/// Who is who in the relay: gateways as others reach them, control machines, gateways as those reach them,
+/// authors. The latter three are there where changes are followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Lines {
+    gateways: usize,
+    control: usize,
+}
+
+impl Lines {
+    fn of(plan: &Plan) -> Self {
+        Self { gateways: plan.gateways, control: plan.control }
+    }
+
+    pub fn machine(self, number: usize) -> usize {
+        self.gateways + number
+    }
+
+    /// The line over which a gateway hears changes.
+    pub fn feed(self, gateway: usize) -> Option<usize> {
+        (self.control > 0).then_some(self.gateways + self.control + gateway)
+    }
+
+    fn author(self, number: usize) -> usize {
+        2 * self.gateways + self.control + number
+    }
+
+    /// The region of each line.
+    fn regions(self, plan: &Plan) -> Vec<usize> {
+        let gateways = (0..plan.gateways).map(|g| plan.region_of(g));
+        if self.control == 0 {
+            return gateways.collect();
+        }
+        let machines = (0..self.control).map(|m| plan.zones[plan.zone_of_control(m)].region);
+        let authors = (0..AUTHORS).map(|a| a % plan.regions.len());
+        gateways.clone().chain(machines).chain(gateways).chain(authors).collect()
     }
 }
 
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/host.rs
@@ -3,15 +3,14 @@
 
 use crate::charter;
 use crate::plan::{self, Core, Plan};
-use crate::wire::{Event, Low, Order, Reading, Told};
+use crate::wire::{Change, Event, Following, Low, Order, Places, Reading, Told};
 use milletpath_charter::{House, Source};
-use milletpath_gateway::hollow::{Heed, Hollow, clock};
+use milletpath_gateway::hollow::{Hear, Heed, Hollow, clock};
 use milletpath_peers::Event as Seen;
 use milletpath_protocol::registry::{Entry, Standing};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -28,6 +27,7 @@
 struct Place {
     gateways: Mutex<BTreeMap<usize, Hollow>>,
     events: Arc<Mutex<Vec<Event>>>,
+    changes: Arc<Mutex<Vec<Change>>>,
     /// What is told, line by line. Who holds it passes on events before anything that comes after them.
     out: Mutex<()>,
     stop: AtomicBool,
@@ -74,7 +74,11 @@
 /// Passes on the events so far; the lock on what is told is held by the caller.
 fn pass_on(place: &Place) -> io::Result<()> {
     let events = std::mem::take(&mut *lock(&place.events));
-    if events.is_empty() { Ok(()) } else { say(&Told::Events(events)) }
+    if !events.is_empty() {
+        say(&Told::Events(events))?;
+    }
+    let changes = std::mem::take(&mut *lock(&place.changes));
+    if changes.is_empty() { Ok(()) } else { say(&Told::Changed(changes)) }
 }
 
 /// What the hollow workers are at present: of each its generation, none where it is gone.
@@ -89,8 +93,7 @@
 
 struct Setting {
     plan: Plan,
-    links: Vec<SocketAddr>,
-    key: PathBuf,
+    places: Places,
     workers: Workers,
 }
 
@@ -99,12 +102,12 @@
     for line in input.lines() {
         let order = serde_json::from_str(&line?).map_err(io::Error::other)?;
         let setting = match (order, &mut setting) {
-            (Order::Plan { text, gateways, seed, links, key }, setting) => {
+            (Order::Plan { text, gateways, seed, places }, setting) => {
                 let mistakes = |m: Vec<_>| io::Error::other(format!("the plan can't be read here: {m:?}"));
                 let mut plan = plan::read(&text, Some(gateways)).map_err(mistakes)?;
                 plan.seed = seed;
                 let hollow = if plan.has(Core::List) { plan.workers.hollow } else { 1 };
-                *setting = Some(Setting { plan, links, key, workers: Workers(vec![Some(0); hollow]) });
+                *setting = Some(Setting { plan, places, workers: Workers(vec![Some(0); hollow]) });
                 continue;
             }
             (order, Some(setting)) => (order, setting),
@@ -124,9 +127,9 @@
             let at = clock();
             let told = match begin(place, setting, gateway) {
                 Ok(hollow) => {
-                    let link = hollow.link();
+                    let (link, feed) = (hollow.link, hollow.feed);
                     lock(&place.gateways).insert(gateway, hollow);
-                    Told::Began { gateway, link, at }
+                    Told::Began { gateway, link, feed, at }
                 }
                 Err(e) => Told::Failed { gateway, why: e.to_string() },
             };
@@ -185,8 +188,8 @@
 }
 
 fn begin(place: &Place, setting: &Setting, gateway: usize) -> io::Result<Hollow> {
-    let Setting { plan, links, key, workers } = setting;
-    let house = house(plan, gateway, links, key)?;
+    let Setting { plan, places, workers } = setting;
+    let house = house(plan, gateway, places)?;
     let (events, me) = (place.events.clone(), gateway as u32);
     let heed: Heed = Box::new(move |event| {
         let (name, there) = match &event {
@@ -199,14 +202,21 @@
             events.push((me, about as u32, there, clock()));
         }
     });
-    Hollow::begin(house, &workers.entries(plan), heed)
+    let (changes, me) = (place.changes.clone(), gateway as u32);
+    let hear: Hear = Box::new(move |number| {
+        let mut changes = lock(&changes);
+        if changes.len() < EVENTS {
+            changes.push((me, number, clock()));
+        }
+    });
+    Hollow::begin(house, &workers.entries(plan), heed, hear)
 }
 
 /// What a hollow gateway goes by: the charter of a real one, read by the same reader, with its workers handed
 /// in.
-fn house(plan: &Plan, gateway: usize, links: &[SocketAddr], key: &std::path::Path) -> io::Result<House> {
+fn house(plan: &Plan, gateway: usize, places: &Places) -> io::Result<House> {
     let none = SocketAddr::from(([127, 0, 0, 1], 9));
-    let text = charter::text(plan, gateway, links, &[none], key);
+    let text = charter::text(plan, gateway, places, &[none]);
     let mistakes = |m: Vec<_>| io::Error::other(format!("a charter can't be read: {m:?}"));
     let mut house = milletpath_charter::read(&text).map_err(mistakes)?;
     house.source = Source::List(Vec::new());
@@ -222,5 +232,9 @@
     };
     let lows = reading.lows.into_iter().map(low).collect();
     let (at, control, desk, likely) = (reading.at, reading.control, reading.desk, reading.likely);
-    Reading { gateway, at, control, desk, likely, lows }
+    let changes = reading.changes.map(|c| {
+        let (at, cpu, number, digest) = (c.at, c.cpu, c.number, c.digest);
+        Following { at, cpu, number, digest }
+    });
+    Reading { gateway, at, control, desk, likely, lows, changes }
 }
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod book;
 pub mod budgets;
+pub mod changed;
 pub mod children;
 pub mod host;
 pub mod machine;
@@ -18,5 +19,6 @@
 pub mod wire;
 
 mod charter;
+mod control;
 mod fleet;
 mod standins;
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -18,6 +18,8 @@
     pub processes: usize,
     pub peers: Peers,
     pub budgets: Budgets,
+    /// Control machines, where changes are followed.
+    pub control: usize,
     pub zones: Vec<Zone>,
     pub regions: Vec<String>,
     pub links: Links,
@@ -78,6 +80,21 @@
     Membership,
     Budgets,
     List,
+    Changes,
+}
+
+/// The cores by the words of a plan.
+const CORES: [(&str, Core); 4] = [
+    ("membership", Core::Membership),
+    ("budgets", Core::Budgets),
+    ("list", Core::List),
+    ("changes", Core::Changes),
+];
+
+impl Core {
+    pub fn word(self) -> &'static str {
+        CORES.iter().find(|(_, core)| *core == self).map_or("", |(word, _)| word)
+    }
 }
 
 /// What the control of one gateway may use; what is not stated is not judged.
@@ -98,6 +115,9 @@
     pub what: What,
     /// Seconds that the fleet has until all believe what is so; none where that is not waited for.
     pub settle: Option<f64>,
+    /// Changes that authors propose meanwhile, and seconds over which they do.
+    pub changes: usize,
+    pub over: f64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -116,6 +136,10 @@
     Cut { regions: (usize, usize), seconds: f64 },
     /// The workers of a zone go, then come back in so many editions.
     List { zone: usize, editions: usize, over: f64 },
+    /// Nothing but changes.
+    Changes,
+    /// The control machine that leads is killed in the midst of changes, and begins again after some time.
+    Control { away: f64 },
 }
 
 impl What {
@@ -128,12 +152,21 @@
             Self::Zone { .. } => "zone",
             Self::Cut { .. } => "cut",
             Self::List { .. } => "list",
+            Self::Changes => "changes",
+            Self::Control { .. } => "control",
         }
     }
 }
 
 /// All that a run should play; those that it has not are named in its report.
-pub const PLAYS: [&str; 8] = ["start", "settled", "restarts", "rack", "zone", "cut", "list", "changes"];
+pub const PLAYS: [&str; 9] =
+    ["start", "settled", "restarts", "rack", "zone", "cut", "list", "changes", "control"];
+
+/// Control machines that gateways can follow.
+const CONTROL: u32 = 7;
+
+/// Changes of one play.
+const CHANGES: u32 = 1_000;
 
 const LONG: f64 = 86_400.0;
 
@@ -155,6 +188,17 @@
         (0..self.gateways).filter(move |g| self.zone_of(*g) == zone)
     }
 
+    /// The zone of a control machine: one region after the other, and in each one zone after the other, so
+    /// that no region has more than its part, and no zone more than two.
+    pub fn zone_of_control(&self, machine: usize) -> usize {
+        let in_region = |region| (0..self.zones.len()).filter(move |z| self.zones[*z].region == region);
+        let mut order = Vec::new();
+        for round in 0..self.zones.len() {
+            order.extend((0..self.regions.len()).filter_map(|r| in_region(r).nth(round)));
+        }
+        order[machine % order.len()]
+    }
+
     /// Seconds from one gateway to another.
     pub fn latency(&self, from: usize, to: usize) -> f64 {
         let (from, to) = (self.region_of(from), self.region_of(to));
@@ -217,7 +261,21 @@
         top.mistake(top.place("gateways"), wrong, "have a gateway in each zone, or fewer zones");
     }
     let links = links(top, &regions);
-    let peers = needed(top, "peers", "period = 0.4, lease = 12");
+    let control = needed(top, "control", "runs = [\"membership\", \"budgets\", \"list\"]");
+    let known = |text: &str| CORES.iter().find(|(word, _)| *word == text).map(|(_, core)| *core);
+    let shape = "[\"membership\", \"budgets\", \"list\"]";
+    let runs = control.as_ref().and_then(|c| c.list("runs", shape, known)).unwrap_or_default();
+    let has = |core| runs.contains(&core);
+    if let Some(c) = control.as_ref().filter(|_| runs.is_empty()) {
+        c.mistake(c.place("runs"), "no core runs", format!("write runs = {shape}"));
+    }
+    if let Some(c) = control.as_ref().filter(|_| has(Core::Budgets) && !has(Core::Membership)) {
+        let wrong = "budgets are shared by those who know of each other, and there is no membership";
+        c.mistake(c.place("runs"), wrong, format!("write runs = {shape}, or leave budgets out"));
+    }
+    // What no core goes by need not be stated.
+    let stated = |core, key, example| if has(core) { needed(top, key, example) } else { top.block(key) };
+    let peers = stated(Core::Membership, "peers", "period = 0.4, lease = 12");
     let peers = peers.as_ref();
     let of = |key, within, usual| peers.and_then(|p| p.figure(key, "seconds", within)).unwrap_or(usual);
     let terms = Peers {
@@ -229,7 +287,7 @@
         let wrong = format!("lease of peers is shorter than four periods of {}", terms.period);
         p.mistake(p.place("lease"), wrong, format!("make it {} or more", 4.0 * terms.period));
     }
-    let budgets = needed(top, "budgets", "quota = 100");
+    let budgets = stated(Core::Budgets, "budgets", "quota = 100");
     let budgets = budgets.as_ref();
     let figure = |key, unit, usual| budgets.and_then(|b| b.figure(key, unit, 0.001..=1e9)).unwrap_or(usual);
     let budgets = Budgets {
@@ -245,14 +303,7 @@
     let functions = functions.as_ref();
     let calls = functions.and_then(|f| f.figure("calls", "calls a second", 0.0..=1_000.0)).unwrap_or(0.0);
     let names = functions.and_then(|f| f.count("names", "functions", 1..=1_000_000)).unwrap_or(1);
-    let control = needed(top, "control", "runs = [\"membership\", \"budgets\", \"list\"]");
-    let cores = [("membership", Core::Membership), ("budgets", Core::Budgets), ("list", Core::List)];
-    let known = |text: &str| cores.iter().find(|(word, _)| *word == text).map(|(_, core)| *core);
-    let shape = "[\"membership\", \"budgets\", \"list\"]";
-    let runs = control.as_ref().and_then(|c| c.list("runs", shape, known)).unwrap_or_default();
-    if let Some(c) = control.as_ref().filter(|_| !runs.contains(&Core::Membership)) {
-        c.mistake(c.place("runs"), "no run goes without membership", format!("write runs = {shape}"));
-    }
+    let machines = control_machines(top, &zones, has(Core::Changes));
     let grant = top.block("grant");
     let grant = grant.as_ref();
     let granted = |key, unit| grant.and_then(|g| g.figure(key, unit, 0.000_001..=1e12));
@@ -262,6 +313,7 @@
         bytes: granted("bytes", "bytes a second"),
         change: granted("change", "seconds"),
     };
+    let changes = has(Core::Changes);
     Plan {
         name: name.unwrap_or_default(),
         seed: top.figure("seed", "chance", 0.0..=9e15).map_or(1, |s| s as u64),
@@ -270,12 +322,13 @@
         processes: top.count("processes", "processes", 1..=16).unwrap_or(8),
         peers: terms,
         budgets,
+        control: machines,
         workers,
         calls,
         functions: names,
         runs,
         grant,
-        plays: plays(top, gateways, &zones, &regions),
+        plays: plays(top, gateways, &zones, &regions, changes),
         limit: top.figure("limit", "seconds", 1.0..=LONG).unwrap_or(300.0),
         memory_gb: top.figure("memory_gb", "GB", 0.1..=1e5).unwrap_or(12.0),
         zones,
@@ -284,6 +337,27 @@
     }
 }
 
+/// How many control machines there are.
+fn control_machines(top: &Section<'_>, zones: &[Zone], wanted: bool) -> usize {
+    /// Of one zone at most: what a lost zone takes is then less than half of all.
+    const IN_ZONE: usize = 2;
+    let section = top.block("changes");
+    let machines = section.as_ref().and_then(|s| s.count("control", "control machines", 1..=CONTROL));
+    if let Some(s) = section.as_ref().filter(|_| machines.is_some_and(|m| m > IN_ZONE * zones.len())) {
+        let wrong = format!("control machines of changes are more than {IN_ZONE} for each zone");
+        s.mistake(s.place("control"), wrong, format!("write {} or less", IN_ZONE * zones.len()));
+    }
+    match (wanted, section) {
+        (true, None) => {
+            let remedy = "add changes { control = 7 }";
+            top.mistake(0, "the plan runs changes and has no control machines", remedy);
+            1
+        }
+        (false, _) => 0,
+        (true, Some(_)) => machines.unwrap_or(CONTROL as usize),
+    }
+}
+
 /// Regions, and the zones of all of them.
 fn places(top: &Section<'_>) -> (Vec<String>, Vec<Zone>) {
     let (mut regions, mut zones) = (Vec::new(), Vec::<Zone>::new());
@@ -348,9 +422,15 @@
     None
 }
 
-fn plays(top: &Section<'_>, gateways: usize, zones: &[Zone], regions: &[String]) -> Vec<Play> {
+fn plays(
+    top: &Section<'_>,
+    gateways: usize,
+    zones: &[Zone],
+    regions: &[String],
+    has_changes: bool,
+) -> Vec<Play> {
     let mut plays: Vec<Play> = Vec::new();
-    let words: Vec<(&str, &str)> = PLAYS.iter().filter(|w| **w != "changes").map(|w| (*w, *w)).collect();
+    let words: Vec<(&str, &str)> = PLAYS.iter().map(|w| (*w, *w)).collect();
     for s in top.blocks("play", true) {
         let word = s.word("does", &words);
         if !s.has("does") {
@@ -384,14 +464,29 @@
                 let editions = s.count("editions", "editions", 1..=100_000).unwrap_or(100);
                 What::List { zone: zone(), editions, over: seconds("over", 10.0) }
             }
+            Some("changes") => What::Changes,
+            Some("control") => What::Control { away: seconds("away", 10.0) },
             _ => continue,
         };
+        let needs = matches!(what, What::Changes | What::Control { .. });
+        let usual = if needs { 20 } else { 0 };
+        let changes = s.count("changes", "changes", 1..=CHANGES).map_or(usual, |n| n as usize);
+        if changes > 0 && !has_changes {
+            let wrong = format!("{} makes changes, and nothing carries them", s.title);
+            s.mistake(s.at, wrong, "add \"changes\" to runs of control");
+        }
+        let over = match what {
+            What::Settled { seconds } => seconds,
+            What::Start { over } | What::Restarts { over, .. } | What::List { over, .. } => over,
+            What::Changes | What::Control { .. } => seconds("over", 1.0),
+            What::Rack { .. } | What::Zone { .. } | What::Cut { .. } => 1.0,
+        };
         if plays.is_empty() && !matches!(what, What::Start { .. }) {
             let wrong = format!("{} comes before any start", s.title);
             s.mistake(s.at, wrong, "let the first play be one that does = \"start\"");
         }
         let settle = s.figure("settle", "seconds", 0.1..=LONG);
-        plays.push(Play { label: s.label.clone(), what, settle });
+        plays.push(Play { label: s.label.clone(), what, settle, changes, over });
     }
     if plays.is_empty() {
         top.mistake(0, "the plan plays nothing", "add play \"begin\" { does = \"start\" }");
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -3,9 +3,10 @@
 
 use crate::book::Learnt;
 use crate::budgets::Worst;
+use crate::changed::Made;
 use crate::fleet::Over;
 use crate::machine::SATURATED;
-use crate::plan::{PLAYS, Plan};
+use crate::plan::{Core, PLAYS, Plan};
 use crate::spread::{Known, Spread, Times};
 use crate::standins::Counts;
 use serde_json::{Map, Value, json};
@@ -40,6 +41,65 @@
     pub bytes_out: Vec<(usize, f64)>,
     pub letters_in: Vec<(usize, f64)>,
     pub letters_out: Vec<(usize, f64)>,
+    /// Of that, what following changes took; and what it costs the control machines, by their numbers.
+    pub changes: Follow,
+    pub machines: Machines,
+}
+
+/// What following changes costs each gateway.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Follow {
+    pub cpu: Vec<(usize, f64)>,
+    pub bytes_in: Vec<(usize, f64)>,
+    pub bytes_out: Vec<(usize, f64)>,
+    /// Bytes of the file that it keeps.
+    pub state: Vec<(usize, f64)>,
+}
+
+/// What control machines use.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Machines {
+    pub cpu: Vec<(usize, f64)>,
+    pub memory: Vec<(usize, f64)>,
+    pub bytes_in: Vec<(usize, f64)>,
+    pub bytes_out: Vec<(usize, f64)>,
+}
+
+/// What is in force at the end of a run: the latest number that was made, and how many have the state that
+/// most have.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    pub latest: u64,
+    pub number: u64,
+    pub digest: u64,
+    pub gateways: (usize, usize),
+    pub control: (usize, usize),
+}
+
+impl State {
+    /// From number and digest of each gateway and each control machine, none where one does not say.
+    pub fn of(gateways: Vec<Option<(u64, u64)>>, control: Vec<Option<(u64, u64)>>, latest: u64) -> Self {
+        let mut counts: BTreeMap<(u64, u64), usize> = BTreeMap::new();
+        gateways.iter().flatten().for_each(|state| *counts.entry(*state).or_default() += 1);
+        let most = counts.into_iter().max_by_key(|(_, n)| *n).map_or((0, 0), |(state, _)| state);
+        let equal = |all: &[Option<(u64, u64)>]| {
+            (all.iter().filter(|state| **state == Some(most)).count(), all.len())
+        };
+        let (number, digest) = most;
+        Self { latest, number, digest, gateways: equal(&gateways), control: equal(&control) }
+    }
+
+    /// What is not as it should be.
+    pub fn wrong(&self) -> Option<String> {
+        let Self { latest, number, digest, gateways: (equal, of), control: (agree, machines) } = *self;
+        if equal < of || agree < machines {
+            return Some(format!(
+                "state: {equal} of {of} gateways and {agree} of {machines} control machines are at number {number} \
+                 with digest {digest:016x}"
+            ));
+        }
+        (number < latest).then(|| format!("state: all are at number {number}, and {latest} was made"))
+    }
 }
 
 /// A flood of list changes.
@@ -71,6 +131,9 @@
     pub learnt: Learnt,
     pub cost: Option<Cost>,
     pub list: Option<Listed>,
+    /// Changes that were proposed meanwhile, and the control machine that was killed.
+    pub made: Option<Made>,
+    pub killed: Option<usize>,
 }
 
 /// What of the machine was in use. Parts are of all cores.
@@ -103,6 +166,7 @@
     pub name: String,
     pub gateways: usize,
     pub real: usize,
+    pub runs: Vec<Core>,
     pub seed: u64,
     pub took: f64,
     /// Which bound, by how much, where.
@@ -113,6 +177,7 @@
     pub budgets: BTreeMap<String, Worst>,
     pub machine: Machine,
     pub calls: Option<Counts>,
+    pub state: Option<State>,
     pub over: Option<Over>,
 }
 
@@ -123,6 +188,7 @@
         budgets: BTreeMap<String, Worst>,
         machine: Machine,
         calls: Option<Counts>,
+        state: Option<State>,
         over: Option<Over>,
         took: f64,
     ) -> Self {
@@ -131,16 +197,14 @@
             .map(|p| format!("{} ({}): the run ended before its end", p.label, p.what.word()))
             .collect();
         let absent = PLAYS.iter().filter(|w| !plan.plays.iter().any(|p| p.what.word() == **w));
-        unplayed.extend(absent.map(|word| match *word {
-            "changes" => "changes: there is no such core yet".to_owned(),
-            word => format!("{word}: not in the plan"),
-        }));
+        unplayed.extend(absent.map(|word| format!("{word}: not in the plan")));
         let measuring = plays.iter().filter_map(|p| p.cost.as_ref()?.busy).max_by(f64::total_cmp);
         let machine = Machine { measuring, ..machine };
         let mut report = Self {
             name: plan.name.clone(),
             gateways: plan.gateways,
             real: plan.real,
+            runs: plan.runs.clone(),
             seed: plan.seed,
             took,
             broken: Vec::new(),
@@ -149,6 +213,7 @@
             budgets,
             machine,
             calls,
+            state,
             over,
         };
         report.broken = report.judge(plan);
@@ -177,6 +242,9 @@
                     play.label
                 ));
             }
+            if let Some(made) = &play.made {
+                broken.extend(judge_changes(&play.label, made, plan.grant.change));
+            }
             let Some(cost) = &play.cost else { continue };
             let mut see = |what: &str, unit: &str, figures: &[(usize, f64)], most: Option<f64>| {
                 let Some(most) = most else { return };
@@ -196,6 +264,7 @@
             see("bytes_in", "bytes a second", &cost.bytes_in, plan.grant.bytes);
             see("bytes_out", "bytes a second", &cost.bytes_out, plan.grant.bytes);
         }
+        broken.extend(self.state.as_ref().and_then(State::wrong));
         for (name, worst) in &self.budgets {
             if worst.broken > 0 {
                 let (sum, bound) = (short(worst.sum), short(worst.bound));
@@ -216,7 +285,7 @@
     }
 
     /// What was learnt in all plays.
-    fn known(&self) -> [(&'static str, Option<Known>); 3] {
+    fn known(&self) -> [(&'static str, Option<Known>); 5] {
         let all = |of: fn(&Learnt) -> &Times| {
             let mut times = Times::default();
             for play in &self.plays {
@@ -225,12 +294,27 @@
             }
             times.known()
         };
-        [("death", all(|l| &l.death)), ("join", all(|l| &l.join)), ("healing", all(|l| &l.healing))]
+        let made = |of: fn(&Made) -> &Times| {
+            let mut times = Times::default();
+            for made in self.plays.iter().filter_map(|p| p.made.as_ref()) {
+                times.seconds.extend(&of(made).seconds);
+                times.never += of(made).never;
+            }
+            times.known()
+        };
+        [
+            ("death", all(|l| &l.death)),
+            ("join", all(|l| &l.join)),
+            ("healing", all(|l| &l.healing)),
+            ("change", made(|m| &m.change)),
+            ("catch_up", made(|m| &m.catch_up)),
+        ]
     }
 
     pub fn json(&self) -> Value {
         let mut report = json!({
-            "plan": self.name, "gateways": self.gateways, "real": self.real, "seed": self.seed,
+            "plan": self.name, "runs": self.runs.iter().map(|c| c.word()).collect::<Vec<_>>(),
+            "gateways": self.gateways, "real": self.real, "seed": self.seed,
             "seconds": self.took, "broken": self.broken, "not_played": self.unplayed,
             "plays": self.plays.iter().map(Played::json).collect::<Vec<_>>(),
             "machine": self.machine.json(),
@@ -238,6 +322,16 @@
         if let Some(control) = self.cost().map(Cost::json).filter(|c| !c.is_empty()) {
             report["control"] = Value::Object(control);
         }
+        for (name, apart) in self.cost().into_iter().flat_map(Cost::apart) {
+            report[name] = Value::Object(apart);
+        }
+        if let Some(state) = &self.state {
+            let ((equal, gateways), (agree, control)) = (state.gateways, state.control);
+            report["state"] = json!({
+                "number": state.number, "digest": format!("{:016x}", state.digest), "equal": equal,
+                "gateways": gateways, "control_equal": agree, "control": control,
+            });
+        }
         let known = known(&self.known());
         if !known.is_empty() {
             report["known"] = Value::Object(known);
@@ -257,6 +351,39 @@
     known.iter().filter_map(|(name, known)| Some(((*name).to_owned(), json!((*known)?)))).collect()
 }
 
+/// The bounds that a play's changes broke.
+fn judge_changes(label: &str, made: &Made, most: Option<f64>) -> Vec<String> {
+    let mut broken = Vec::new();
+    if let Some(why) = made.unmade.first() {
+        let (proposed, made) = (made.proposed, made.made);
+        broken.push(format!("changes in {label}: {made} of {proposed} are known to be made; {why}"));
+    }
+    if made.change.never > 0 {
+        let (never, without) = (made.change.never, made.without);
+        broken.push(format!(
+            "changes in {label}: never in force, {never} times of a change and a gateway, at {without} gateways"
+        ));
+    }
+    if made.catch_up.never > 0 {
+        let never = made.catch_up.never;
+        broken
+            .push(format!("changes in {label}: {never} that began anew never had all that was made before"));
+    }
+    let worst = made.change.known().and_then(|k| k.spread);
+    if let (Some(worst), Some(most)) = (worst.map(|s| s.worst), most)
+        && worst > most
+    {
+        let late = made.change.seconds.iter().filter(|s| f64::from(**s) > most).count();
+        let of = made.change.seconds.len();
+        broken.push(format!(
+            "known.change in {label}: {} s where {} are granted, later at {late} of {of} changes and gateways",
+            short(worst),
+            short(most),
+        ));
+    }
+    broken
+}
+
 /// A figure with as many digits as mean something.
 fn short(figure: f64) -> String {
     match figure.abs() {
@@ -267,6 +394,31 @@
 }
 
 impl Cost {
+    /// What following changes costs, apart: gateways and control machines.
+    fn apart(&self) -> Vec<(&'static str, Map<String, Value>)> {
+        let spread = |(name, figures): (&str, &[(usize, f64)])| {
+            let spread = Spread::of(figures.iter().map(|(_, f)| *f).collect())?;
+            Some((name.to_owned(), json!(spread)))
+        };
+        let Self { changes: c, machines: m, .. } = self;
+        let changes: [(&str, &[(usize, f64)]); 4] = [
+            ("cpu", &c.cpu),
+            ("bytes_in", &c.bytes_in),
+            ("bytes_out", &c.bytes_out),
+            ("state_bytes", &c.state),
+        ];
+        let machines: [(&str, &[(usize, f64)]); 4] = [
+            ("cpu", &m.cpu),
+            ("memory_mb", &m.memory),
+            ("bytes_in", &m.bytes_in),
+            ("bytes_out", &m.bytes_out),
+        ];
+        let all = [("control_changes", changes), ("control_machines", machines)];
+        let maps =
+            all.map(|(name, figures)| (name, figures.into_iter().filter_map(spread).collect::<Map<_, _>>()));
+        maps.into_iter().filter(|(_, map)| !map.is_empty()).collect()
+    }
+
     /// Each figure's spread over the gateways.
     fn spreads(&self) -> Vec<(&'static str, Spread)> {
         let all = [
@@ -304,7 +456,15 @@
         }
         let times = [&self.learnt.death, &self.learnt.join, &self.learnt.healing].map(Times::known);
         let [death, join, healing] = times;
-        let known = known(&[("death", death), ("join", join), ("healing", healing)]);
+        let change = self.made.as_ref().and_then(|m| m.change.known());
+        let catch_up = self.made.as_ref().and_then(|m| m.catch_up.known());
+        let known = known(&[
+            ("death", death),
+            ("join", join),
+            ("healing", healing),
+            ("change", change),
+            ("catch_up", catch_up),
+        ]);
         if !known.is_empty() {
             play["known"] = Value::Object(known);
         }
@@ -314,6 +474,17 @@
                 json!({"seconds": cost.seconds, "fleet_settled": cost.settled, "unread": cost.unread});
             cost.busy.iter().for_each(|busy| play["measured"]["busy"] = json!(busy));
         }
+        for (name, apart) in self.cost.iter().flat_map(Cost::apart) {
+            play[name] = Value::Object(apart);
+        }
+        if let Some(made) = &self.made {
+            play["changes"] = json!({
+                "proposed": made.proposed, "made": made.made, "unmade": made.unmade,
+                "gateways_without": made.without,
+            });
+            made.committed.known().iter().for_each(|known| play["changes"]["committed"] = json!(known));
+        }
+        self.killed.iter().for_each(|killed| play["killed_control"] = json!(killed));
         if let Some(l) = &self.list {
             play["list"] = json!({
                 "workers": l.workers, "editions": l.editions, "seconds": l.took,
@@ -361,6 +532,15 @@
                 writeln!(f, "  {unit:<22} {p50:>12} {p99:>12} {worst:>12}")?;
             }
         }
+        for (name, apart) in self.cost().into_iter().flat_map(Cost::apart) {
+            let title =
+                if name == "control_machines" { "of one control machine" } else { "of it following changes" };
+            writeln!(f, "{title}")?;
+            for (figure, spread) in apart {
+                let of = |which: &str| short(spread[which].as_f64().unwrap_or(f64::NAN));
+                writeln!(f, "  {figure:<22} {:>12} {:>12} {:>12}", of("p50"), of("p99"), of("worst"))?;
+            }
+        }
         writeln!(f, "plays")?;
         for play in &self.plays {
             write!(f, "  {:<12} {:<9} from {:>6.1} s, {:>6.1} s", play.label, play.does, play.at, play.took)?;
@@ -376,6 +556,12 @@
             if let Some((knew, of)) = play.gone_known {
                 write!(f, "; {knew} of {of} knew who was gone")?;
             }
+            if let Some(made) = &play.made {
+                write!(f, "; {} of {} changes made", made.made, made.proposed)?;
+                if let Some(s) = made.change.known().and_then(|k| k.spread) {
+                    write!(f, ", in force after {:.2} s, {:.2} s at the latest", s.p50, s.worst)?;
+                }
+            }
             if play.learnt.false_deaths > 0 {
                 write!(f, "; {} times one was wrongly said to be gone", play.learnt.false_deaths)?;
             }
@@ -392,6 +578,14 @@
             });
             writeln!(f, "{what} known: {times}{learnt} learnt it, {never} never")?;
         }
+        if let Some(state) = &self.state {
+            let ((equal, of), (agree, machines)) = (state.gateways, state.control);
+            writeln!(
+                f,
+                "in force: number {}, digest {:016x}, at {equal} of {of} gateways and {agree} of {machines} control machines",
+                state.number, state.digest
+            )?;
+        }
         for (name, w) in &self.budgets {
             let (sum, bound, (least, most)) = (short(w.sum), short(w.bound), w.gateways);
             let seconds = w.seconds;
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -1,11 +1,13 @@
 //! Plays a plan: one play after the other, each with what it measured; and what could not be played any more.
 
 use crate::book::Learnt;
+use crate::changed::Made;
+use crate::control::{AUTHOR_TRIES, AUTHORS, LOOK};
 use crate::fleet::{Fleet, Over, Stage, folder};
 use crate::machine::{self, Cores};
-use crate::plan::{Core, Plan, What};
+use crate::plan::{Core, Plan, Play, What};
 use crate::relay::Passed;
-use crate::report::{Cost, Played, Report, Settled};
+use crate::report::{Cost, Played, Report, Settled, State};
 use crate::standins::{Calls, StandIns};
 use crate::wire::Reading;
 use milletpath_gateway::hollow::clock;
@@ -30,7 +32,9 @@
 const SPARE: u64 = 256;
 
 pub fn run(plan: &Plan, asked: Asked<'_>) -> io::Result<Report> {
-    crate::fleet::descriptors(plan.gateways as u64 + 4 * plan.real as u64 + SPARE)?;
+    let links =
+        if plan.has(Core::Changes) { 2 * plan.gateways + plan.control + 2 * AUTHORS } else { plan.gateways };
+    crate::fleet::descriptors(links as u64 + 4 * plan.real as u64 + SPARE)?;
     let folder = folder()?;
     let report = staged(plan, asked, folder.clone());
     match &report {
@@ -45,13 +49,14 @@
     let stage = Stage { program: asked.program, folder };
     let before = (Cores::read(), machine::used(std::process::id()));
     let fleet = Fleet::new(plan, asked.text, stage, stand_ins.addresses.clone(), asked.stop)?;
-    let calls = Calls::start(plan, fleet.places.clone())?;
+    let calls = Calls::start(plan, fleet.reached.clone())?;
     let mut stage = Playing {
         chance: Rand64::new(u128::from(plan.seed) ^ 0x5ca1e),
         fleet,
         calls,
         played: Vec::new(),
         generation: 0,
+        state: None,
         terminal: io::stderr().is_terminal(),
     };
     let over = stage.plays().err();
@@ -65,6 +70,8 @@
     played: Vec<Played>,
     /// Of the worker list: processes under one name are told apart by it.
     generation: u32,
+    /// What is in force at the end.
+    state: Option<State>,
     terminal: bool,
 }
 
@@ -74,19 +81,26 @@
             let began = clock();
             self.fleet.sums.play(began, &play.label);
             let mut played = Played::new(&play, began - self.fleet.began);
-            let done = self.play(&play.what, &mut played);
-            let done = done.and_then(|()| self.settle(play.settle, &mut played));
+            let done = self.play(&play, &mut played);
+            let done = done.and_then(|()| self.settle(&play, &mut played));
+            let done = done.and_then(|()| self.in_force(&play));
             played.took = clock() - began;
             played.learnt = self.fleet.book.take();
+            let made = self.fleet.changed.take(clock());
+            played.made = (made != Made::default()).then_some(made);
             // What a play that was broken off had measured is kept.
             self.played.push(played);
             done?;
         }
-        Ok(())
+        self.state()
     }
 
-    fn play(&mut self, what: &What, played: &mut Played) -> Result<(), Over> {
-        match *what {
+    fn play(&mut self, play: &Play, played: &mut Played) -> Result<(), Over> {
+        // Those that a play does not begin with in mind are proposed as it goes on.
+        if matches!(play.what, What::Settled { .. } | What::Restarts { .. } | What::Changes) {
+            self.propose(play)?;
+        }
+        match play.what {
             What::Start { over } => {
                 let all = self.shuffled((0..self.fleet.plan.gateways).collect());
                 self.one_by_one(&all, over, |fleet, gateway| fleet.begin(gateway))
@@ -100,14 +114,73 @@
             What::Rack { gateways, away } => {
                 let zone = self.chance.rand_range(0..self.fleet.plan.zones.len() as u64) as usize;
                 let rack: Vec<usize> = self.fleet.plan.in_zone(zone).take(gateways).collect();
-                self.away(&rack, away, played)
+                self.away(&rack, &[], play, away, played)
             }
             What::Zone { zone, away } => {
                 let all: Vec<usize> = self.fleet.plan.in_zone(zone).collect();
-                self.away(&all, away, played)
+                let plan = &self.fleet.plan;
+                let control =
+                    (0..plan.control).filter(|m| plan.zone_of_control(*m) == zone).collect::<Vec<_>>();
+                self.away(&all, &control, play, away, played)
             }
-            What::Cut { regions, seconds } => self.cut(regions, seconds),
+            What::Cut { regions, seconds } => self.cut(regions, seconds, play),
             What::List { zone, editions, over } => self.list(zone, editions, over, played),
+            What::Changes => Ok(()),
+            What::Control { away } => self.control(play, away, played),
+        }
+    }
+
+    /// Has authors propose the changes of a play.
+    fn propose(&mut self, play: &Play) -> Result<(), Over> {
+        if play.changes == 0 {
+            return Ok(());
+        }
+        self.fleet.propose(play.changes, clock() + LOOK, play.over)
+    }
+
+    /// Waits until all changes are in force at all that run: as long as authors try, and then for as long as
+    /// the play has.
+    fn in_force(&mut self, play: &Play) -> Result<(), Over> {
+        if play.changes == 0 {
+            return Ok(());
+        }
+        /// Seconds, where the play does not say.
+        const USUAL: f64 = 10.0;
+        self.wait(clock() + AUTHOR_TRIES, |fleet| fleet.changed.open() == 0)?;
+        self.wait(clock() + play.settle.unwrap_or(USUAL), |fleet| fleet.changed.settled())
+    }
+
+    /// Kills the control machine that leads when half of the changes are proposed, and begins it again later.
+    fn control(&mut self, play: &Play, away: f64, played: &mut Played) -> Result<(), Over> {
+        self.propose(play)?;
+        let half = clock() + LOOK + 0.5 * play.over;
+        let leader = self.fleet.leader()?;
+        self.wait(half, |_| false)?;
+        self.fleet.kill_control(&Vec::from_iter(leader));
+        played.killed = leader;
+        self.wait(half + away, |_| false)?;
+        self.fleet.begin_control()
+    }
+
+    /// What is in force at the end, at gateways and control machines.
+    fn state(&mut self) -> Result<(), Over> {
+        /// Seconds until those that began lately are heard.
+        const WAIT: f64 = 10.0;
+        if !self.fleet.plan.has(Core::Changes) {
+            return Ok(());
+        }
+        let until = clock() + WAIT;
+        loop {
+            let gateways = self.fleet.states()?.into_values().collect();
+            let control = self.fleet.control_views()?.into_values();
+            let control = control.map(|v| v.map(|v| (v.number, v.digest))).collect();
+            let state = State::of(gateways, control, self.fleet.changed.latest());
+            let done = state.wrong().is_none() || clock() >= until;
+            self.state = Some(state);
+            if done {
+                return Ok(());
+            }
+            self.wait(clock() + 0.5, |_| false)?;
         }
     }
 
@@ -145,17 +218,29 @@
     }
 
     /// Kills some at once, and begins them anew after some seconds.
-    fn away(&mut self, some: &[usize], away: f64, played: &mut Played) -> Result<(), Over> {
+    fn away(
+        &mut self,
+        some: &[usize],
+        control: &[usize],
+        play: &Play,
+        away: f64,
+        played: &mut Played,
+    ) -> Result<(), Over> {
         let began = clock();
+        self.fleet.kill_control(control);
         self.fleet.end(some, true, false)?;
         self.done()?;
+        self.propose(play)?;
         // That they are gone should be known by the time they come back; how many knew it is told.
         self.wait(began + away, |_| false)?;
-        played.gone_known = Some((self.fleet.book.settled(), self.fleet.book.running()));
+        if self.fleet.plan.has(Core::Membership) {
+            played.gone_known = Some((self.fleet.book.settled(), self.fleet.book.running()));
+        }
+        self.fleet.begin_control()?;
         self.one_by_one(some, 0.0, |fleet, gateway| fleet.begin(gateway))
     }
 
-    fn cut(&mut self, regions: (usize, usize), seconds: f64) -> Result<(), Over> {
+    fn cut(&mut self, regions: (usize, usize), seconds: f64, play: &Play) -> Result<(), Over> {
         let of: Vec<usize> = (0..self.fleet.plan.gateways).map(|g| self.fleet.plan.region_of(g)).collect();
         let began = clock();
         self.fleet.relay.cut(regions, true);
@@ -163,7 +248,7 @@
             let pair = (of[a], of[b]);
             pair == regions || pair == (regions.1, regions.0)
         });
-        let done = self.wait(began + seconds, |_| false);
+        let done = self.propose(play).and_then(|()| self.wait(began + seconds, |_| false));
         self.fleet.relay.cut(regions, false);
         self.fleet.book.mended(clock());
         done
@@ -227,10 +312,15 @@
     }
 
     /// Waits until all that run believe what is so, for some seconds at most.
-    fn settle(&mut self, most: Option<f64>, played: &mut Played) -> Result<(), Over> {
-        let Some(most) = most else { return Ok(()) };
+    fn settle(&mut self, play: &Play, played: &mut Played) -> Result<(), Over> {
+        let Some(most) = play.settle else { return Ok(()) };
+        // What else is waited for is when changes are in force.
+        if !self.fleet.plan.has(Core::Membership) || matches!(play.what, What::Changes | What::Control { .. })
+        {
+            return Ok(());
+        }
         let began = clock();
-        let all = |fleet: &Fleet| fleet.book.settled() == fleet.book.running();
+        let all = Fleet::settled;
         let done = self.wait(began + most, all);
         let settled = all(&self.fleet);
         let (agreed, of) = (self.fleet.book.agreed(), self.fleet.book.running());
@@ -259,27 +349,58 @@
                 continue;
             }
             let (control, desk) = ((now.control - then.control) / between, (now.desk - then.desk) / took);
-            cost.cpu.push((*gateway, control + desk));
+            let changes = match (now.changes, then.changes) {
+                (Some(now), Some(then)) if now.at - then.at < 0.5 * took => {
+                    cost.unread += 1;
+                    continue;
+                }
+                (Some(now), Some(then)) => Some((now.cpu - then.cpu) / (now.at - then.at)),
+                _ => None,
+            };
+            cost.changes.cpu.extend(changes.map(|changes| (*gateway, changes)));
+            cost.cpu.push((*gateway, control + desk + changes.unwrap_or(0.0)));
             cost.desk.push((*gateway, desk));
         }
-        for (gateway, now) in &after.control {
-            let same = before.lives.get(gateway) == after.lives.get(gateway);
-            if let Some(then) = before.control.get(gateway).filter(|_| same) {
-                cost.cpu.push((*gateway, (now - then) / took));
+        for (gateway, _) in after.lives.iter().filter(|(g, life)| before.lives.get(g) == Some(life)) {
+            let used = |now: &BTreeMap<usize, f64>, then: &BTreeMap<usize, f64>| {
+                Some((now.get(gateway)? - then.get(gateway)?) / took)
+            };
+            let (control, changes) =
+                (used(&after.control, &before.control), used(&after.changes, &before.changes));
+            cost.changes.cpu.extend(changes.map(|changes| (*gateway, changes)));
+            if let Some(all) = control.into_iter().chain(changes).reduce(|a, b| a + b) {
+                cost.cpu.push((*gateway, all));
             }
         }
-        for (gateway, (now, then)) in after.passed.iter().zip(&before.passed).enumerate() {
-            if !self.fleet.book.runs(gateway) {
-                continue;
+        let passed: Vec<Rates> =
+            after.passed.iter().zip(&before.passed).map(|b| Rates::of(b, took)).collect();
+        let running: Vec<usize> =
+            (0..self.fleet.plan.gateways).filter(|g| self.fleet.book.runs(*g)).collect();
+        for gateway in running {
+            let mut all = passed[gateway];
+            if let Some(changes) = self.fleet.lines.feed(gateway).map(|line| passed[line]) {
+                cost.changes.bytes_in.push((gateway, changes.bytes_in));
+                cost.changes.bytes_out.push((gateway, changes.bytes_out));
+                all = all.and(changes);
             }
-            let rate = |now: u64, then: u64| (now - then) as f64 / took;
-            cost.bytes_in.push((gateway, rate(now.bytes_in, then.bytes_in)));
-            cost.bytes_out.push((gateway, rate(now.bytes_out, then.bytes_out)));
-            cost.letters_in.push((gateway, rate(now.letters_in, then.letters_in)));
-            cost.letters_out.push((gateway, rate(now.letters_out, then.letters_out)));
+            cost.bytes_in.push((gateway, all.bytes_in));
+            cost.bytes_out.push((gateway, all.bytes_out));
+            cost.letters_in.push((gateway, all.letters_in));
+            cost.letters_out.push((gateway, all.letters_out));
+        }
+        for (number, (process, used, memory)) in &after.machines {
+            let Some((_, then, _)) = before.machines.get(number).filter(|(p, ..)| p == process) else {
+                continue;
+            };
+            let rates = passed[self.fleet.lines.machine(*number)];
+            cost.machines.cpu.push((*number, (used - then) / took));
+            cost.machines.memory.extend(memory.map(|memory| (*number, memory)));
+            cost.machines.bytes_in.push((*number, rates.bytes_in));
+            cost.machines.bytes_out.push((*number, rates.bytes_out));
         }
+        cost.changes.state = self.fleet.state_bytes();
         cost.memory = self.fleet.memory().into_iter().collect();
-        cost.settled = self.fleet.book.settled() == self.fleet.book.running();
+        cost.settled = self.fleet.settled();
         if let (Some(then), Some(now)) = (began.1, Cores::read()) {
             cost.busy = Some(now.since(then));
         }
@@ -293,7 +414,9 @@
             at: clock(),
             readings: self.fleet.readings.clone(),
             passed: self.fleet.relay.passed(),
-            control: self.fleet.real_control(),
+            control: self.fleet.real_thread("peers"),
+            changes: self.fleet.real_thread("changes"),
+            machines: self.fleet.control_used(),
             lives: self.fleet.real_lives(),
         })
     }
@@ -315,7 +438,7 @@
     }
 
     fn end(self, plan: &Plan, over: Option<Over>, before: (Option<Cores>, f64)) -> io::Result<Report> {
-        let Self { fleet, calls, played, terminal, .. } = self;
+        let Self { fleet, calls, played, state, terminal, .. } = self;
         if terminal {
             let _ = write!(io::stderr(), "\r\x1b[K");
         }
@@ -345,7 +468,38 @@
         let sums = std::mem::replace(&mut fleet.sums, crate::budgets::Sums::new(plan.gateways));
         // From here on nothing of the run is left.
         drop(fleet);
-        Ok(Report::new(plan, played, sums.end(), machine, calls, over, took))
+        Ok(Report::new(plan, played, sums.end(), machine, calls, state, over, took))
+    }
+}
+
+/// What passed at one link, by the second.
+#[derive(Clone, Copy)]
+struct Rates {
+    bytes_in: f64,
+    bytes_out: f64,
+    letters_in: f64,
+    letters_out: f64,
+}
+
+impl Rates {
+    fn of((now, then): (&Passed, &Passed), took: f64) -> Self {
+        let rate = |now: u64, then: u64| (now - then) as f64 / took;
+        Self {
+            bytes_in: rate(now.bytes_in, then.bytes_in),
+            bytes_out: rate(now.bytes_out, then.bytes_out),
+            letters_in: rate(now.letters_in, then.letters_in),
+            letters_out: rate(now.letters_out, then.letters_out),
+        }
+    }
+
+    /// Both together.
+    fn and(self, other: Self) -> Self {
+        Self {
+            bytes_in: self.bytes_in + other.bytes_in,
+            bytes_out: self.bytes_out + other.bytes_out,
+            letters_in: self.letters_in + other.letters_in,
+            letters_out: self.letters_out + other.letters_out,
+        }
     }
 }
 
@@ -355,6 +509,8 @@
     readings: BTreeMap<usize, Reading>,
     passed: Vec<Passed>,
     control: BTreeMap<usize, f64>,
+    changes: BTreeMap<usize, f64>,
+    machines: BTreeMap<usize, (u32, f64, Option<f64>)>,
     lives: BTreeMap<usize, u64>,
 }
 
@@ -374,6 +530,8 @@
             learnt: Learnt::default(),
             cost: None,
             list: None,
+            made: None,
+            killed: None,
         }
     }
 }
--- a/crates/scale/src/standins.rs
+++ b/crates/scale/src/standins.rs
@@ -95,7 +95,7 @@
     thread: Option<JoinHandle<Counts>>,
 }
 
-type Places = Arc<Mutex<BTreeMap<usize, (SocketAddr, SocketAddr)>>>;
+type Places = Arc<Mutex<BTreeMap<usize, (SocketAddr, Option<SocketAddr>)>>>;
 
 impl Calls {
     pub fn start(plan: &Plan, places: Places) -> io::Result<Self> {
--- a/crates/scale/src/wire.rs
+++ b/crates/scale/src/wire.rs
@@ -14,9 +14,7 @@
         text: String,
         gateways: usize,
         seed: u64,
-        /// Where each gateway is reached by the others.
-        links: Vec<SocketAddr>,
-        key: PathBuf,
+        places: Places,
     },
     Begin {
         gateway: usize,
@@ -42,11 +40,26 @@
 /// One event: observer, about, whether that is there, and when.
 pub type Event = (u32, u32, bool, f64);
 
+/// A gateway has in force all changes up to a number, and when.
+pub type Change = (u32, u64, f64);
+
+/// Where all of a run is: what charters state beside the plan's figures.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Places {
+    /// Where each gateway is reached by the others, and each control machine by all.
+    pub links: Vec<SocketAddr>,
+    pub control: Vec<SocketAddr>,
+    /// Keys, and what gateways keep.
+    pub folder: PathBuf,
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Told {
     Began {
         gateway: usize,
-        link: SocketAddr,
+        /// Where it hears other gateways, and changes.
+        link: Option<SocketAddr>,
+        feed: Option<SocketAddr>,
         at: f64,
     },
     /// It could not begin, or its control thread ended by itself.
@@ -59,6 +72,7 @@
         at: f64,
     },
     Events(Vec<Event>),
+    Changed(Vec<Change>),
     /// An edition is taken by all gateways there: the processor time that it took at the slowest.
     Listed {
         workers: usize,
@@ -79,6 +93,16 @@
     pub desk: f64,
     pub likely: f64,
     pub lows: Vec<Low>,
+    pub changes: Option<Following>,
+}
+
+/// The follower of changes: when it was read, its thread's processor time, and what is in force.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Following {
+    pub at: f64,
+    pub cpu: f64,
+    pub number: u64,
+    pub digest: u64,
 }
 
 /// The least that it could use at every moment of a second.
