--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -6,23 +6,30 @@
 use crate::changed::Changed;
 use crate::charter;
 use crate::children::{Heard, Host, Real};
-use crate::control::{self, AUTHORS, Author, Machine};
+use crate::control::{self, Machine};
 use crate::machine::{self, Cores};
 use crate::plan::{Core, Plan};
 use crate::relay::{Relay, Ways};
 use crate::wire::{Low, Order, Places, Reading, Told};
-use milletpath_changes::ReplicaView;
 use milletpath_gateway::hollow::{Lows, clock};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+mod changes;
+mod lines;
+mod stage;
+mod used;
+
+pub use lines::Lines;
+pub use stage::{descriptors, folder, tidy};
+
 /// Why a run ends before its plan does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Over {
@@ -298,83 +305,6 @@
         if self.anew.remove(&gateway) { self.begin(gateway) } else { Ok(()) }
     }
 
-    /// Has authors propose so many changes, spread evenly over some seconds from then on.
-    pub fn propose(&mut self, changes: usize, from: f64, over: f64) -> Result<(), Over> {
-        let failed = |e: io::Error| Over::Failed(format!("an author can't begin: {e}"));
-        let mut wanted: Vec<Vec<control::Wanted>> = vec![Vec::new(); AUTHORS];
-        for n in 0..changes {
-            wanted[n % AUTHORS].push((self.changes + n, from + over * n as f64 / changes as f64));
-        }
-        self.changes += changes;
-        self.changed.expected(changes);
-        for (number, wanted) in wanted.into_iter().enumerate().filter(|(_, w)| !w.is_empty()) {
-            let author = Author::new(&self.places).map_err(failed)?;
-            self.relay.is_at(self.lines.author(number), author.at().map_err(failed)?);
-            author.propose(wanted, self.tell.clone()).map_err(failed)?;
-        }
-        Ok(())
-    }
-
-    /// The control machine that leads, by the word of those that run.
-    pub fn leader(&self) -> Result<Option<usize>, Over> {
-        let views = self.control_views()?;
-        let leads = views.into_iter().filter(|(_, view)| view.as_ref().is_some_and(|v| v.leads));
-        Ok(leads.max_by_key(|(_, view)| view.as_ref().map(|v| v.ballot)).map(|(number, _)| number))
-    }
-
-    /// What the control machines that run tell.
-    pub fn control_views(&self) -> Result<BTreeMap<usize, Option<ReplicaView>>, Over> {
-        let failed = |e: io::Error| Over::Failed(format!("control machines can't be asked: {e}"));
-        let running = || self.machines.iter().enumerate().filter_map(|(n, m)| Some((n, m.as_ref()?.at)));
-        let at: Vec<SocketAddr> = running().map(|(_, at)| at).collect();
-        let views = control::views(&self.places, &at).map_err(failed)?;
-        Ok(running().map(|(n, _)| n).zip(views).collect())
-    }
-
-    /// Number and digest of what is in force at each gateway that runs; none for one that does not say.
-    pub fn states(&mut self) -> Result<BTreeMap<usize, Option<(u64, u64)>>, Over> {
-        self.read_now()?;
-        let failed = |e: io::Error| Over::Failed(format!("gateways can't be asked: {e}"));
-        let mut states = BTreeMap::new();
-        for gateway in (self.plan.real..self.plan.gateways).filter(|g| self.book.runs(*g)) {
-            let changes = self.readings.get(&gateway).and_then(|r| r.changes);
-            states.insert(gateway, changes.map(|c| (c.number, c.digest)));
-        }
-        let (who, at): (Vec<usize>, Vec<SocketAddr>) =
-            self.reals.iter().filter_map(|(g, r)| Some((*g, r.feed?))).unzip();
-        let real = control::states(&self.places, &at).map_err(failed)?;
-        states.extend(who.into_iter().zip(real));
-        Ok(states)
-    }
-
-    /// Kills control machines.
-    pub fn kill_control(&mut self, machines: &[usize]) {
-        for number in machines {
-            self.relay.gone(self.lines.machine(*number));
-            self.machines[*number] = None;
-        }
-    }
-
-    /// Begins those again that were killed, with their logs.
-    pub fn begin_control(&mut self) -> Result<(), Over> {
-        for number in 0..self.machines.len() {
-            if self.machines[number].is_some() {
-                continue;
-            }
-            let failed = |e| Over::Failed(format!("control machine {number} can't begin: {e}"));
-            let machine = control::start(&self.stage.program, &self.places, number, false).map_err(failed)?;
-            self.relay.is_at(self.lines.machine(number), machine.at);
-            self.machines[number] = Some(machine);
-        }
-        Ok(())
-    }
-
-    /// Processor time and memory in MB of each control machine that runs, with its process.
-    pub fn control_used(&self) -> BTreeMap<usize, (u32, f64, Option<f64>)> {
-        let used = |m: &Machine| (m.process(), machine::used(m.process()), machine::memory(m.process()));
-        self.machines.iter().enumerate().filter_map(|(n, m)| Some((n, used(m.as_ref()?)))).collect()
-    }
-
     /// Passes one edition of the worker list to all hollow gateways.
     pub fn list(&mut self, workers: &[usize], generation: u32, there: bool) {
         for host in &self.hosts {
@@ -537,53 +467,6 @@
             false => self.pending.is_empty() && self.changed.settled(),
         }
     }
-
-    /// Bytes that each gateway that runs keeps of what is in force.
-    pub fn state_bytes(&self) -> Vec<(usize, f64)> {
-        let size = |gateway: usize| {
-            let kept = std::fs::metadata(charter::state_file(&self.places, gateway)).ok()?;
-            Some((gateway, kept.len() as f64))
-        };
-        let there = 0..if self.plan.control > 0 { self.plan.gateways } else { 0 };
-        there.filter(|g| self.book.runs(*g)).filter_map(size).collect()
-    }
-
-    /// All processes of the run, this one among them.
-    pub fn processes(&self) -> Vec<u32> {
-        let hosts = self.hosts.iter().map(Host::process);
-        let reals = self.reals.values().map(Real::process);
-        let machines = self.machines.iter().flatten().map(Machine::process);
-        std::iter::once(std::process::id()).chain(hosts).chain(reals).chain(machines).collect()
-    }
-
-    /// Memory of each gateway that runs, in MB: a hollow one's part of its host, a real one's process.
-    pub fn memory(&self) -> BTreeMap<usize, f64> {
-        let mut in_host: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
-        for gateway in (self.plan.real..self.plan.gateways).filter(|g| self.book.runs(*g)) {
-            in_host.entry(self.host_of(gateway)).or_default().push(gateway);
-        }
-        let mut memory = BTreeMap::new();
-        for (host, gateways) in in_host {
-            if let Some(all) = machine::memory(self.hosts[host].process()) {
-                let each = all / gateways.len() as f64;
-                memory.extend(gateways.into_iter().map(|g| (g, each)));
-            }
-        }
-        let real = self.reals.iter().filter_map(|(g, r)| Some((*g, machine::memory(r.process())?)));
-        memory.extend(real);
-        memory
-    }
-
-    /// Processor time of a thread of that name of each real gateway.
-    pub fn real_thread(&self, name: &str) -> BTreeMap<usize, f64> {
-        let of = |(g, r): (&usize, &Real)| Some((*g, machine::thread(r.process(), name)?));
-        self.reals.iter().filter_map(of).collect()
-    }
-
-    /// When each real gateway began, so that two readings are known to be of one process.
-    pub fn real_lives(&self) -> BTreeMap<usize, u64> {
-        self.reals.iter().map(|(g, r)| (*g, r.life)).collect()
-    }
 }
 
 impl Drop for Fleet {
@@ -597,69 +480,3 @@
         self.machines.clear();
     }
 }
-
-/// Who is who in the relay: gateways as others reach them, control machines, gateways as those reach them,
-/// authors. The latter three are there where changes are followed.
-#[derive(Clone, Copy, Debug)]
-pub struct Lines {
-    gateways: usize,
-    control: usize,
-}
-
-impl Lines {
-    fn of(plan: &Plan) -> Self {
-        Self { gateways: plan.gateways, control: plan.control }
-    }
-
-    pub fn machine(self, number: usize) -> usize {
-        self.gateways + number
-    }
-
-    /// The line over which a gateway hears changes.
-    pub fn feed(self, gateway: usize) -> Option<usize> {
-        (self.control > 0).then_some(self.gateways + self.control + gateway)
-    }
-
-    fn author(self, number: usize) -> usize {
-        2 * self.gateways + self.control + number
-    }
-
-    /// The region of each line.
-    fn regions(self, plan: &Plan) -> Vec<usize> {
-        let gateways = (0..plan.gateways).map(|g| plan.region_of(g));
-        if self.control == 0 {
-            return gateways.collect();
-        }
-        let machines = (0..self.control).map(|m| plan.zones[plan.zone_of_control(m)].region);
-        let authors = (0..AUTHORS).map(|a| a % plan.regions.len());
-        gateways.clone().chain(machines).chain(gateways).chain(authors).collect()
-    }
-}
-
-/// A folder for the files of a run.
-pub fn folder() -> io::Result<PathBuf> {
-    let folder = std::env::temp_dir().join(format!("milletpath-scale-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    Ok(folder)
-}
-
-/// Raises the descriptors that this process may have as far as the system allows, and tells whether these
-/// suffice.
-pub fn descriptors(wanted: u64) -> io::Result<()> {
-    use nix::sys::resource::{Resource, getrlimit, setrlimit};
-    let (soft, hard) = getrlimit(Resource::RLIMIT_NOFILE)?;
-    if soft < wanted && soft < hard {
-        setrlimit(Resource::RLIMIT_NOFILE, wanted.min(hard), hard)?;
-    }
-    if hard < wanted {
-        let wrong =
-            format!("{wanted} open files are wanted and the system allows {hard}: have fewer gateways");
-        return Err(io::Error::other(wrong));
-    }
-    Ok(())
-}
-
-/// Removes the folder of a run that went well.
-pub fn tidy(folder: &Path) {
-    let _ = std::fs::remove_dir_all(folder);
-}
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -11,7 +11,11 @@
 use crate::standins::Counts;
 use serde_json::{Map, Value, json};
 use std::collections::BTreeMap;
-use std::fmt;
+
+mod changes;
+mod table;
+
+pub use changes::State;
 
 /// Whether and when all believed what was so.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -65,43 +69,6 @@
     pub bytes_out: Vec<(usize, f64)>,
 }
 
-/// What is in force at the end of a run: the latest number that was made, and how many have the state that
-/// most have.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct State {
-    pub latest: u64,
-    pub number: u64,
-    pub digest: u64,
-    pub gateways: (usize, usize),
-    pub control: (usize, usize),
-}
-
-impl State {
-    /// From number and digest of each gateway and each control machine, none where one does not say.
-    pub fn of(gateways: Vec<Option<(u64, u64)>>, control: Vec<Option<(u64, u64)>>, latest: u64) -> Self {
-        let mut counts: BTreeMap<(u64, u64), usize> = BTreeMap::new();
-        gateways.iter().flatten().for_each(|state| *counts.entry(*state).or_default() += 1);
-        let most = counts.into_iter().max_by_key(|(_, n)| *n).map_or((0, 0), |(state, _)| state);
-        let equal = |all: &[Option<(u64, u64)>]| {
-            (all.iter().filter(|state| **state == Some(most)).count(), all.len())
-        };
-        let (number, digest) = most;
-        Self { latest, number, digest, gateways: equal(&gateways), control: equal(&control) }
-    }
-
-    /// What is not as it should be.
-    pub fn wrong(&self) -> Option<String> {
-        let Self { latest, number, digest, gateways: (equal, of), control: (agree, machines) } = *self;
-        if equal < of || agree < machines {
-            return Some(format!(
-                "state: {equal} of {of} gateways and {agree} of {machines} control machines are at number {number} \
-                 with digest {digest:016x}"
-            ));
-        }
-        (number < latest).then(|| format!("state: all are at number {number}, and {latest} was made"))
-    }
-}
-
 /// A flood of list changes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Listed {
@@ -243,7 +210,7 @@
                 ));
             }
             if let Some(made) = &play.made {
-                broken.extend(judge_changes(&play.label, made, plan.grant.change));
+                broken.extend(changes::judge(&play.label, made, plan.grant.change));
             }
             let Some(cost) = &play.cost else { continue };
             let mut see = |what: &str, unit: &str, figures: &[(usize, f64)], most: Option<f64>| {
@@ -284,6 +251,26 @@
         self.plays.iter().rev().find_map(|p| p.cost.as_ref())
     }
 
+    /// What one change costs each gateway, in seconds of processor time and bytes each way: the slope from the
+    /// last time without changes in which it was measured to the last with some, by the median gateway.
+    fn per_change(&self) -> Option<Value> {
+        let last = |with: bool| {
+            let of = |p: &&Played| p.cost.is_some() && (p.made.as_ref().is_some_and(|m| m.made > 0)) == with;
+            self.plays.iter().rfind(of)
+        };
+        let (with, without) = (last(true)?, last(false)?);
+        let (cost, before) = (with.cost.as_ref()?, without.cost.as_ref()?);
+        let rate = with.made.as_ref()?.made as f64 / cost.seconds;
+        let middle = |figures: &[(usize, f64)]| Some(Spread::of(figures.iter().map(|f| f.1).collect())?.p50);
+        let slope = |now: &[(usize, f64)], then: &[(usize, f64)]| Some((middle(now)? - middle(then)?) / rate);
+        let (now, then) = (&cost.changes, &before.changes);
+        Some(json!({
+            "cpu": slope(&now.cpu, &then.cpu)?,
+            "bytes_in": slope(&now.bytes_in, &then.bytes_in)?,
+            "bytes_out": slope(&now.bytes_out, &then.bytes_out)?,
+        }))
+    }
+
     /// What was learnt in all plays.
     fn known(&self) -> [(&'static str, Option<Known>); 5] {
         let all = |of: fn(&Learnt) -> &Times| {
@@ -325,6 +312,9 @@
         for (name, apart) in self.cost().into_iter().flat_map(Cost::apart) {
             report[name] = Value::Object(apart);
         }
+        if let Some(one) = self.per_change() {
+            report["per_change"] = one;
+        }
         if let Some(state) = &self.state {
             let ((equal, gateways), (agree, control)) = (state.gateways, state.control);
             report["state"] = json!({
@@ -351,39 +341,6 @@
     known.iter().filter_map(|(name, known)| Some(((*name).to_owned(), json!((*known)?)))).collect()
 }
 
-/// The bounds that a play's changes broke.
-fn judge_changes(label: &str, made: &Made, most: Option<f64>) -> Vec<String> {
-    let mut broken = Vec::new();
-    if let Some(why) = made.unmade.first() {
-        let (proposed, made) = (made.proposed, made.made);
-        broken.push(format!("changes in {label}: {made} of {proposed} are known to be made; {why}"));
-    }
-    if made.change.never > 0 {
-        let (never, without) = (made.change.never, made.without);
-        broken.push(format!(
-            "changes in {label}: never in force, {never} times of a change and a gateway, at {without} gateways"
-        ));
-    }
-    if made.catch_up.never > 0 {
-        let never = made.catch_up.never;
-        broken
-            .push(format!("changes in {label}: {never} that began anew never had all that was made before"));
-    }
-    let worst = made.change.known().and_then(|k| k.spread);
-    if let (Some(worst), Some(most)) = (worst.map(|s| s.worst), most)
-        && worst > most
-    {
-        let late = made.change.seconds.iter().filter(|s| f64::from(**s) > most).count();
-        let of = made.change.seconds.len();
-        broken.push(format!(
-            "known.change in {label}: {} s where {} are granted, later at {late} of {of} changes and gateways",
-            short(worst),
-            short(most),
-        ));
-    }
-    broken
-}
-
 /// A figure with as many digits as mean something.
 fn short(figure: f64) -> String {
     match figure.abs() {
@@ -509,120 +466,3 @@
         machine
     }
 }
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { name, gateways, real, seed, took, .. } = self;
-        writeln!(f, "{name}: {gateways} gateways, {real} of them real, seed {seed}, {took:.0} s")?;
-        if let Some(cost) = self.cost() {
-            let state = if cost.settled { "settled" } else { "NOT settled" };
-            writeln!(f, "control of one gateway, over {:.0} s, fleet {state}", cost.seconds)?;
-            writeln!(f, "  {:<22} {:>12} {:>12} {:>12}", "", "p50", "p99", "worst")?;
-            for (name, s) in cost.spreads() {
-                let unit = match name {
-                    "cpu" => "cpu, of a core",
-                    "cpu_desk" => "  of it in the desk",
-                    "memory_mb" => "memory, MB",
-                    "bytes_in" => "bytes in a second",
-                    "bytes_out" => "bytes out a second",
-                    "letters_in" => "letters in a second",
-                    _ => "letters out a second",
-                };
-                let (p50, p99, worst) = (short(s.p50), short(s.p99), short(s.worst));
-                writeln!(f, "  {unit:<22} {p50:>12} {p99:>12} {worst:>12}")?;
-            }
-        }
-        for (name, apart) in self.cost().into_iter().flat_map(Cost::apart) {
-            let title =
-                if name == "control_machines" { "of one control machine" } else { "of it following changes" };
-            writeln!(f, "{title}")?;
-            for (figure, spread) in apart {
-                let of = |which: &str| short(spread[which].as_f64().unwrap_or(f64::NAN));
-                writeln!(f, "  {figure:<22} {:>12} {:>12} {:>12}", of("p50"), of("p99"), of("worst"))?;
-            }
-        }
-        writeln!(f, "plays")?;
-        for play in &self.plays {
-            write!(f, "  {:<12} {:<9} from {:>6.1} s, {:>6.1} s", play.label, play.does, play.at, play.took)?;
-            match play.settled {
-                Some(Settled { after: Some(after), of, .. }) => {
-                    write!(f, "; all {of} agree after {after:.1} s")?
-                }
-                Some(Settled { waited, agreed, of, .. }) => {
-                    write!(f, "; NEVER SETTLED, {agreed} of {of} believed by all after {waited:.1} s")?;
-                }
-                None => {}
-            }
-            if let Some((knew, of)) = play.gone_known {
-                write!(f, "; {knew} of {of} knew who was gone")?;
-            }
-            if let Some(made) = &play.made {
-                write!(f, "; {} of {} changes made", made.made, made.proposed)?;
-                if let Some(s) = made.change.known().and_then(|k| k.spread) {
-                    write!(f, ", in force after {:.2} s, {:.2} s at the latest", s.p50, s.worst)?;
-                }
-            }
-            if play.learnt.false_deaths > 0 {
-                write!(f, "; {} times one was wrongly said to be gone", play.learnt.false_deaths)?;
-            }
-            if let Some(l) = &play.list {
-                let (workers, editions, ms) = (l.workers, l.editions, 1e3 * l.slowest);
-                write!(f, "; {workers} workers in {editions} editions, the slowest {ms:.1} ms in one desk")?;
-            }
-            writeln!(f)?;
-        }
-        for (what, known) in self.known() {
-            let Some(Known { spread, learnt, never }) = known else { continue };
-            let times = spread.map_or_else(String::new, |s| {
-                format!("p50 {:.2} s, p99 {:.2} s, worst {:.2} s; ", s.p50, s.p99, s.worst)
-            });
-            writeln!(f, "{what} known: {times}{learnt} learnt it, {never} never")?;
-        }
-        if let Some(state) = &self.state {
-            let ((equal, of), (agree, machines)) = (state.gateways, state.control);
-            writeln!(
-                f,
-                "in force: number {}, digest {:016x}, at {equal} of {of} gateways and {agree} of {machines} control machines",
-                state.number, state.digest
-            )?;
-        }
-        for (name, w) in &self.budgets {
-            let (sum, bound, (least, most)) = (short(w.sum), short(w.bound), w.gateways);
-            let seconds = w.seconds;
-            writeln!(
-                f,
-                "budget {name}: {sum} of {bound} at worst, in {seconds} seconds of {least} to {most} gateways"
-            )?;
-        }
-        if let Some(Counts { sent, handled }) = self.calls {
-            writeln!(f, "calls to real gateways: {sent}, handled {handled}")?;
-        }
-        let m = &self.machine;
-        let busy = m.busy.map_or("unknown".into(), |b| format!("{:.0}%", 100.0 * b));
-        let (own, memory) = (100.0 * m.own, m.memory_gb);
-        writeln!(f, "machine: {busy} of {} cores in use, {own:.0}% by this run; {memory:.1} GB", m.cores)?;
-        if m.saturated() {
-            let measuring = m
-                .measuring
-                .map_or(String::new(), |b| format!(" ({:.0}% while control was measured)", 100.0 * b));
-            writeln!(
-                f,
-                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors"
-            )?;
-        }
-        if m.dropped + m.crowded > 0 {
-            writeln!(
-                f,
-                "letters dropped for want of room: {} by the system, {} by the relay",
-                m.dropped, m.crowded
-            )?;
-        }
-        for unplayed in &self.unplayed {
-            writeln!(f, "not played: {unplayed}")?;
-        }
-        match self.broken.len() {
-            0 => writeln!(f, "bounds: all kept"),
-            _ => self.broken.iter().try_for_each(|b| writeln!(f, "BROKEN {b}")),
-        }
-    }
-}
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -2,12 +2,11 @@
 
 use crate::book::Learnt;
 use crate::changed::Made;
-use crate::control::{AUTHOR_TRIES, AUTHORS, LOOK};
+use crate::control::AUTHORS;
 use crate::fleet::{Fleet, Over, Stage, folder};
 use crate::machine::{self, Cores};
 use crate::plan::{Core, Plan, Play, What};
-use crate::relay::Passed;
-use crate::report::{Cost, Played, Report, Settled, State};
+use crate::report::{Played, Report, Settled, State};
 use crate::standins::{Calls, StandIns};
 use crate::wire::Reading;
 use milletpath_gateway::hollow::clock;
@@ -18,6 +17,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+mod changes;
+mod measuring;
+
 /// How a plan is to be played.
 pub struct Asked<'a> {
     /// The plan's text, as hosts read it themselves.
@@ -85,7 +87,10 @@
             let done = done.and_then(|()| self.settle(&play, &mut played));
             let done = done.and_then(|()| self.in_force(&play));
             played.took = clock() - began;
-            played.learnt = self.fleet.book.take();
+            let learnt = self.fleet.book.take();
+            if self.fleet.plan.has(Core::Membership) {
+                played.learnt = learnt;
+            }
             let made = self.fleet.changed.take(clock());
             played.made = (made != Made::default()).then_some(made);
             // What a play that was broken off had measured is kept.
@@ -130,60 +135,6 @@
         }
     }
 
-    /// Has authors propose the changes of a play.
-    fn propose(&mut self, play: &Play) -> Result<(), Over> {
-        if play.changes == 0 {
-            return Ok(());
-        }
-        self.fleet.propose(play.changes, clock() + LOOK, play.over)
-    }
-
-    /// Waits until all changes are in force at all that run: as long as authors try, and then for as long as
-    /// the play has.
-    fn in_force(&mut self, play: &Play) -> Result<(), Over> {
-        if play.changes == 0 {
-            return Ok(());
-        }
-        /// Seconds, where the play does not say.
-        const USUAL: f64 = 10.0;
-        self.wait(clock() + AUTHOR_TRIES, |fleet| fleet.changed.open() == 0)?;
-        self.wait(clock() + play.settle.unwrap_or(USUAL), |fleet| fleet.changed.settled())
-    }
-
-    /// Kills the control machine that leads when half of the changes are proposed, and begins it again later.
-    fn control(&mut self, play: &Play, away: f64, played: &mut Played) -> Result<(), Over> {
-        self.propose(play)?;
-        let half = clock() + LOOK + 0.5 * play.over;
-        let leader = self.fleet.leader()?;
-        self.wait(half, |_| false)?;
-        self.fleet.kill_control(&Vec::from_iter(leader));
-        played.killed = leader;
-        self.wait(half + away, |_| false)?;
-        self.fleet.begin_control()
-    }
-
-    /// What is in force at the end, at gateways and control machines.
-    fn state(&mut self) -> Result<(), Over> {
-        /// Seconds until those that began lately are heard.
-        const WAIT: f64 = 10.0;
-        if !self.fleet.plan.has(Core::Changes) {
-            return Ok(());
-        }
-        let until = clock() + WAIT;
-        loop {
-            let gateways = self.fleet.states()?.into_values().collect();
-            let control = self.fleet.control_views()?.into_values();
-            let control = control.map(|v| v.map(|v| (v.number, v.digest))).collect();
-            let state = State::of(gateways, control, self.fleet.changed.latest());
-            let done = state.wrong().is_none() || clock() >= until;
-            self.state = Some(state);
-            if done {
-                return Ok(());
-            }
-            self.wait(clock() + 0.5, |_| false)?;
-        }
-    }
-
     fn shuffled(&mut self, mut all: Vec<usize>) -> Vec<usize> {
         for n in (1..all.len()).rev() {
             all.swap(n, self.chance.rand_range(0..n as u64 + 1) as usize);
@@ -332,95 +283,6 @@
         done
     }
 
-    /// What control costs while nothing happens.
-    fn measure(&mut self, seconds: f64, played: &mut Played) -> Result<(), Over> {
-        let mut before = self.look()?;
-        let began = (clock(), Cores::read());
-        self.wait(began.0 + seconds, |_| false)?;
-        let after = self.look()?;
-        let took = after.at - before.at;
-        let mut cost = Cost { seconds: took, ..Cost::default() };
-        for (gateway, now) in &after.readings {
-            // Of one process, and one that was read lately both times.
-            let Some(then) = before.readings.remove(gateway) else { continue };
-            let between = now.at - then.at;
-            if between < 0.5 * took || now.control < then.control {
-                cost.unread += 1;
-                continue;
-            }
-            let (control, desk) = ((now.control - then.control) / between, (now.desk - then.desk) / took);
-            let changes = match (now.changes, then.changes) {
-                (Some(now), Some(then)) if now.at - then.at < 0.5 * took => {
-                    cost.unread += 1;
-                    continue;
-                }
-                (Some(now), Some(then)) => Some((now.cpu - then.cpu) / (now.at - then.at)),
-                _ => None,
-            };
-            cost.changes.cpu.extend(changes.map(|changes| (*gateway, changes)));
-            cost.cpu.push((*gateway, control + desk + changes.unwrap_or(0.0)));
-            cost.desk.push((*gateway, desk));
-        }
-        for (gateway, _) in after.lives.iter().filter(|(g, life)| before.lives.get(g) == Some(life)) {
-            let used = |now: &BTreeMap<usize, f64>, then: &BTreeMap<usize, f64>| {
-                Some((now.get(gateway)? - then.get(gateway)?) / took)
-            };
-            let (control, changes) =
-                (used(&after.control, &before.control), used(&after.changes, &before.changes));
-            cost.changes.cpu.extend(changes.map(|changes| (*gateway, changes)));
-            if let Some(all) = control.into_iter().chain(changes).reduce(|a, b| a + b) {
-                cost.cpu.push((*gateway, all));
-            }
-        }
-        let passed: Vec<Rates> =
-            after.passed.iter().zip(&before.passed).map(|b| Rates::of(b, took)).collect();
-        let running: Vec<usize> =
-            (0..self.fleet.plan.gateways).filter(|g| self.fleet.book.runs(*g)).collect();
-        for gateway in running {
-            let mut all = passed[gateway];
-            if let Some(changes) = self.fleet.lines.feed(gateway).map(|line| passed[line]) {
-                cost.changes.bytes_in.push((gateway, changes.bytes_in));
-                cost.changes.bytes_out.push((gateway, changes.bytes_out));
-                all = all.and(changes);
-            }
-            cost.bytes_in.push((gateway, all.bytes_in));
-            cost.bytes_out.push((gateway, all.bytes_out));
-            cost.letters_in.push((gateway, all.letters_in));
-            cost.letters_out.push((gateway, all.letters_out));
-        }
-        for (number, (process, used, memory)) in &after.machines {
-            let Some((_, then, _)) = before.machines.get(number).filter(|(p, ..)| p == process) else {
-                continue;
-            };
-            let rates = passed[self.fleet.lines.machine(*number)];
-            cost.machines.cpu.push((*number, (used - then) / took));
-            cost.machines.memory.extend(memory.map(|memory| (*number, memory)));
-            cost.machines.bytes_in.push((*number, rates.bytes_in));
-            cost.machines.bytes_out.push((*number, rates.bytes_out));
-        }
-        cost.changes.state = self.fleet.state_bytes();
-        cost.memory = self.fleet.memory().into_iter().collect();
-        cost.settled = self.fleet.settled();
-        if let (Some(then), Some(now)) = (began.1, Cores::read()) {
-            cost.busy = Some(now.since(then));
-        }
-        played.cost = Some(cost);
-        Ok(())
-    }
-
-    fn look(&mut self) -> Result<Look, Over> {
-        self.fleet.read_now()?;
-        Ok(Look {
-            at: clock(),
-            readings: self.fleet.readings.clone(),
-            passed: self.fleet.relay.passed(),
-            control: self.fleet.real_thread("peers"),
-            changes: self.fleet.real_thread("changes"),
-            machines: self.fleet.control_used(),
-            lives: self.fleet.real_lives(),
-        })
-    }
-
     /// One line that is written over and over, for whoever looks on.
     fn progress(&self, what: &str) {
         if !self.terminal {
@@ -472,48 +334,6 @@
     }
 }
 
-/// What passed at one link, by the second.
-#[derive(Clone, Copy)]
-struct Rates {
-    bytes_in: f64,
-    bytes_out: f64,
-    letters_in: f64,
-    letters_out: f64,
-}
-
-impl Rates {
-    fn of((now, then): (&Passed, &Passed), took: f64) -> Self {
-        let rate = |now: u64, then: u64| (now - then) as f64 / took;
-        Self {
-            bytes_in: rate(now.bytes_in, then.bytes_in),
-            bytes_out: rate(now.bytes_out, then.bytes_out),
-            letters_in: rate(now.letters_in, then.letters_in),
-            letters_out: rate(now.letters_out, then.letters_out),
-        }
-    }
-
-    /// Both together.
-    fn and(self, other: Self) -> Self {
-        Self {
-            bytes_in: self.bytes_in + other.bytes_in,
-            bytes_out: self.bytes_out + other.bytes_out,
-            letters_in: self.letters_in + other.letters_in,
-            letters_out: self.letters_out + other.letters_out,
-        }
-    }
-}
-
-/// What is read before and after a time.
-struct Look {
-    at: f64,
-    readings: BTreeMap<usize, Reading>,
-    passed: Vec<Passed>,
-    control: BTreeMap<usize, f64>,
-    changes: BTreeMap<usize, f64>,
-    machines: BTreeMap<usize, (u32, f64, Option<f64>)>,
-    lives: BTreeMap<usize, u64>,
-}
-
 fn desks(readings: &BTreeMap<usize, Reading>) -> BTreeMap<usize, f64> {
     readings.iter().map(|(g, r)| (*g, r.desk)).collect()
 }
