Scale run: doubts and early words counted rightly, a small plan for crowded machines

Cause: a gateway that counted as gone and is doubted again is there, of which the core has no event but the doubt; words of observers outran those of the hosts of whom they spoke; a restart counted as settled while a former process was still believed in.

--- a/crates/scale/src/book.rs
+++ b/crates/scale/src/book.rs
@@ -2,11 +2,14 @@
 //! all believe what is so, and how long each took to learn it. Free of I/O; times are seconds on one clock.
 
 use crate::spread::Times;
+use serde::{Deserialize, Serialize};
 
 /// What a gateway says of another.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Says {
     Here,
+    /// Under suspicion: there, also where it had counted as gone before.
+    Doubted,
     /// Dead, or that it left.
     Gone,
 }
@@ -35,6 +38,10 @@
     death: Vec<f32>,
     join: Vec<f32>,
     healing: Vec<f32>,
+    /// When each observer last said that another is there, and that it is gone: what was said may be heard before that it
+    /// was so, as they come by different ways.
+    here: Vec<f32>,
+    gone: Vec<f32>,
     /// Those that can't hear each other now.
     apart: Box<dyn Fn(usize, usize) -> bool + Send>,
     cut: bool,
@@ -53,6 +60,8 @@
             death: vec![NONE; pairs],
             join: vec![NONE; pairs],
             healing: vec![NONE; pairs],
+            here: vec![f32::NEG_INFINITY; pairs],
+            gone: vec![f32::NEG_INFINITY; pairs],
             apart: Box::new(|_, _| false),
             cut: false,
             zero: now,
@@ -77,7 +86,12 @@
     pub fn began(&mut self, gateway: usize, at: f64) {
         let since = (at - self.zero) as f32;
         for other in self.others(gateway) {
-            self.join[other * self.size + gateway] = since;
+            let pair = other * self.size + gateway;
+            if self.here[pair] >= since {
+                self.learnt.join.seconds.push(self.here[pair] - since);
+            } else {
+                self.join[pair] = since;
+            }
             self.join[gateway * self.size + other] = since;
         }
         self.began[gateway] = Some(at);
@@ -90,7 +104,11 @@
         for other in self.others(gateway) {
             let pair = other * self.size + gateway;
             (self.join[pair], self.healing[pair]) = (NONE, NONE);
-            if self.believes[pair] > 0 {
+            if self.gone[pair] >= since {
+                // Heard before, it was taken for wrong.
+                self.learnt.false_deaths = self.learnt.false_deaths.saturating_sub(1);
+                self.learnt.death.seconds.push(self.gone[pair] - since);
+            } else if self.believes[pair] > 0 {
                 self.death[pair] = since;
             }
         }
@@ -99,6 +117,8 @@
         for waits in [&mut self.death, &mut self.join, &mut self.healing] {
             waits[row.clone()].fill(NONE);
         }
+        self.here[row.clone()].fill(f32::NEG_INFINITY);
+        self.gone[row].fill(f32::NEG_INFINITY);
     }
 
     /// From now on these do not hear each other.
@@ -141,13 +161,16 @@
             learnt
         };
         match says {
-            Says::Here => {
+            Says::Doubted if self.believes[pair] > 0 => {}
+            Says::Here | Says::Doubted => {
+                self.here[pair] = at;
                 self.believes[pair] = self.believes[pair].saturating_add(1);
                 if !take(&mut self.join, &mut self.learnt.join) {
                     take(&mut self.healing, &mut self.learnt.healing);
                 }
             }
             Says::Gone => {
+                self.gone[pair] = at;
                 self.believes[pair] = self.believes[pair].saturating_sub(1);
                 let meant = take(&mut self.death, &mut self.learnt.death);
                 let heard = self.runs(about) && !(self.cut && (self.apart)(observer, about));
@@ -156,11 +179,13 @@
         }
     }
 
-    /// How many of those that run believe of all others what is so.
+    /// How many of those that run believe of all others what is so, and of no former process that it is still there.
     pub fn settled(&self) -> usize {
         let right = |observer: usize| {
-            let row = &self.believes[observer * self.size..(observer + 1) * self.size];
-            row.iter().enumerate().all(|(about, b)| about == observer || (*b > 0) == self.runs(about))
+            (0..self.size).filter(|about| *about != observer).all(|about| {
+                let pair = observer * self.size + about;
+                (self.believes[pair] > 0) == self.runs(about) && self.death[pair] == NONE
+            })
         };
         (0..self.size).filter(|o| self.runs(*o) && right(*o)).count()
     }
--- a/crates/scale/src/children.rs
+++ b/crates/scale/src/children.rs
@@ -1,6 +1,7 @@
 //! The processes that a run starts: hosts of hollow gateways, and real gateways. What they say comes on one
 //! channel. Dropped, each of them ends, whatever the run came to.
 
+use crate::book::Says;
 use crate::charter;
 use crate::wire::{Low, Order, Told};
 use milletpath_gateway::hollow::clock;
@@ -20,12 +21,12 @@
     Host(Told),
     /// A host's output ended.
     HostEnded(usize),
-    /// A real gateway says of another that it is there, or gone; its life tells it from its former self.
+    /// A real gateway says something of another; its life tells it from its former self.
     Real {
         gateway: usize,
         life: u64,
         about: usize,
-        there: bool,
+        says: Says,
         at: f64,
     },
     /// A real gateway has ended after it was told to.
@@ -151,8 +152,8 @@
         if let Some(log) = log {
             std::thread::Builder::new().name("log".into()).spawn(move || {
                 for line in BufReader::new(log).lines().map_while(Result::ok) {
-                    if let Some((about, there)) = believes(&line) {
-                        let _ = heard.send(Heard::Real { gateway, life, about, there, at: clock() });
+                    if let Some((about, says)) = believes(&line) {
+                        let _ = heard.send(Heard::Real { gateway, life, about, says, at: clock() });
                     }
                 }
             })?;
@@ -196,18 +197,19 @@
     }
 }
 
-/// What a line of a gateway's log says of another: its number, and whether it is there.
-pub fn believes(line: &str) -> Option<(usize, bool)> {
+/// What a line of a gateway's log says of another: its number, and what.
+pub fn believes(line: &str) -> Option<(usize, Says)> {
     // Most lines are of other things.
     if !line.contains("\"a gateway ") {
         return None;
     }
     let line: serde_json::Value = serde_json::from_str(line).ok()?;
     let fields = &line["fields"];
-    let there = match fields["message"].as_str()? {
-        "a gateway is there" | "a gateway that counted as gone is there" => true,
-        "a gateway counts as gone" | "a gateway has left" => false,
+    let says = match fields["message"].as_str()? {
+        "a gateway is there" | "a gateway that counted as gone is there" => Says::Here,
+        "a gateway does not answer" => Says::Doubted,
+        "a gateway counts as gone" | "a gateway has left" => Says::Gone,
         _ => return None,
     };
-    Some((charter::number(fields["name"].as_str()?)?, there))
+    Some((charter::number(fields["name"].as_str()?)?, says))
 }
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The fleet of a run: its processes, the links between them, and the books that are kept of both. It begins
 //! and ends gateways, hears what they say, and stops the run when its time or the machine's room is over.
 
-use crate::book::{Book, Says};
+use crate::book::Book;
 use crate::budgets::Sums;
 use crate::charter;
 use crate::children::{Heard, Host, Real};
@@ -305,12 +305,14 @@
     fn hear(&mut self, heard: Heard) -> Result<(), Over> {
         match heard {
             Heard::Host(told) => return self.told(told),
+            // The signal that stops a run may reach its hosts first.
+            Heard::HostEnded(_) if self.stop.load(Ordering::Acquire) => return Err(Over::Stopped),
             Heard::HostEnded(number) => {
                 return Err(Over::Failed(format!("host {number} ended; its log is host-{number}.log")));
             }
-            Heard::Real { gateway, life, about, there, at } => {
+            Heard::Real { gateway, life, about, says, at } => {
                 if self.reals.get(&gateway).is_some_and(|r| r.life == life) {
-                    self.said(gateway, about, there, at);
+                    self.book.said(gateway, about, says, at);
                 }
             }
             Heard::RealEnded { gateway, at } => return self.ended(gateway, at),
@@ -319,10 +321,6 @@
         Ok(())
     }
 
-    fn said(&mut self, observer: usize, about: usize, there: bool, at: f64) {
-        self.book.said(observer, about, if there { Says::Here } else { Says::Gone }, at);
-    }
-
     fn told(&mut self, told: Told) -> Result<(), Over> {
         match told {
             Told::Began { gateway, link, at } => {
@@ -335,8 +333,8 @@
             }
             Told::Ended { gateway, at } => return self.ended(gateway, at),
             Told::Events(events) => {
-                for (observer, about, there, at) in events {
-                    self.said(observer as usize, about as usize, there, at);
+                for (observer, about, says, at) in events {
+                    self.book.said(observer as usize, about as usize, says, at);
                 }
             }
             Told::Listed { slowest, .. } => {
--- a/crates/scale/src/host.rs
+++ b/crates/scale/src/host.rs
@@ -1,6 +1,7 @@
 //! A host: a process that holds many hollow gateways. It does what it is ordered on its standard input, keeps
 //! the time of their desks and passes on what they say of each other. `milletpath scale` starts some of them.
 
+use crate::book::Says;
 use crate::charter;
 use crate::plan::{self, Core, Plan};
 use crate::wire::{Event, Low, Order, Reading, Told};
@@ -189,14 +190,15 @@
     let house = house(plan, gateway, links, key)?;
     let (events, me) = (place.events.clone(), gateway as u32);
     let heed: Heed = Box::new(move |event| {
-        let (name, there) = match &event {
-            Seen::Joined { name, .. } | Seen::Returned { name } => (name, true),
-            Seen::Died { name } | Seen::Left { name } => (name, false),
+        let (name, says) = match &event {
+            Seen::Joined { name, .. } | Seen::Returned { name } => (name, Says::Here),
+            Seen::Suspected { name } => (name, Says::Doubted),
+            Seen::Died { name } | Seen::Left { name } => (name, Says::Gone),
             _ => return,
         };
         let mut events = lock(&events);
         if let Some(about) = charter::number(name).filter(|_| events.len() < EVENTS) {
-            events.push((me, about as u32, there, clock()));
+            events.push((me, about as u32, says, clock()));
         }
     });
     Hollow::begin(house, &workers.entries(plan), heed)
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -108,7 +108,8 @@
     Settled { seconds: f64 },
     /// So many leave and begin anew under their names.
     Restarts { gateways: usize, over: f64 },
-    /// So many neighbours of one zone are killed at once, and begin anew after some time.
+    /// So many neighbours of one zone are killed at once, and begin anew when all know it, after `away` at the
+    /// latest.
     Rack { gateways: usize, away: f64 },
     /// All of a zone.
     Zone { zone: usize, away: f64 },
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -144,13 +144,13 @@
         Ok(())
     }
 
-    /// Kills some at once, and begins them anew after some seconds.
+    /// Kills some at once, and begins them anew.
     fn away(&mut self, some: &[usize], away: f64, played: &mut Played) -> Result<(), Over> {
         let began = clock();
         self.fleet.end(some, true, false)?;
         self.done()?;
-        // That they are gone should be known by the time they come back; how many knew it is told.
-        self.wait(began + away, |_| false)?;
+        // They come back when all know that they are gone; where that takes too long it is told how many did.
+        self.wait(began + away, |fleet| fleet.book.settled() == fleet.book.running())?;
         played.gone_known = Some((self.fleet.book.settled(), self.fleet.book.running()));
         self.one_by_one(some, 0.0, |fleet, gateway| fleet.begin(gateway))
     }
--- a/crates/scale/src/wire.rs
+++ b/crates/scale/src/wire.rs
@@ -1,6 +1,7 @@
 //! What a run and its host processes say to each other: one JSON object a line, orders on the host's standard
 //! input, what it tells on its standard output. A host ends when its input does.
 
+use crate::book::Says;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -39,8 +40,8 @@
     },
 }
 
-/// One event: observer, about, whether that is there, and when.
-pub type Event = (u32, u32, bool, f64);
+/// One event: observer, about, what it says, and when.
+pub type Event = (u32, u32, Says, f64);
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Told {
--- a/plans/size-small.hcl
+++ b/plans/size-small.hcl
@@ -4,7 +4,7 @@
 gateways  = 60
 real      = 2 # of them processes of `milletpath serve`
 processes = 4 # that the others share
-limit     = 240 # seconds
+limit     = 600 # seconds, on the most crowded of machines
 
 region "north" { zones = ["north-1", "north-2"] }
 region "south" { zones = ["south-1", "south-2"] }
@@ -21,11 +21,11 @@
   }
 }
 
-# Words go round among 60 within some seconds; three leases of the usual would do too, but only just
-# (figures.md).
+# Slow, so that a busy machine and a debug build keep up with it: who answers late is suspected, and the time that
+# he has is counted in periods. A lease of ten of them is as long as words take to go round among 60 (p99).
 peers {
-  period = 0.4
-  lease  = 6
+  period = 1
+  lease  = 10
   floor  = 0.5
 }
 
@@ -58,7 +58,7 @@
 play "begin" {
   does   = "start"
   over   = 5
-  settle = 60
+  settle = 90
 }
 
 play "quiet" {
@@ -70,28 +70,28 @@
   does     = "restarts"
   gateways = 6
   over     = 3
-  settle   = 60
+  settle   = 90
 }
 
 play "rack-gone" {
   does     = "rack"
   gateways = 5
-  away     = 12
-  settle   = 60
+  away     = 90
+  settle   = 90
 }
 
 play "zone-gone" {
   does   = "zone"
   zone   = "south-1"
-  away   = 12
-  settle = 60
+  away   = 90
+  settle = 90
 }
 
 play "apart" {
   does    = "cut"
   regions = ["north", "east"]
   seconds = 10
-  settle  = 60
+  settle  = 90
 }
 
 play "workers-back" {
--- a/plans/size.hcl
+++ b/plans/size.hcl
@@ -1,12 +1,12 @@
-# The size in two years, as far as one machine plays it: 1,100 gateways in 4 regions with 10 zones. Other
-# sizes by --gateways. Bounded to some three and a half minutes whatever it finds, so the times are shorter
-# than asked for: all begin within half a minute (asked: one), two regions are apart for 20 s (asked: 180).
+# The size in two years, as far as one machine plays it: 1,100 gateways in 4 regions with 10 zones. Other sizes
+# by --gateways. Bounded to two minutes whatever it finds, so the times are shorter than asked for: all begin
+# within 20 s (asked: a minute), two regions are apart for 15 s (asked: 180), what is gone is back after 12 s.
 name      = "size"
 seed      = 1
 gateways  = 1100
 real      = 4
 processes = 16
-limit     = 240 # seconds
+limit     = 120 # seconds
 memory_gb = 12  # of all processes; half of the machine that it was made for
 
 region "north" { zones = ["north-1", "north-2", "north-3"] }
@@ -74,13 +74,13 @@
 
 play "begin" {
   does   = "start"
-  over   = 30
-  settle = 40
+  over   = 20
+  settle = 30
 }
 
 play "quiet" {
   does    = "settled"
-  seconds = 15
+  seconds = 12
 }
 
 # 330 a day are one in 260 s; as they don't overlap, 40 within 10 s stand for the worst of them.
@@ -88,33 +88,33 @@
   does     = "restarts"
   gateways = 40
   over     = 10
-  settle   = 15
+  settle   = 8
 }
 
 play "rack-gone" {
   does     = "rack"
   gateways = 20
-  away     = 15
-  settle   = 15
+  away     = 12
+  settle   = 8
 }
 
 play "zone-gone" {
   does   = "zone"
   zone   = "south-2"
-  away   = 15
-  settle = 15
+  away   = 12
+  settle = 8
 }
 
 play "apart" {
   does    = "cut"
   regions = ["north", "east"]
-  seconds = 20
-  settle  = 10
+  seconds = 15
+  settle  = 8
 }
 
 play "workers-back" {
   does     = "list"
   zone     = "west-1"
-  editions = 100
-  over     = 5
+  editions = 20
+  over     = 4
 }
