--- a/crates/milletpath/tests/scale.rs
+++ b/crates/milletpath/tests/scale.rs
@@ -78,22 +78,111 @@
     }
     // Each of 60 learnt of 59 others when they began, at the least.
     assert!(report["known"]["join"]["learnt"].as_u64().is_some_and(|n| n >= 60 * 59), "{table}");
-    // No core carries changes yet: not there is not zero.
-    assert_eq!(report["known"].get("change"), None);
+    // All that was proposed in the four plays with changes is in force at all that ran, and all are alike.
+    let made: Vec<_> =
+        report["plays"].as_array().expect("plays").iter().filter_map(|p| p.get("changes")).collect();
+    let figures = |of: &str| made.iter().map(|m| m[of].as_u64().expect("a figure")).collect::<Vec<_>>();
+    assert_eq!(
+        (figures("proposed"), figures("made")),
+        (vec![20, 10, 10, 10], vec![20, 10, 10, 10]),
+        "{table}"
+    );
+    spread(&report, "/known/change");
+    assert_eq!(report["known"]["change"]["never"], 0, "{table}");
+    // 50 changes at 60 gateways, but for those of the zone that was gone for 10 of them.
+    assert_eq!(report["known"]["change"]["learnt"], 50 * 60 - 10 * 10, "{table}");
+    let state = &report["state"];
+    assert_eq!((&state["equal"], &state["gateways"]), (&60.into(), &60.into()), "{table}");
+    assert_eq!((&state["control_equal"], &state["control"]), (&5.into(), &5.into()), "{table}");
+    assert!(state["number"].as_u64().is_some_and(|n| n >= 50), "{state}");
+    for figure in ["control_changes/bytes_in", "control_changes/cpu", "control_machines/memory_mb"] {
+        assert!(spread(&report, &format!("/{figure}"))[0] > 0.0, "{figure} is nothing: {table}");
+    }
     for budget in ["share", "quota all", "orders"] {
         let worst = &report["budgets"][budget];
         let [sum, bound] = ["sum", "bound"].map(|f| worst[f].as_f64().expect("a figure"));
         assert!(sum > 0.0 && sum <= bound * 1.000_001, "{budget}: {worst}");
     }
     let played: Vec<_> = report["plays"].as_array().expect("plays").iter().map(|p| &p["does"]).collect();
-    assert_eq!(played, ["start", "settled", "restarts", "rack", "zone", "cut", "list"]);
+    let all = ["start", "settled", "changes", "restarts", "rack", "zone", "cut", "list", "control"];
+    assert_eq!(played, all);
     let settled = |p: &&Value| p["settled"]["after"].as_f64().is_some();
     assert_eq!(report["plays"].as_array().expect("plays").iter().filter(settled).count(), 5, "{table}");
-    assert!(report["not_played"][0].as_str().is_some_and(|p| p.starts_with("changes")), "{report:#}");
+    assert_eq!(report["not_played"], serde_json::json!([]), "{report:#}");
+    assert_eq!(report["runs"], serde_json::json!(["membership", "budgets", "list", "changes"]));
     assert!(report["calls"]["handled"].as_u64().is_some_and(|n| n > 0), "{table}");
     assert!(table.contains("bounds: all kept"), "{table}");
 }
 
+/// The tiny plan with changes and the list alone, and three control machines.
+fn changes_alone(name: &str, more: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("scale-changes-{name}.hcl"));
+    let runs = "runs = [\"membership\", \"budgets\", \"list\"] }";
+    assert!(TINY.contains(runs));
+    let text = TINY.replace(runs, "runs = [\"changes\", \"list\"] }\nchanges { control = 3 }");
+    std::fs::write(&path, format!("{text}{more}")).expect("a file");
+    path
+}
+
+/// No membership: nothing of it is told, and changes are in force all the same, also at those that come back.
+#[test]
+fn changes_run_without_membership() {
+    let plays = "links { across = 5 }\nplay \"begin\" {\n  does = \"start\"\n  over = 0\n}\n\
+                 play \"burst\" {\n  does = \"changes\"\n  changes = 6\n  settle = 60\n}\n\
+                 play \"zone-gone\" {\n  does = \"zone\"\n  zone = \"a1\"\n  away = 30\n  changes = 3\n}\n\
+                 play \"leader-gone\" {\n  does = \"control\"\n  changes = 3\n  away = 2\n  settle = 60\n}\n\
+                 play \"quiet\" {\n  does = \"settled\"\n  seconds = 3\n}\n";
+    let output = scale(&changes_alone("alone", plays)).output().expect("it runs");
+    let (report, table) = told(&output);
+    assert_eq!((&report["broken"], output.status.code()), (&serde_json::json!([]), Some(0)), "{table}");
+    assert_eq!(report["runs"], serde_json::json!(["changes", "list"]));
+    let known: Vec<_> = report["known"].as_object().expect("known").keys().cloned().collect();
+    assert_eq!(known, ["catch_up", "change"]);
+    // 12 changes at eight gateways, but for the three of a zone that was gone for three changes.
+    assert_eq!(report["known"]["change"]["learnt"], 12 * 8 - 3 * 3, "{table}");
+    assert_eq!(report["known"]["catch_up"]["learnt"], 3, "{table}");
+    assert_eq!((&report["state"]["equal"], &report["state"]["control_equal"]), (&8.into(), &3.into()));
+    assert!(report["plays"][3]["killed_control"].as_u64().is_some_and(|n| n < 3), "{report:#}");
+    for figure in
+        ["control/cpu", "control_changes/cpu", "control_changes/bytes_out", "control_machines/bytes_in"]
+    {
+        assert!(spread(&report, &format!("/{figure}"))[0] > 0.0, "{figure} is nothing: {table}");
+    }
+    assert_eq!(report.get("budgets"), None, "{table}");
+}
+
+/// A letter takes longer than is granted, wherever it goes.
+#[test]
+fn changes_that_are_late_are_a_broken_bound() {
+    let plays = "grant { change = 0.001 }\nlinks { across = 50 }\n\
+                 play \"begin\" {\n  does = \"start\"\n  over = 0\n}\n\
+                 play \"burst\" {\n  does = \"changes\"\n  changes = 4\n  settle = 60\n}\n";
+    let output = scale(&changes_alone("late", plays)).output().expect("it runs");
+    let (report, table) = told(&output);
+    let broken = report["broken"][0].as_str().expect("a broken bound").to_owned();
+    assert!(broken.starts_with("known.change in burst: "), "{table}");
+    assert!(
+        broken.ends_with("where 0.00100 are granted, later at 32 of 32 changes and gateways"),
+        "{broken}"
+    );
+    assert_eq!((report["broken"].as_array().map(Vec::len), output.status.code()), (Some(1), Some(1)));
+}
+
+/// Letters take longer than authors wait: nothing is made, and that is said.
+#[test]
+fn changes_that_are_not_made_are_a_broken_bound() {
+    let plays = "links {\n  within = 9000\n  across = 9000\n}\n\
+                 play \"begin\" {\n  does = \"start\"\n  over = 0\n}\n\
+                 play \"burst\" {\n  does = \"changes\"\n  changes = 2\n  settle = 5\n}\n";
+    let output = scale(&changes_alone("none", plays)).output().expect("it runs");
+    let (report, table) = told(&output);
+    let broken = report["broken"][0].as_str().expect("a broken bound").to_owned();
+    assert!(broken.starts_with("changes in burst: 0 of 2 are known to be made; change "), "{table}");
+    assert!(broken.ends_with(": no control machine answers"), "{broken}");
+    assert_eq!((report["broken"].as_array().map(Vec::len), output.status.code()), (Some(1), Some(1)));
+    assert_eq!(report.get("known"), None, "{report:#}");
+}
+
 /// A grant that no gateway can keep: found out, with the figure and the place.
 #[test]
 fn a_bound_that_is_too_small_is_named() {
@@ -206,3 +295,23 @@
     let left = |process: &&i32| PathBuf::from(format!("/proc/{process}")).exists();
     assert_eq!(started.iter().filter(left).count(), 0, "of {started:?}");
 }
+
+/// Control machines are processes as well.
+#[test]
+fn control_machines_end_with_their_run() {
+    let plays = "play \"begin\" {\n  does = \"start\"\n  over = 0\n}\n\
+                 play \"quiet\" {\n  does = \"settled\"\n  seconds = 100\n}\n";
+    let plan = changes_alone("stop", &format!("links {{ within = 1 }}\n{plays}"));
+    let mut run = scale(&plan).stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it runs");
+    let begun = Instant::now();
+    // Two hosts, the real gateway and three control machines.
+    while children(run.id()).len() < 6 {
+        assert!(begun.elapsed() < LONG, "its processes never came");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let started = children(run.id());
+    kill(Pid::from_raw(run.id() as i32), Signal::SIGTERM).expect("it runs");
+    assert_eq!(ends(&mut run), Some(1));
+    let left = |process: &&i32| PathBuf::from(format!("/proc/{process}")).exists();
+    assert_eq!(started.iter().filter(left).count(), 0, "of {started:?}");
+}
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -434,7 +434,7 @@
         for (name, apart) in self.cost.iter().flat_map(Cost::apart) {
             play[name] = Value::Object(apart);
         }
-        if let Some(made) = &self.made {
+        if let Some(made) = self.made.as_ref().filter(|m| m.proposed > 0) {
             play["changes"] = json!({
                 "proposed": made.proposed, "made": made.made, "unmade": made.unmade,
                 "gateways_without": made.without,
--- a/crates/scale/src/report/table.rs
+++ b/crates/scale/src/report/table.rs
@@ -51,7 +51,7 @@
             if let Some((knew, of)) = play.gone_known {
                 write!(f, "; {knew} of {of} knew who was gone")?;
             }
-            if let Some(made) = &play.made {
+            if let Some(made) = play.made.as_ref().filter(|m| m.proposed > 0) {
                 write!(f, "; {} of {} changes made", made.made, made.proposed)?;
                 if let Some(s) = made.change.known().and_then(|k| k.spread) {
                     write!(f, ", in force after {:.2} s, {:.2} s at the latest", s.p50, s.worst)?;
