--- a/crates/scale/src/control.rs
+++ b/crates/scale/src/control.rs
@@ -12,7 +12,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::SyncSender;
 use std::time::Duration;
@@ -54,7 +54,7 @@
 }
 
 /// Starts one, and waits until it hears; `found` where the log is a new one.
-pub fn start(program: &PathBuf, places: &Places, number: usize, found: bool) -> io::Result<Machine> {
+pub fn start(program: &Path, places: &Places, number: usize, found: bool) -> io::Result<Machine> {
     /// Ports that are tried: one that is free may be taken by another until it is bound.
     const TRIES: usize = 4;
     let mut wrong = io::Error::other("no port is free");
@@ -69,7 +69,7 @@
 }
 
 fn start_at(
-    program: &PathBuf,
+    program: &Path,
     places: &Places,
     number: usize,
     found: bool,
--- a/crates/scale/src/plan.rs
+++ b/crates/scale/src/plan.rs
@@ -471,7 +471,7 @@
         };
         let needs = matches!(what, What::Changes | What::Control { .. });
         let usual = if needs { 20 } else { 0 };
-        let changes = s.count("changes", "changes", 1..=CHANGES).map_or(usual, |n| n as usize);
+        let changes = s.count("changes", "changes", 1..=CHANGES).unwrap_or(usual);
         if changes > 0 && !has_changes {
             let wrong = format!("{} makes changes, and nothing carries them", s.title);
             s.mistake(s.at, wrong, "add \"changes\" to runs of control");
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -129,6 +129,15 @@
     }
 }
 
+/// All that a run found.
+pub struct Findings {
+    pub plays: Vec<Played>,
+    pub budgets: BTreeMap<String, Worst>,
+    pub machine: Machine,
+    pub calls: Option<Counts>,
+    pub state: Option<State>,
+}
+
 pub struct Report {
     pub name: String,
     pub gateways: usize,
@@ -151,11 +160,7 @@
 impl Report {
     pub fn new(
         plan: &Plan,
-        plays: Vec<Played>,
-        budgets: BTreeMap<String, Worst>,
-        machine: Machine,
-        calls: Option<Counts>,
-        state: Option<State>,
+        Findings { plays, budgets, machine, calls, state }: Findings,
         over: Option<Over>,
         took: f64,
     ) -> Self {
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -6,7 +6,7 @@
 use crate::fleet::{Fleet, Over, Stage, folder};
 use crate::machine::{self, Cores};
 use crate::plan::{Core, Plan, Play, What};
-use crate::report::{Played, Report, Settled, State};
+use crate::report::{Findings, Played, Report, Settled, State};
 use crate::standins::{Calls, StandIns};
 use crate::wire::Reading;
 use milletpath_gateway::hollow::clock;
@@ -340,7 +340,8 @@
         let sums = std::mem::replace(&mut fleet.sums, crate::budgets::Sums::new(plan.gateways));
         // From here on nothing of the run is left.
         drop(fleet);
-        Ok(Report::new(plan, played, sums.end(), machine, calls, state, over, took))
+        let found = Findings { plays: played, budgets: sums.end(), machine, calls, state };
+        Ok(Report::new(plan, found, over, took))
     }
 }
 
--- a/plans/size-changes.hcl
+++ b/plans/size-changes.hcl
@@ -120,6 +120,6 @@
 play "workers-back" {
   does     = "list"
   zone     = "west-1"
-  editions = 100
-  over     = 5
+  editions = 20
+  over     = 4
 }
