Scale run: a crowded machine is told of beside the figures that it spoils

Need: at 200 and more all of the machine is used, and the processor time of a gateway is then what there was, not what was wanted.

--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -312,7 +312,10 @@
             play["control"] = Value::Object(cost.json());
             play["measured"] =
                 json!({"seconds": cost.seconds, "fleet_settled": cost.settled, "unread": cost.unread});
-            cost.busy.iter().for_each(|busy| play["measured"]["busy"] = json!(busy));
+            if let Some(busy) = cost.busy {
+                play["measured"]["busy"] = json!(busy);
+                play["measured"]["saturated"] = json!(busy > SATURATED);
+            }
         }
         if let Some(l) = &self.list {
             play["list"] = json!({
@@ -413,7 +416,8 @@
                 .map_or(String::new(), |b| format!(" ({:.0}% while control was measured)", 100.0 * b));
             writeln!(
                 f,
-                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors"
+                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors, \
+                 and cpu is what there was of them, not what was wanted"
             )?;
         }
         if m.dropped + m.crowded > 0 {
