--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -434,7 +434,10 @@
             play["control"] = Value::Object(cost.json());
             play["measured"] =
                 json!({"seconds": cost.seconds, "fleet_settled": cost.settled, "unread": cost.unread});
-            cost.busy.iter().for_each(|busy| play["measured"]["busy"] = json!(busy));
+            if let Some(busy) = cost.busy {
+                play["measured"]["busy"] = json!(busy);
+                play["measured"]["saturated"] = json!(busy > SATURATED);
+            }
         }
         for (name, apart) in self.cost.iter().flat_map(Cost::apart) {
             play[name] = Value::Object(apart);
--- a/crates/scale/src/report/table.rs
+++ b/crates/scale/src/report/table.rs
@@ -102,7 +102,8 @@
                 .map_or(String::new(), |b| format!(" ({:.0}% while control was measured)", 100.0 * b));
             writeln!(
                 f,
-                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors"
+                "THE MACHINE WAS SATURATED{measuring}: what is late may be so for want of processors, \
+                 and cpu is what there was of them, not what was wanted"
             )?;
         }
         if m.dropped + m.crowded > 0 {
