--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -129,6 +129,15 @@
     }
 }
 
+/// All that a run found.
+pub struct Findings {
+    pub plays: Vec<Played>,
+    pub budgets: BTreeMap<String, Worst>,
+    pub machine: Machine,
+    pub calls: Option<Counts>,
+    pub state: Option<State>,
+}
+
 pub struct Report {
     pub name: String,
     pub gateways: usize,
@@ -151,11 +160,7 @@
 impl Report {
     pub fn new(
         plan: &Plan,
-        plays: Vec<Played>,
-        budgets: BTreeMap<String, Worst>,
-        machine: Machine,
-        calls: Option<Counts>,
-        state: Option<State>,
+        Findings { plays, budgets, machine, calls, state }: Findings,
         over: Option<Over>,
         took: f64,
     ) -> Self {
@@ -429,12 +434,15 @@
             play["control"] = Value::Object(cost.json());
             play["measured"] =
                 json!({"seconds": cost.seconds, "fleet_settled": cost.settled, "unread": cost.unread});
-            cost.busy.iter().for_each(|busy| play["measured"]["busy"] = json!(busy));
+            if let Some(busy) = cost.busy {
+                play["measured"]["busy"] = json!(busy);
+                play["measured"]["saturated"] = json!(busy > SATURATED);
+            }
         }
         for (name, apart) in self.cost.iter().flat_map(Cost::apart) {
             play[name] = Value::Object(apart);
         }
-        if let Some(made) = &self.made {
+        if let Some(made) = self.made.as_ref().filter(|m| m.proposed > 0) {
             play["changes"] = json!({
                 "proposed": made.proposed, "made": made.made, "unmade": made.unmade,
                 "gateways_without": made.without,
