--- a/crates/capacity/src/scale_tables.rs
+++ b/crates/capacity/src/scale_tables.rs
@@ -94,6 +94,8 @@
         let verdict = match carries {
             Some(spread) if spread.within(bound) => "holds",
             Some(_) => "**MISSES**",
+            None if f.ran("changes") && f.machine.saturated == Some(true) => "**MISSES**, on a full machine",
+            None if f.ran("changes") => "**MISSES**",
             None => "",
         };
         let control = |key: &str, times: f64| spread(f.control.get(key), times);
@@ -101,7 +103,7 @@
             text,
             "| {} | {} | {} | {verdict} | {} | {} | {} | [{}](capacity/{}) |",
             number(f.gateways as f64),
-            if carries.is_some() { "after" } else { "before" },
+            if carries.is_some() || f.ran("changes") { "after" } else { "before" },
             carries.map_or("never".into(), |_| spread(carries, 1.0)),
             control("cpu", 100.0),
             control("bytes_in", 1e-3),
--- a/crates/capacity/tests/page.rs
+++ b/crates/capacity/tests/page.rs
@@ -249,6 +249,19 @@
     assert!((unsettled.fails_at - 0.1).abs() < 1e-9 && unsettled.why.starts_with("never settled in roll"));
 }
 
+/// A fleet in which changes ran and none was made is not taken for one without them.
+#[test]
+fn a_fleet_that_made_no_change_is_told_as_after() {
+    let folder = Folder::new("scale-none");
+    let line = FLEET.replace('\n', "").replace("WORST", "0.9").replace("NEVER", "0");
+    std::fs::write(folder.0.join("scale-after.json"), &line).unwrap();
+    let none = line.replace("\"change\"", "\"death\"");
+    std::fs::write(folder.0.join("scale-none.json"), none).unwrap();
+    let made = tables(&folder.0).unwrap();
+    assert!(made.contains("| after | never | **MISSES**, on a full machine |"), "{made}");
+    assert!(!made.contains("| before |"), "{made}");
+}
+
 /// What a small fleet shows is not taken for the size.
 #[test]
 fn a_change_that_only_a_small_fleet_knew_stays_on_the_list() {
