Read over: one seal, one inbox, one kind of small stand-in worker

Need: the sealing of datagrams stood in peers and again in changes, the way a control thread reads datagrams in peering and again in changing, the small stand-in worker in the program and again in the scale run. Change: crates/seal makes and opens sealed datagrams for both, each with its own key's context; gateway/inbox.rs reads them; standin/small.rs has the worker. What passes on the wire, bounds, logs and tests are as before.

--- a/crates/changes/src/message.rs
+++ b/crates/changes/src/message.rs
@@ -12,8 +12,7 @@
 /// The version that is written. All from 1 on are read.
 pub const VERSION: u8 = 1;
 
-/// Bytes of a datagram at most: what passes any link whole.
-pub const LARGEST: usize = 1400;
+pub use milletpath_seal::LARGEST;
 
 /// Bytes of a follower's name.
 pub const LONGEST_NAME: usize = 64;
@@ -27,8 +26,6 @@
 /// Bytes that entries may take in one datagram: what is left beside a seal and the other fields of the largest reply.
 pub const ROOM: usize = 1200;
 
-const SEAL: usize = 16;
-
 /// Numbers of entries and ballots are below this: a garbled or hostile one can't stop the count.
 const NUMBERS: u64 = 1 << 56;
 
@@ -364,55 +361,35 @@
     }
 }
 
+impl From<milletpath_seal::Refused> for Refused {
+    fn from(why: milletpath_seal::Refused) -> Self {
+        match why {
+            milletpath_seal::Refused::Size => Self::Size,
+            milletpath_seal::Refused::Version(version) => Self::Version(version),
+            milletpath_seal::Refused::Seal => Self::Seal,
+        }
+    }
+}
+
 /// The key of a fleet's control, from the secret that control machines, gateways and authors share.
-#[derive(Clone)]
-pub struct Key([u8; 32]);
+#[derive(Clone, Debug)]
+pub struct Key(milletpath_seal::Key);
 
 impl Key {
     /// `secret` should have 32 bytes of chance or more.
     pub fn new(secret: &[u8]) -> Self {
-        Self(blake3::derive_key("milletpath 2026-12 changes of configuration", secret))
-    }
-
-    fn seal(&self, version: u8, body: &[u8]) -> blake3::Hash {
-        blake3::Hasher::new_keyed(&self.0).update(&[version]).update(body).finalize()
-    }
-}
-
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Key(..)")
+        Self(milletpath_seal::Key::new("milletpath 2026-12 changes of configuration", secret))
     }
 }
 
 /// Makes a datagram; none where it would be too large.
 pub fn seal(key: &Key, message: &Message) -> Option<Vec<u8>> {
-    let body = minicbor::to_vec(message).ok()?;
-    if 1 + SEAL + body.len() > LARGEST {
-        return None;
-    }
-    let mut datagram = Vec::with_capacity(1 + SEAL + body.len());
-    datagram.push(VERSION);
-    datagram.extend_from_slice(&key.seal(VERSION, &body).as_bytes()[..SEAL]);
-    datagram.extend_from_slice(&body);
-    Some(datagram)
+    key.0.seal(VERSION, &minicbor::to_vec(message).ok()?)
 }
 
 /// Reads a datagram.
 pub fn open(key: &Key, datagram: &[u8]) -> Result<Message, Refused> {
-    if datagram.len() <= 1 + SEAL || datagram.len() > LARGEST {
-        return Err(Refused::Size);
-    }
-    let (version, (said, body)) = (datagram[0], datagram[1..].split_at(SEAL));
-    if version == 0 {
-        return Err(Refused::Version(version));
-    }
-    // Compared in constant time: nobody learns a seal byte by byte.
-    let mut whole = *key.seal(version, body).as_bytes();
-    whole[..SEAL].iter_mut().zip(said).for_each(|(a, b)| *a ^= b);
-    if whole[..SEAL].iter().fold(0, |all, byte| all | byte) != 0 {
-        return Err(Refused::Seal);
-    }
+    let body = key.0.open(datagram)?;
     let mut head = Decoder::new(body);
     let kind = head.array().and_then(|_| head.u32()).map_err(|_| Refused::Body)?;
     if kind == 0 || kind > LAST_KIND {
--- a/crates/gateway/src/changing.rs
+++ b/crates/gateway/src/changing.rs
@@ -3,6 +3,7 @@
 //! ever waits for the network. The last known state is kept in a file, and is in force from the first call on
 //! after a restart, whoever is silent.
 
+use crate::inbox::{Inbox, tenfold};
 use crate::office::Office;
 use crate::telling::{Telling, cpu};
 use milletpath_changes::message::{self, Key, LARGEST, LONGEST_WHY, Message};
@@ -17,7 +18,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
-use std::time::Duration;
 
 /// A socket over which changes come, open and not yet read.
 pub struct Feed {
@@ -150,33 +150,14 @@
 
 impl Running {
     fn run(mut self) {
-        /// Datagrams read in a row before time is looked at again.
-        const TURN: usize = 64;
-        /// Seconds between two looks whether the gateway stops.
-        const LOOK: f64 = 0.05;
-        let mut buffer = [0; LARGEST + 1];
-        let mut read = 0;
+        let mut inbox = Inbox::new(LARGEST);
         while !self.office.stopping.load(Ordering::Acquire) {
-            let wait = (self.follower.next() - self.office.now()).clamp(0.001, LOOK);
-            // Whatever came while this thread stood still is heard before anybody counts as silent.
-            let timed = self.feed.socket.set_read_timeout(Some(Duration::from_secs_f64(wait)));
-            match timed.and_then(|()| self.feed.socket.recv_from(&mut buffer)) {
-                Ok((size, from)) => {
-                    self.take(&buffer[..size], from);
-                    read += 1;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => read = TURN,
-                // The word of a datagram that reached nobody.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    tracing::error!("changes can't be heard: {e}");
-                    std::thread::sleep(Duration::from_secs_f64(LOOK));
-                    read = TURN;
-                }
+            let due_in = self.follower.next() - self.office.now();
+            if let Some((datagram, from)) = inbox.next(&self.feed.socket, due_in, "changes can't be heard") {
+                self.take(datagram, from);
             }
             let now = self.office.now();
-            if read >= TURN || now >= self.follower.next() + LOOK {
-                read = 0;
+            if inbox.turns(now, self.follower.next()) {
                 self.follower.turn(now);
             }
             self.apply();
@@ -205,8 +186,7 @@
                 self.seals += u64::from(seal);
                 self.unread += u64::from(!seal);
                 let all = self.seals + self.unread;
-                // Each tenfold: a flood is not to fill the log.
-                if all.to_string().trim_end_matches('0') == "1" {
+                if tenfold(all) {
                     tracing::warn!(%from, all, "a message of a control machine is not taken: {why}");
                 }
             }
--- /dev/null
+++ b/crates/gateway/src/inbox.rs
@@ -0,0 +1,59 @@
+//! Datagrams as a control thread reads them: one by one, and time is looked at again after so many in a row, or once
+//! nothing waits. So whatever came while the thread stood still is heard before anybody counts as silent.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+/// Datagrams read in a row before time is looked at again.
+const TURN: usize = 64;
+
+/// Seconds between two looks whether the gateway stops.
+const LOOK: f64 = 0.05;
+
+/// What a thread reads datagrams into.
+pub struct Inbox {
+    buffer: Vec<u8>,
+    read: usize,
+}
+
+impl Inbox {
+    /// For datagrams of so many bytes; a larger one shows by one more.
+    pub fn new(largest: usize) -> Self {
+        Self { buffer: vec![0; largest + 1], read: 0 }
+    }
+
+    /// The next datagram, waited for until something is due in so many seconds; `failed` is what the log says where it can't be read.
+    pub fn next(&mut self, socket: &UdpSocket, due_in: f64, failed: &str) -> Option<(&[u8], SocketAddr)> {
+        let wait = Duration::from_secs_f64(due_in.clamp(0.001, LOOK));
+        match socket.set_read_timeout(Some(wait)).and_then(|()| socket.recv_from(&mut self.buffer)) {
+            Ok((size, from)) => {
+                self.read += 1;
+                return Some((&self.buffer[..size], from));
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => self.read = TURN,
+            // The word of a datagram that reached nobody.
+            Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
+            Err(e) => {
+                tracing::error!("{failed}: {e}");
+                std::thread::sleep(Duration::from_secs_f64(LOOK));
+                self.read = TURN;
+            }
+        }
+        None
+    }
+
+    /// Whether time is to be looked at now, where that was due at `due`; counts anew from there.
+    pub fn turns(&mut self, now: f64, due: f64) -> bool {
+        let turns = self.read >= TURN || now >= due + LOOK;
+        if turns {
+            self.read = 0;
+        }
+        turns
+    }
+}
+
+/// Whether the count of what is refused is one that is told: each tenfold, as a flood is not to fill the log.
+pub fn tenfold(count: u64) -> bool {
+    count.to_string().trim_end_matches('0') == "1"
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod errands;
 mod follow;
 mod gather;
+mod inbox;
 mod keeper;
 mod line;
 mod office;
@@ -33,6 +34,7 @@
 mod telling;
 
 pub use changing::{Feed, Followed, control_key};
+pub use inbox::tenfold;
 pub use keeper::{Links, listen, serve, serve_stirred};
 pub use office::Stir;
 pub use peering::{Link, Plant, Told, ask, key_of};
--- a/crates/gateway/src/peering.rs
+++ b/crates/gateway/src/peering.rs
@@ -3,6 +3,7 @@
 //! looks at the time at that moment.
 
 use crate::desk::Share;
+use crate::inbox::{Inbox, tenfold};
 use crate::office::Office;
 use crate::sharing::Sharing;
 use milletpath_charter::{House, Peers as Stated};
@@ -140,37 +141,21 @@
 
 impl Running {
     fn run(mut self) {
-        /// Letters read in a row before time is looked at again.
-        const TURN: usize = 64;
-        /// Seconds between two looks whether the gateway stops.
-        const LOOK: f64 = 0.05;
-        let mut buffer = [0; LARGEST + 1];
-        let (mut read, mut second) = (0, 0.0);
+        let mut inbox = Inbox::new(LARGEST);
+        let mut second = 0.0;
         while !self.office.stopping.load(Ordering::Acquire) {
             let now = self.office.now();
             if now >= second + 1.0 {
                 (second, self.asks) = (now, 0);
             }
-            let wait = (self.peers.next().min(self.sharing.next()) - now).clamp(0.001, LOOK);
-            // Whatever came while this thread stood still is heard before anybody is accused.
-            let timed = self.link.socket.set_read_timeout(Some(Duration::from_secs_f64(wait)));
-            match timed.and_then(|()| self.link.socket.recv_from(&mut buffer)) {
-                Ok((size, from)) => {
-                    self.take(&buffer[..size], from);
-                    read += 1;
-                }
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => read = TURN,
-                // The word of a letter that reached nobody.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    tracing::error!("letters of other gateways can't be read: {e}");
-                    std::thread::sleep(Duration::from_secs_f64(LOOK));
-                    read = TURN;
-                }
+            let due_in = self.peers.next().min(self.sharing.next()) - now;
+            if let Some((datagram, from)) =
+                inbox.next(&self.link.socket, due_in, "letters of other gateways can't be read")
+            {
+                self.take(datagram, from);
             }
             let now = self.office.now();
-            if read >= TURN || now >= self.peers.next() + LOOK {
-                read = 0;
+            if inbox.turns(now, self.peers.next()) {
                 self.peers.turn(now);
             }
             let parts = self.tell();
@@ -195,9 +180,8 @@
             Err(why) => {
                 let tally = self.peers.tally();
                 tally.refused(why);
-                // Each tenfold: a flood is not to fill the log.
                 let all = tally.sizes + tally.versions + tally.seals + tally.bodies;
-                if all.to_string().trim_end_matches('0') == "1" {
+                if tenfold(all) {
                     tracing::warn!(%from, all, "a letter of another gateway is not taken: {why}");
                 }
             }
--- a/crates/milletpath/src/control.rs
+++ b/crates/milletpath/src/control.rs
@@ -7,7 +7,7 @@
 use milletpath_changes::message::{self, Key, LARGEST, LONGEST_DENIAL, Message};
 use milletpath_changes::{Act, Record, Replica, ReplicaView, Terms};
 use milletpath_charter::{Changes, House};
-use milletpath_gateway::{Telling, cpu};
+use milletpath_gateway::{Telling, cpu, tenfold};
 use records::RecordFile;
 use serde::{Deserialize, Serialize};
 use std::io::{self, ErrorKind, Write};
@@ -216,8 +216,7 @@
             Ok(message) => message,
             Err(why) => {
                 self.refused += 1;
-                // Each tenfold: a flood is not to fill the log.
-                if self.refused.to_string().trim_end_matches('0') == "1" {
+                if tenfold(self.refused) {
                     tracing::warn!(%from, all = self.refused, "a message is not taken: {why}");
                 }
                 return;
--- a/crates/peers/src/letter.rs
+++ b/crates/peers/src/letter.rs
@@ -10,14 +10,11 @@
 /// The version that is written. All from 1 on are read.
 pub const VERSION: u8 = 1;
 
-/// Bytes of a datagram at most: what passes any link whole.
-pub const LARGEST: usize = 1400;
+pub use milletpath_seal::LARGEST;
 
 /// Letters of a gateway's name.
 pub const LONGEST_NAME: usize = 64;
 
-const SEAL: usize = 16;
-
 /// What a letter is about. Numbers, so that one of a later version is passed over and not taken for garbage.
 pub mod matter {
     /// Are you there? `number` comes back in the answer.
@@ -179,61 +176,40 @@
     }
 }
 
+impl From<milletpath_seal::Refused> for Refused {
+    fn from(why: milletpath_seal::Refused) -> Self {
+        match why {
+            milletpath_seal::Refused::Size => Self::Size,
+            milletpath_seal::Refused::Version(version) => Self::Version(version),
+            milletpath_seal::Refused::Seal => Self::Seal,
+        }
+    }
+}
+
 /// The key of a fleet, from the secret that its gateways share.
-#[derive(Clone)]
-pub struct Key([u8; 32]);
+#[derive(Clone, Debug)]
+pub struct Key(milletpath_seal::Key);
 
 impl Key {
     /// `secret` should have 32 bytes of chance or more.
     pub fn new(secret: &[u8]) -> Self {
-        Self(blake3::derive_key("milletpath 2026-12 letters between gateways", secret))
-    }
-
-    fn seal(&self, version: u8, body: &[u8]) -> blake3::Hash {
-        blake3::Hasher::new_keyed(&self.0).update(&[version]).update(body).finalize()
-    }
-}
-
-impl fmt::Debug for Key {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Key(..)")
+        Self(milletpath_seal::Key::new("milletpath 2026-12 letters between gateways", secret))
     }
 }
 
 /// Makes a datagram; none where it would be too large.
 pub fn seal(key: &Key, letter: &Letter) -> Option<Vec<u8>> {
-    let body = minicbor::to_vec(letter).ok()?;
-    if 1 + SEAL + body.len() > LARGEST {
-        return None;
-    }
-    let mut datagram = Vec::with_capacity(1 + SEAL + body.len());
-    datagram.push(VERSION);
-    datagram.extend_from_slice(&key.seal(VERSION, &body).as_bytes()[..SEAL]);
-    datagram.extend_from_slice(&body);
-    Some(datagram)
+    key.0.seal(VERSION, &minicbor::to_vec(letter).ok()?)
 }
 
 /// Reads a datagram.
 pub fn open(key: &Key, datagram: &[u8]) -> Result<Letter, Refused> {
-    if datagram.len() <= 1 + SEAL || datagram.len() > LARGEST {
-        return Err(Refused::Size);
-    }
-    let (version, (said, body)) = (datagram[0], datagram[1..].split_at(SEAL));
-    if version == 0 {
-        return Err(Refused::Version(version));
-    }
-    // Compared in constant time: nobody learns a seal byte by byte.
-    let mut whole = *key.seal(version, body).as_bytes();
-    whole[..SEAL].iter_mut().zip(said).for_each(|(a, b)| *a ^= b);
-    if whole[..SEAL].iter().fold(0, |all, byte| all | byte) != 0 {
-        return Err(Refused::Seal);
-    }
-    read(body)
+    read(key.0.open(datagram)?)
 }
 
 /// What stands in a datagram, whoever sealed it: for a relay or a witness that has no key.
 pub fn glance(datagram: &[u8]) -> Option<Letter> {
-    read(datagram.get(1 + SEAL..)?).ok()
+    read(milletpath_seal::glance(datagram)?).ok()
 }
 
 fn read(body: &[u8]) -> Result<Letter, Refused> {
--- a/crates/scale/src/standins.rs
+++ b/crates/scale/src/standins.rs
@@ -2,9 +2,7 @@
 //! budgets which all gateways share are wanted where some are real.
 
 use crate::plan::Plan;
-use milletpath_standin::engine::{Make, Pack};
-use milletpath_standin::hall::{Hall, Tells};
-use milletpath_standin::store::Shelf;
+use milletpath_standin::small::{MAKE, hall};
 use milletpath_standin::worker::Worker;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -15,24 +13,6 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// A worker that has room for all calls of a run.
-const MAKE: Make = Make {
-    cores: 4,
-    speed: 1.0,
-    memory: 4096.0,
-    loads_at_once: 4,
-    queue: 256,
-    keep: 30.0,
-    misses: false,
-    eager: true,
-    cold_share: 0.2,
-    warm_up: 5.0,
-    tip_multiple: 2.5,
-    tip_window: 1.0,
-};
-
-const PACK: Pack = Pack { lanes: 4, memory: 128.0, fetch: 0.1, start: 0.1 };
-
 /// Stand-in workers in a thread of their own; they end with it.
 pub struct StandIns {
     pub addresses: Vec<SocketAddr>,
@@ -49,9 +29,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let Ok(runtime) = runtime else { return };
             let work = async move {
-                let shelf = Shelf { at_once: 16.0, takes: 64, tips: None, stops: 1.0 };
-                let tells = Tells { found: true, company: true, load: true };
-                let hall = Hall::new(Instant::now(), seed, shelf, PACK, tells, 60.0);
+                let hall = hall(seed);
                 let mut all = Vec::new();
                 for number in 0..workers {
                     all.push(Worker::start(hall.clone(), number, 0, MAKE, -MAKE.warm_up, 1).await);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod relay;
 pub mod running;
 pub mod script;
+pub mod small;
 pub mod spoilt;
 pub mod store;
 pub mod traffic;
