Failing test: draining workers get new work while discovery is out of reach

Need: the report of attempts and load requests to workers that drained while discovery was out of reach.

A router process between eight workers; discovery fails in each of five ways for 9 s, two workers drain at once and two after 5 s. Measured: 101 to 106 sends past the time that counts as known, the grace of 0.5 s and 1 s for the machine, in each of the five ways; all calls are served. The rig gains discovery that lives and fails, and workers that drain, are full or hang.

--- a/crates/milletpath/tests/platform/main.rs
+++ b/crates/milletpath/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod departed_clients;
 mod discovery;
+mod discovery_outage;
 mod endpoint_changes;
 mod idle_router;
 mod killed_processes;
--- a/crates/test-support/src/platform_rig/mod.rs
+++ b/crates/test-support/src/platform_rig/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod configuration;
 mod discovery;
+mod live_discovery;
 mod router;
 mod scripted_worker;
 mod worker;
@@ -11,6 +12,10 @@
 pub use client::{Client, DONE, Departure, REJECTED, call_line, health_check_line};
 pub use configuration::{MAX_SOCKETS, RouterConfiguration};
 pub use discovery::{Discovery, DiscoveryStreams, complete_list_event, endpoint_event};
+pub use live_discovery::{LiveDiscovery, Outage};
 pub use router::Router;
 pub use scripted_worker::{ScriptedWorker, WorkerConnection};
-pub use worker::{ReceivedFrames, Worker, WorkerBehaviour, answers, answers_after, never_answers};
+pub use worker::{
+    ReceivedFrames, TimedFrame, Worker, WorkerBehaviour, WorkerCondition, answers, answers_after,
+    never_answers,
+};
--- a/crates/test-support/src/worker_frames.rs
+++ b/crates/test-support/src/worker_frames.rs
@@ -32,10 +32,14 @@
     pub const DONE: u8 = 200;
     /// The worker has no instance of the function, and has not run the call.
     pub const MISS: u8 = 202;
+    /// The worker is full or drains, and has not run the call.
+    pub const REJECTED: u8 = 203;
     /// The call has failed.
     pub const ERROR: u8 = 204;
     /// The worker is healthy.
     pub const HEALTHY: u8 = 206;
+    /// The worker takes no new work.
+    pub const UNHEALTHY: u8 = 207;
 }
 
 /// A frame that a worker has received.
