While the endpoint list is stale, workers get new work only by their own recent word

Cause: the list had no age. A worker that was listed as ready stayed so until an event said otherwise, in placement, at the moment of sending and for load requests, however long discovery had been silent; the watch knew when it had last been heard of, and told nobody but the start times.

Change: the policy knows when the list was last confirmed (list_staleness.rs). Past 2 s, by which the platform counts what a broken discovery would have told as told, and the drain grace, a worker gets new work only while it has passed a health check or served a request that was sent less than the grace before the first byte. Proven workers come first, a check costs a round trip. A worker of which every connection is younger than the last confirmation is in slow start: it may be another process. A heartbeat counts for the last look at the empty socket before it, and what is unread in discovery's socket is read before new work is sent. Refusals at the moment of sending are typed and logged; the list's state is logged when it changes.

Rigs whose discovery was silent for convenience have a steady one now: silence means an outage.

--- a/crates/config/src/reader/policy.rs
+++ b/crates/config/src/reader/policy.rs
@@ -52,6 +52,9 @@
             // The registry streams to whoever asks, and is asked again when the stream breaks.
             watches_on_request: matches!(source, WorkerSource::Registry(_)),
             can_check_health: workers.flag("health_checks", true),
+            health_checks_report_load: true,
+            list_valid_for: f64::INFINITY,
+            acceptance_valid_for: seconds("drain_grace", 0.0, 1.0),
             max_retry_after: Some(limits.number("come_back", "seconds", 0.0..=MAX_SECONDS, 1.0))
                 .filter(|seconds| *seconds > 0.0),
             keep_alive: seconds("idle_timeout", 0.0, 10.0),
--- a/crates/dispatcher/src/dispatcher/attempts.rs
+++ b/crates/dispatcher/src/dispatcher/attempts.rs
@@ -23,9 +23,12 @@
         let Some(record) = self.state.requests.attempt_mut(request, attempt) else { return false };
         let in_time = now < record.deadline;
         let (worker, connect_timer) = (record.worker, record.connect_timer);
-        let ready = self.state.worker_table.ready(worker) && self.router.may_send(now, request.index, worker);
-        if !(open && ready && in_time) {
-            self.state.counters.suppressed += u64::from(!ready);
+        let refusal = self.router.may_send(now, request.index, worker).err();
+        if let Some(reason) = refusal {
+            tracing::debug!(worker, ?reason, "an attempt was not sent");
+        }
+        if !(open && refusal.is_none() && in_time) {
+            self.state.counters.suppressed += u64::from(refusal.is_some());
             self.attempt_ended(now, request, attempt, AttemptResult::from_outcome(Outcome::NotSent));
             return false;
         }
--- a/crates/dispatcher/src/dispatcher/endpoints.rs
+++ b/crates/dispatcher/src/dispatcher/endpoints.rs
@@ -46,9 +46,32 @@
     }
 
     /// Every change of the endpoint list until now has been passed on: a worker that is reported later was not listed
-    /// before.
-    pub fn endpoint_list_confirmed(&mut self, now: f64) {
+    /// before. The source of the list stated so at `stated_at` or later.
+    pub fn endpoint_list_confirmed(&mut self, now: f64, stated_at: f64) {
         self.state.worker_table.start_times.list_confirmed(now);
+        self.router.list_confirmed(stated_at);
+    }
+
+    /// Whether the source of the endpoint list has been silent for so long that workers have to prove that they take
+    /// new work.
+    pub fn endpoint_list_is_stale(&self, now: f64) -> bool {
+        self.router.list_is_stale(now)
+    }
+
+    /// Seconds since the endpoint list was known to be current; infinite before it first was.
+    pub fn endpoint_list_age(&self, now: f64) -> f64 {
+        self.router.list_age(now)
+    }
+
+    /// Number of workers that are listed as ready and get no new work now, as the list is stale and they have not
+    /// proved that they take any.
+    pub fn unproven_workers(&self, now: f64) -> usize {
+        self.router.unproven_workers(now)
+    }
+
+    /// A connection to a worker was made while there was no other: its process may be another than before.
+    pub fn first_connection_made(&mut self, now: f64, worker: usize) {
+        self.router.first_connection_made(now, worker);
     }
 
     /// The wall clock was read, in seconds since the Unix epoch. It may have been stepped since the last reading; it
--- a/crates/dispatcher/src/dispatcher/load_requests.rs
+++ b/crates/dispatcher/src/dispatcher/load_requests.rs
@@ -14,8 +14,12 @@
         let Some(worker) = self.state.load_requests.get(load_request).map(|record| record.worker) else {
             return false;
         };
+        let refusal = self.router.may_request_load(now, worker).err();
+        if let Some(reason) = refusal {
+            tracing::debug!(worker, ?reason, "a load request was not sent");
+        }
         let limit = self.state.load_rate_limit.as_mut();
-        let allowed = self.state.worker_table.ready(worker) && limit.is_none_or(|limit| limit.try_send(now));
+        let allowed = refusal.is_none() && limit.is_none_or(|limit| limit.try_send(now));
         if !allowed {
             self.state.counters.suppressed += 1;
             self.load_request_ended(now, load_request, Outcome::NotSent, 0);
--- a/crates/dispatcher/src/worker_table.rs
+++ b/crates/dispatcher/src/worker_table.rs
@@ -135,11 +135,6 @@
         self.names.name(worker)
     }
 
-    /// Whether a worker takes requests.
-    pub(crate) fn ready(&self, worker: usize) -> bool {
-        self.workers.get(worker).is_some_and(|worker| worker.state == EndpointState::Ready)
-    }
-
     /// The process of a worker; an address that can't be reached for an index that was never given out.
     pub(crate) fn process(&self, worker: usize) -> WorkerProcess {
         let unknown = WorkerProcess { address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)), process: 0 };
--- a/crates/platform-protocol/src/bootstrap/read.rs
+++ b/crates/platform-protocol/src/bootstrap/read.rs
@@ -5,6 +5,7 @@
 use crate::{frames, lines};
 use milletpath_config::{FunctionConfigs, GatewayConfig, Limits, ProfileConfig, WorkerSource};
 use milletpath_platform_settings::{self as platform_settings, ProfileSettings, SettingsError};
+use milletpath_policy::PolicyConfig;
 use milletpath_protocol::InputError;
 use milletpath_protocol::registry::EndpointEntry;
 use serde_json::Value;
@@ -60,6 +61,9 @@
     let worker_lists = worker_lists(&file["known"]["items"])?;
     let profiles = profiles(settings).map_err(settings_fault)?;
     let limits = limits(settings).map_err(settings_fault)?;
+    // What discovery fails to tell may be a drain, which has to be kept a grace after it counts as told.
+    let list_valid_for = events::NOTICE_AFTER_BREAK + limits.drain_grace;
+    let policy = PolicyConfig { list_valid_for, ..policy };
     let memory_mb = file["limits"]["memory_mb"].as_f64().filter(|mb| *mb > 0.0);
     Ok(Bootstrap {
         discovery: address(&file, "bulletin")?,
--- a/crates/platform-protocol/src/events.rs
+++ b/crates/platform-protocol/src/events.rs
@@ -9,6 +9,10 @@
 /// Bytes that one line may have: thousands of workers.
 pub const MAX_LINE: usize = 2 << 20;
 
+/// Seconds after a break of discovery by which all that it would have told counts as told; after a mere silence it
+/// is later.
+pub const NOTICE_AFTER_BREAK: f64 = 2.0;
+
 /// One line of the discovery service.
 #[derive(Debug, PartialEq)]
 pub enum DiscoveryLine {
--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -1,6 +1,6 @@
 //! Carries out what the dispatcher decides.
 
-use crate::platform_router::{DeferredFlush, PlatformRouter};
+use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
 use milletpath_dispatcher::dispatcher::Action;
 use milletpath_platform_protocol::lines;
 
@@ -10,10 +10,13 @@
     pub fn run_actions(&mut self) {
         loop {
             self.run_queued_actions();
-            let Some(DeferredFlush { client, worker_connection }) = self.deferred_flushes.pop() else {
+            let Some(DeferredFlush { unread, worker_connection }) = self.deferred_flushes.pop() else {
                 break;
             };
-            self.read_client(client);
+            match unread {
+                UnreadSocket::Client(client) => self.read_client(client),
+                UnreadSocket::Discovery => self.read_discovery(),
+            }
             self.run_queued_actions();
             self.flush_worker(worker_connection);
         }
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -1,7 +1,7 @@
 //! Reads the sockets of clients and splits what comes into lines.
 
 use super::close::CloseReason;
-use crate::platform_router::{DeferredFlush, PlatformRouter, READ_SIZE};
+use crate::platform_router::{DeferredFlush, PlatformRouter, READ_SIZE, UnreadSocket};
 use crate::sockets::{SocketState, peek_socket};
 use crate::write_buffer::RETAINED_CAPACITY;
 use milletpath_dispatcher::dispatcher::RequestId;
@@ -79,7 +79,8 @@
             SocketState::Closed => self.close_client(key.slot, &CloseReason::ClosedByClient),
             SocketState::Readable if client.reads_before_check < MAX_READS_BEFORE_CHECK => {
                 client.reads_before_check += 1;
-                self.deferred_flushes.push(DeferredFlush { client: key.slot, worker_connection });
+                let unread = UnreadSocket::Client(key.slot);
+                self.deferred_flushes.push(DeferredFlush { unread, worker_connection });
                 return false;
             }
             SocketState::Empty | SocketState::Readable => {
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -10,6 +10,8 @@
 pub(crate) use worker_connection::{AwaitedResponse, OutstandingFrame, QueuedFrame, WorkerConnection};
 
 use crate::connection_limits::{ConnectionLimits, ConnectionSettings};
+use crate::discovery_feed::DiscoveryFeed;
+use crate::list_report::ListReport;
 use crate::memory_budget::MemoryBudget;
 use crate::shutdown::{Liveness, Shutdown};
 use crate::sockets::{Sockets, SystemSockets};
@@ -30,11 +32,19 @@
 /// The router's state, as the tasks of its thread share it.
 pub(crate) type SharedRouter = Rc<RefCell<PlatformRouter>>;
 
-/// A flush of a worker's connection that waits until what its client sent meanwhile was read.
+/// A socket with unread bytes that may bear on what is to be sent.
+pub(crate) enum UnreadSocket {
+    /// That of the client in this slot.
+    Client(usize),
+    /// That of discovery.
+    Discovery,
+}
+
+/// A flush of a worker's connection that waits until another socket was read.
 pub(crate) struct DeferredFlush {
-    /// Slot of the client whose socket has unread bytes.
-    pub client: usize,
-    /// Slot of the worker's connection that is flushed after them.
+    /// The socket.
+    pub unread: UnreadSocket,
+    /// Slot of the worker's connection that is flushed after it was read.
     pub worker_connection: usize,
 }
 
@@ -45,6 +55,10 @@
     pub weak_self: Weak<RefCell<PlatformRouter>>,
     /// Decides where and when requests are sent.
     pub dispatcher: Dispatcher<RequestContext>,
+    /// What was read from discovery.
+    pub discovery: DiscoveryFeed,
+    /// What was logged of the age of the endpoint list.
+    pub list_report: ListReport,
     /// Names of the profiles, in the dispatcher's order.
     pub profiles: Vec<String>,
     /// Names of the client groups, in the dispatcher's order; where there are none any name will do.
@@ -112,6 +126,8 @@
             RefCell::new(Self {
                 weak_self: weak_self.clone(),
                 dispatcher,
+                discovery: DiscoveryFeed::new(bootstrap.last_event),
+                list_report: ListReport::new(config.policy.list_valid_for),
                 profiles: config.profiles.iter().map(|profile| profile.name.clone()).collect(),
                 groups: config.clients.clone(),
                 clients: Slab::new(),
--- a/crates/platform-router/src/platform_router/worker_connection.rs
+++ b/crates/platform-router/src/platform_router/worker_connection.rs
@@ -83,6 +83,11 @@
         }
     }
 
+    /// Whether it brings the worker something new to do.
+    pub fn is_new_work(&self) -> bool {
+        matches!(self, Self::Attempt { .. } | Self::LoadRequest { .. })
+    }
+
     fn is_attempt_of(&self, wanted: RequestId, number: usize) -> bool {
         matches!(self, Self::Attempt { request, attempt } if *request == wanted && *attempt == number)
     }
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts the router, and runs it until SIGTERM and the shutdown after it.
 
+mod list_state;
 mod reload;
 mod timer;
 
@@ -106,7 +107,7 @@
         "the router listens"
     );
     let (discovery_address, followed_address) = watch::channel(bootstrap.discovery);
-    spawn_local(watch_discovery(router.clone(), followed_address, bootstrap.last_event));
+    spawn_local(watch_discovery(router.clone(), followed_address));
     spawn_local(timer::run_timer(router.clone()));
     spawn_local(timer::run_cleanup(router.clone()));
     let reloads = Reloads { file: file.to_owned(), text, discovery_address };
--- a/crates/platform-router/src/run/timer.rs
+++ b/crates/platform-router/src/run/timer.rs
@@ -14,9 +14,12 @@
         self.run_actions();
     }
 
-    /// Closes connections that have been idle or silent for too long.
+    /// Closes connections that have been idle or silent for too long, and looks at what else changes with time.
     fn clean_up(&mut self) {
         let now = self.now();
+        // Often enough that a heartbeat confirms the list for about the time at which it was written.
+        self.look_at_discovery();
+        self.report_list_state(now);
         self.close_stale_clients(now);
         self.close_idle_worker_connections(now);
         self.run_actions();
--- a/crates/platform-router/src/worker_connections/frame.rs
+++ b/crates/platform-router/src/worker_connections/frame.rs
@@ -1,7 +1,8 @@
 //! Makes the frame of what is queued, if it may still go.
 
 use crate::platform_router::{
-    AwaitedResponse, OutstandingFrame, PlatformRouter, QueuedFrame, RequestContext,
+    AwaitedResponse, DeferredFlush, OutstandingFrame, PlatformRouter, QueuedFrame, RequestContext,
+    UnreadSocket,
 };
 use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_platform_protocol::{frames, parse_hex_id};
@@ -13,7 +14,7 @@
 pub(super) enum FrameStatus {
     /// It was made, or dropped as no longer wanted: the next may follow.
     Done,
-    /// It waits until the socket of its client was read.
+    /// It waits until another socket was read: its client's or that of discovery.
     Deferred,
 }
 
@@ -35,6 +36,13 @@
             self.report_no_response(worker, awaited, Outcome::NotSent);
             return FrameStatus::Done;
         }
+        if frame.is_new_work() && !self.is_discovery_read(now) {
+            // An event among what is unread may take the worker off the list.
+            let unread = UnreadSocket::Discovery;
+            self.deferred_flushes.push(DeferredFlush { unread, worker_connection: slot });
+            self.worker_connections[slot].queue.push_front(frame);
+            return FrameStatus::Deferred;
+        }
         if let QueuedFrame::Attempt { request, .. } = frame
             && !self.may_begin_attempt(request, slot, now)
         {
--- a/crates/platform-router/src/worker_connections/task.rs
+++ b/crates/platform-router/src/worker_connections/task.rs
@@ -72,6 +72,8 @@
     let Some(connection) = handle.get_mut(&mut router) else { return false };
     connection.stream = Some(stream.clone());
     connection.connect_failing = false;
+    let worker = connection.worker;
+    router.note_first_connection(handle.slot, worker);
     router.flush_worker(handle.slot);
     router.run_actions();
     true
--- a/crates/platform-settings/src/policy.rs
+++ b/crates/platform-settings/src/policy.rs
@@ -2,6 +2,7 @@
 
 use crate::error::SettingsError;
 use crate::lookup::{non_negative, optional_seconds, positive, seconds, value_at};
+use crate::service::drain_grace;
 use milletpath_policy::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget};
 use serde_json::Value;
 
@@ -27,7 +28,11 @@
         can_request_loads: flag("/FamilyInfo/PlacementCalls"),
         reports_missing_functions: value_at::<&str>(settings, "/FamilyInfo/MissMode") == Some("miss"),
         watches_on_request: value_at::<&str>(settings, "/RegistryMode") == Some("subscribe"),
-        can_check_health: flag("/Limits/Probing") && reports_load,
+        can_check_health: flag("/Limits/Probing"),
+        health_checks_report_load: reports_load,
+        // The simulator tells of each change of the list; a router on the platform has to hear of it.
+        list_valid_for: f64::INFINITY,
+        acceptance_valid_for: drain_grace(settings)?,
         max_retry_after: optional_seconds(settings, "/Limits/MaxRetryAfter")
             .filter(|_| flag("/Limits/RetryAfter")),
         keep_alive: optional_seconds(settings, "/FamilyInfo/KeepAlive").unwrap_or(0.0),
--- a/crates/platform-settings/tests/settings.rs
+++ b/crates/platform-settings/tests/settings.rs
@@ -68,6 +68,7 @@
             && config.reports_missing_functions
             && config.watches_on_request
             && config.can_check_health
+            && config.health_checks_report_load
     );
 }
 
--- a/crates/policy/src/attempt_result.rs
+++ b/crates/policy/src/attempt_result.rs
@@ -42,7 +42,8 @@
         match answer.outcome {
             Outcome::Succeeded => {
                 worker.answered_at = now;
-                let warm = self.slow_start.is_warm(now, worker);
+                worker.acceptance.request_served(attempt.sent_at);
+                let warm = self.slow_start.is_warm(now, self.staleness.started(now, worker));
                 self.throughput.handled(now, warm);
             }
             Outcome::Rejected => {
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -77,8 +77,16 @@
     pub reports_missing_functions: bool,
     /// Changes of the endpoint list come only on request.
     pub watches_on_request: bool,
-    /// Workers answer health checks, and report their load when they do.
+    /// Workers answer health checks.
     pub can_check_health: bool,
+    /// Workers report their load when they answer health checks.
+    pub health_checks_report_load: bool,
+    /// Seconds for which the endpoint list is believed after its source was last heard of; infinite where the host hears
+    /// of each change of it.
+    pub list_valid_for: f64,
+    /// Seconds for which a worker's own word that it takes new work is believed once the list is not any more, from when
+    /// it was asked.
+    pub acceptance_valid_for: f64,
     /// The longest Retry-After in seconds that clients follow; none where they are not given one.
     pub max_retry_after: Option<f64>,
     /// Seconds that an idle instance is kept at least.
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -5,7 +5,33 @@
 use crate::retry;
 use crate::router_state::RouterState;
 
+/// Why an attempt or a load request that was decided on may not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendRefusal {
+    /// The worker drains or is gone by the endpoint list.
+    NotReady,
+    /// The endpoint list is stale, and the worker has not proved recently that it takes new work.
+    Unproven,
+    /// The rate limit of its client group admitted the request too long ago.
+    AdmissionLapsed,
+    /// An attempt may have run so long ago that its idempotency key is no longer known.
+    KeyExpired,
+    /// It was decided on too long ago for a worker in slow start.
+    SlowStart,
+    /// Too many attempts are in flight at the worker.
+    InFlightLimit,
+}
+
 impl RouterState {
+    /// Whether a worker may get new work now: it is ready by the list, and where the list is stale by its own word.
+    pub(crate) fn may_get_work(&self, now: f64, worker: usize) -> Result<(), SendRefusal> {
+        match self.workers.get(worker) {
+            Some(worker) if worker.is_ready() && self.staleness.allows(now, worker) => Ok(()),
+            Some(worker) if worker.is_ready() => Err(SendRefusal::Unproven),
+            _ => Err(SendRefusal::NotReady),
+        }
+    }
+
     /// Whether so many attempts of this router may be in flight at a worker, by its part of the limit on all
     /// routers.
     fn within_in_flight_limit(&self, now: f64, worker: usize, in_flight: usize) -> bool {
@@ -34,7 +60,7 @@
     }
 
     /// Whether a request may have an attempt at a worker: number, time, idempotency, endpoint state, slow
-    /// start, in-flight limit.
+    /// start, in-flight limit. What the worker has to prove while the list is stale is left to the caller.
     pub(crate) fn may_attempt(&mut self, now: f64, id: usize, worker: usize) -> bool {
         let Some(request) = self.requests.get(id) else { return false };
         let effect = self.profiles[request.profile].idempotency;
@@ -45,6 +71,7 @@
                 now,
                 worker,
                 &mut self.workers,
+                &self.staleness,
                 &mut self.throughput,
                 &mut self.random,
             );
@@ -60,7 +87,7 @@
     pub(crate) fn send_attempt(&mut self, now: f64, id: usize, worker: usize, host: &mut dyn Effects) {
         /// Times its mean that a load may take before it is taken to have failed.
         const MAX_LOADS: f64 = 4.0;
-        if !self.may_attempt(now, id, worker) {
+        if !self.may_attempt(now, id, worker) || self.may_get_work(now, worker).is_err() {
             return;
         }
         let Some(request) = self.requests.get_mut(id) else { return };
@@ -90,21 +117,37 @@
         host.send_attempt(id, worker, request.deadline);
     }
 
-    /// Whether an attempt that was decided before may begin now: by its rate limit, its idempotency key, the
-    /// in-flight limit, and at a worker in slow start by the time since, as decisions of a longer time would
-    /// all count in one window there.
-    pub(crate) fn may_begin(&self, now: f64, id: usize, worker: usize) -> bool {
-        let refused = |request: &Request| {
-            let is_old = |attempt: &Attempt| {
-                attempt.in_flight
-                    && attempt.worker == worker
-                    && now - attempt.sent_at > self.slow_start.turn_seconds()
-            };
-            self.admission.lapsed(now, request)
-                || retry::key_expired(now, request, self.profiles[request.profile].idempotency)
-                || request.attempts.iter().any(is_old) && self.slow_start.is_cold(now, &self.workers[worker])
+    /// Whether an attempt that was decided before may begin now: by its worker's state, its rate limit, its
+    /// idempotency key, the in-flight limit, and at a worker in slow start by the time since, as decisions of a longer
+    /// time would all count in one window there.
+    pub(crate) fn may_begin(&self, now: f64, id: usize, worker: usize) -> Result<(), SendRefusal> {
+        self.may_get_work(now, worker)?;
+        if let Some(request) = self.requests.get(id) {
+            if self.admission.lapsed(now, request) {
+                return Err(SendRefusal::AdmissionLapsed);
+            }
+            if retry::key_expired(now, request, self.profiles[request.profile].idempotency) {
+                return Err(SendRefusal::KeyExpired);
+            }
+            if self.is_late_for_slow_start(now, request, worker) {
+                return Err(SendRefusal::SlowStart);
+            }
+        }
+        if self.within_in_flight_limit(now, worker, self.workers[worker].in_flight) {
+            Ok(())
+        } else {
+            Err(SendRefusal::InFlightLimit)
+        }
+    }
+
+    /// Whether an attempt waited for its connection for longer than a turn of its worker's slow start.
+    fn is_late_for_slow_start(&self, now: f64, request: &Request, worker: usize) -> bool {
+        let is_old = |attempt: &Attempt| {
+            attempt.in_flight
+                && attempt.worker == worker
+                && now - attempt.sent_at > self.slow_start.turn_seconds()
         };
-        !self.requests.get(id).is_some_and(refused)
-            && self.within_in_flight_limit(now, worker, self.workers[worker].in_flight)
+        request.attempts.iter().any(is_old)
+            && self.slow_start.is_cold(now, self.staleness.started(now, &self.workers[worker]))
     }
 }
--- a/crates/policy/src/health_check.rs
+++ b/crates/policy/src/health_check.rs
@@ -1,7 +1,7 @@
 //! Health checks of workers, and the load reports that answer them or come with results.
 
 use crate::effects::Effects;
-use crate::events::LoadReport;
+use crate::events::{LoadReport, Outcome};
 use crate::worker_state::Worker;
 
 /// Seconds for which a load report is fresh: about as long as a queue takes to change.
@@ -29,8 +29,9 @@
     }
 
     /// A health check was answered, or was not.
-    pub(crate) fn health_check_ended(&mut self) {
-        self.health_check_sent_at = f64::NEG_INFINITY;
+    pub(crate) fn health_check_ended(&mut self, outcome: Outcome) {
+        let sent_at = std::mem::replace(&mut self.health_check_sent_at, f64::NEG_INFINITY);
+        self.acceptance.health_check_ended(sent_at, outcome);
     }
 
     /// Records a load report; `routers` share the worker.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,9 +12,11 @@
 //! | `admission`, `placement`, `dispatch`, `attempt_result` | the stages of a request, and of the results of its attempts |
 //! | `hash_ring`, `worker_set`, `overload` | which workers a function has, and how much each takes |
 //! | `slow_start`, `throughput`, `outlier_detection`, `health_check` | what a worker can be trusted with |
+//! | `list_staleness`, `acceptance` | what is believed while the endpoint list is out of date |
 //! | `retry`, `load_requests`, `fleet_budgets`, `rate_limiter` | what may be repeated or loaded, and the budgets of both |
 //! | `worker_state`, `function_state`, `request_state`, `decay`, `random` | data |
 
+mod acceptance;
 mod admission;
 mod attempt_result;
 mod config;
@@ -26,6 +28,7 @@
 mod function_state;
 mod hash_ring;
 mod health_check;
+mod list_staleness;
 mod load_requests;
 mod outlier_detection;
 mod overload;
@@ -43,6 +46,7 @@
 
 pub use config::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget};
 pub use decay::DecayingSum;
+pub use dispatch::SendRefusal;
 pub use effects::{Budget, Effects};
 pub use events::{
     Arrival, AttemptCompletion, EndpointState, EndpointUpdate, InstanceState, LoadReport, Outcome,
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -8,6 +8,9 @@
 use crate::overload::TimeBounds;
 use crate::router_state::RouterState;
 
+/// Part of the latency objective that a health check before an attempt may take.
+const HEALTH_CHECK_SHARE: f64 = 0.03;
+
 /// What becomes of a request: an attempt at a worker, the queue, or a final answer.
 pub(crate) enum Decision {
     Dispatch(usize),
@@ -52,6 +55,16 @@
     query: Query,
     function: &'a Function,
     common: CommonLoad,
+    scope: Scope,
+}
+
+/// Which workers are compared while the endpoint list is stale; otherwise both are the same.
+#[derive(Clone, Copy, PartialEq)]
+enum Scope {
+    /// Those that have proved recently that they take new work.
+    Proven,
+    /// Those as well that can be asked for the proof.
+    Askable,
 }
 
 #[derive(Clone, Copy)]
@@ -86,6 +99,14 @@
 }
 
 impl Search {
+    /// Whether a worker with an instance was found that is not above the fair load.
+    fn has_warm_within(&self, common: &CommonLoad) -> bool {
+        [self.least_loaded_warm, self.past_set_warm]
+            .into_iter()
+            .flatten()
+            .any(|warm| warm.load <= common.fair)
+    }
+
     fn is_member(&self, query: &Query, function: &Function) -> bool {
         self.capacity < query.concurrency || self.members < function.set_size
     }
@@ -128,7 +149,7 @@
         let Some(query) = self.query(now, id) else { return Decision::GiveUp };
         let Some(function) = self.functions.take(query.function_index) else { return Decision::GiveUp };
         let common = self.common_load(now, &query, &function);
-        let search = self.search(now, &Comparison { query, function: &function, common });
+        let search = self.search_by_proof(now, query, &function, common);
         self.functions.put_back(query.function_index, function);
         if let Some(worker) =
             search.without_function.filter(|_| search.least_loaded_warm.or(search.past_set_warm).is_none())
@@ -152,6 +173,10 @@
             function.resize_set(now, search.needed);
         }
         let Some(Candidate { worker, .. }) = choice.target else { return Decision::Queue };
+        if !self.staleness.allows(now, &self.workers[worker]) {
+            self.ask_for_proof(now, worker, host);
+            return Decision::Queue;
+        }
         if self.awaits_health_check(now, &query, worker, host) {
             return Decision::Queue;
         }
@@ -200,7 +225,7 @@
         const SLACK: f64 = 3.0;
         /// Squared standard deviations of unknown traffic for which an instance keeps capacity free.
         const CHANCE: f64 = 1.0;
-        self.slow_start.rate(now, &self.workers, &mut self.throughput);
+        self.slow_start.rate(now, &self.workers, &self.staleness, &mut self.throughput);
         let n = function.ring_order.len().max(1) as f64;
         // One pass: with thousands of workers this is most of what a request costs.
         let (mut reports, mut other_routers_load, mut sizes, mut in_flight) = (0, 0.0, 0.0, 0.0);
@@ -225,9 +250,30 @@
         CommonLoad { average, mean_size, fair, instance_concurrency, live }
     }
 
+    /// Compares the workers that may get new work. While the list is stale proven ones come first, as a check of another
+    /// costs a round trip, and a worker can answer only so many of all routers.
+    fn search_by_proof(&mut self, now: f64, query: Query, function: &Function, common: CommonLoad) -> Search {
+        if self.staleness.is_stale(now) {
+            let proven = self.search(now, &Comparison { query, function, common, scope: Scope::Proven });
+            if proven.has_warm_within(&common) {
+                return proven;
+            }
+        }
+        self.search(now, &Comparison { query, function, common, scope: Scope::Askable })
+    }
+
+    /// Whether a worker is compared, by what it has proved or can be asked to prove while the list is stale.
+    fn is_in_scope(&self, now: f64, comparison: &Comparison, worker: usize) -> bool {
+        let state = &self.workers[worker];
+        self.staleness.allows(now, state)
+            || comparison.scope == Scope::Askable
+                && self.can_check_health
+                && self.staleness.may_ask(now, state, HEALTH_CHECK_SHARE * comparison.query.latency_objective)
+    }
+
     /// Compares the workers in ring order, up to where no later one could be chosen.
     fn search(&mut self, now: f64, comparison: &Comparison) -> Search {
-        let Comparison { query, function, common } = comparison;
+        let Comparison { query, function, common, .. } = comparison;
         let mut search = Search::default();
         for &worker in &function.ring_order {
             let member = search.is_member(query, function);
@@ -254,8 +300,11 @@
         /// Seconds for which a worker that rejected an attempt gets none, apart for loads and for loaded
         /// instances.
         const REJECTION_PAUSE: f64 = 0.3;
-        let Comparison { query, function, common } = comparison;
-        if !self.may_attempt(now, query.id, worker) || self.passes_over(now, worker) {
+        let Comparison { query, function, common, .. } = comparison;
+        if !self.is_in_scope(now, comparison, worker)
+            || !self.may_attempt(now, query.id, worker)
+            || self.passes_over(now, worker)
+        {
             return;
         }
         let worker_state = &self.workers[worker];
@@ -344,9 +393,7 @@
         worker: usize,
         host: &mut dyn Effects,
     ) -> bool {
-        /// Part of the latency objective that health checks before an attempt may take.
-        const HEALTH_CHECK_SHARE: f64 = 0.03;
-        let waits = self.health_checks_enabled
+        let waits = self.checks_load
             && self.workers[worker].report_is_stale(now)
             && query.age < HEALTH_CHECK_SHARE * query.latency_objective;
         if waits {
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -9,6 +9,7 @@
 
 use crate::admission;
 use crate::config::{Idempotency, KeyScope, PolicyConfig};
+use crate::dispatch::SendRefusal;
 use crate::effects::{Budget, Effects};
 use crate::events::{Arrival, AttemptCompletion, EndpointUpdate, LoadReport, Outcome};
 use crate::fleet_budgets::Step;
@@ -181,10 +182,52 @@
     }
 
     /// Whether an attempt that [`Effects::send_attempt`] asked for before may begin now, when its connection is up.
-    pub fn may_send(&self, now: f64, id: usize, worker: usize) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn may_send(&self, now: f64, id: usize, worker: usize) -> Result<(), SendRefusal> {
         self.state.may_begin(now, id, worker)
     }
 
+    /// Whether a load request that [`Effects::request_load`] asked for before may begin now.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn may_request_load(&self, now: f64, worker: usize) -> Result<(), SendRefusal> {
+        self.state.may_get_work(now, worker)
+    }
+
+    /// The endpoint list was current at a time, now or past: its source was heard of after all that it had reported.
+    pub fn list_confirmed(&mut self, at: f64) {
+        self.state.staleness.confirmed(at);
+    }
+
+    /// Whether workers may have changed without the endpoint list, as its source has been silent for too long.
+    pub fn list_is_stale(&self, now: f64) -> bool {
+        self.state.staleness.is_stale(now)
+    }
+
+    /// Seconds since the endpoint list was known to be current; infinite before it first was.
+    pub fn list_age(&self, now: f64) -> f64 {
+        self.state.staleness.age(now)
+    }
+
+    /// Ready workers by the list that get no new work now, as the list is stale and they have not proved that they take
+    /// any.
+    pub fn unproven_workers(&self, now: f64) -> usize {
+        let state = &self.state;
+        state.workers.iter().filter(|w| w.is_ready() && !state.staleness.allows(now, w)).count()
+    }
+
+    /// A connection to a worker was made while there was no other: its process may be another than before.
+    pub fn first_connection_made(&mut self, now: f64, worker: usize) {
+        if worker < self.state.workers.len() {
+            self.state.workers[worker].acceptance.first_connection_made(now);
+        }
+    }
+
     /// An attempt ended: it is recorded, and its request ends or is placed again.
     pub fn attempt_ended(&mut self, now: f64, id: usize, answer: AttemptCompletion, host: &mut dyn Effects) {
         let Some((function, attempt)) = self.state.attempt_ended(id, &answer) else { return };
@@ -310,7 +353,7 @@
         host: &mut dyn Effects,
     ) {
         let worker_state = &mut self.state.workers[worker];
-        worker_state.health_check_ended();
+        worker_state.health_check_ended(outcome);
         worker_state.record_report(now, report, self.state.routers);
         if outcome == Outcome::Unreachable {
             worker_state.record_evidence(now, Evidence::UNREACHED);
--- a/crates/policy/src/router_state.rs
+++ b/crates/policy/src/router_state.rs
@@ -8,6 +8,7 @@
 use crate::fleet_budgets::FleetBudgets;
 use crate::function_state::Functions;
 use crate::hash_ring::HashRing;
+use crate::list_staleness::ListStaleness;
 use crate::load_requests::{LoadRequest, LoadRequests};
 use crate::random::Random;
 use crate::rate_limiter::RateLimiter;
@@ -31,6 +32,7 @@
     pub(crate) slow_start: SlowStart,
     pub(crate) throughput: Throughput,
     pub(crate) workers: WorkerTable,
+    pub(crate) staleness: ListStaleness,
     pub(crate) ring: HashRing,
     pub(crate) functions: Functions,
     pub(crate) requests: Requests,
@@ -41,7 +43,9 @@
     /// Changes of the endpoint list come only on request.
     pub(crate) watches_on_request: bool,
     /// Workers answer health checks.
-    pub(crate) health_checks_enabled: bool,
+    pub(crate) can_check_health: bool,
+    /// Health checks tell what other routers send.
+    pub(crate) checks_load: bool,
     /// Seconds that an idle instance is kept at least.
     pub(crate) keep_alive: f64,
     /// Memory of each kind of worker, in MB.
@@ -99,6 +103,7 @@
             },
             throughput: Throughput::default(),
             workers: WorkerTable::default(),
+            staleness: ListStaleness::new(config.list_valid_for, config.acceptance_valid_for),
             ring: HashRing::default(),
             functions: Functions::default(),
             requests: Requests::default(),
@@ -106,7 +111,8 @@
             reports_missing: config.reports_missing_functions,
             watches_on_request: config.watches_on_request,
             // One router alone knows what it sends, without health checks.
-            health_checks_enabled: config.can_check_health && config.routers > 1,
+            checks_load: config.can_check_health && config.health_checks_report_load && config.routers > 1,
+            can_check_health: config.can_check_health,
             keep_alive: config.keep_alive,
             worker_memory: config.memory,
             max_in_flight: config.max_in_flight / routers,
@@ -122,11 +128,21 @@
         worker_set::remote_weight(now, self.remote_reported_at)
     }
 
+    /// Checks the health of a worker that may get no new work before it has proved that it takes some.
+    pub(crate) fn ask_for_proof(&mut self, now: f64, worker: usize, host: &mut dyn Effects) {
+        if self.can_check_health {
+            self.workers[worker].check_health(now, worker, host);
+        }
+    }
+
     /// Sends a load request, where that is allowed.
     pub(crate) fn request_load(&mut self, now: f64, request: LoadRequest, host: &mut dyn Effects) {
         if !self.load_requests.is_wanted(now, request, &self.workers, &self.functions) {
             return;
         }
+        if !self.staleness.allows(now, &self.workers[request.worker]) {
+            return self.ask_for_proof(now, request.worker, host);
+        }
         if request.preload {
             let most = self.load_requests.max_preloads(self.ring.workers(), self.budgets.quota_fraction(now));
             if !self.load_requests.may_preload(now, request, &self.workers, &self.functions, most) {
--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -7,9 +7,10 @@
 //! and 0.75 N at most in a window, which five turns may touch; with connections that come up a turn late 0.9
 //! N.
 
+use crate::list_staleness::ListStaleness;
 use crate::random::Random;
 use crate::throughput::Throughput;
-use crate::worker_state::{SlowStartTurn, Worker, WorkerTable};
+use crate::worker_state::{SlowStartTurn, WorkerTable};
 
 /// Turns of the window, each with its part of the budget; an attempt begins at most one turn after its
 /// decision.
@@ -27,14 +28,15 @@
 }
 
 impl SlowStart {
-    /// Whether a worker has its full capacity.
-    pub(crate) fn is_warm(&self, now: f64, worker: &Worker) -> bool {
-        now - worker.started >= self.warm_up
+    /// Whether a worker that started then has its full capacity.
+    pub(crate) fn is_warm(&self, now: f64, started: f64) -> bool {
+        now - started >= self.warm_up
     }
 
-    /// Whether a worker may still fail from overload in slow start: until a window after it is warm.
-    pub(crate) fn is_cold(&self, now: f64, worker: &Worker) -> bool {
-        now - worker.started < self.warm_up + self.overload_window
+    /// Whether a worker that started then may still fail from overload in slow start: until a window after it is
+    /// warm.
+    pub(crate) fn is_cold(&self, now: f64, started: f64) -> bool {
+        now - started < self.warm_up + self.overload_window
     }
 
     /// Seconds of a turn.
@@ -43,8 +45,14 @@
     }
 
     /// The throughput of warm workers, in requests a second for a unit of size.
-    pub(crate) fn rate(&self, now: f64, workers: &WorkerTable, throughput: &mut Throughput) -> f64 {
-        throughput.rate(now, workers, |worker| self.is_warm(now, worker))
+    pub(crate) fn rate(
+        &self,
+        now: f64,
+        workers: &WorkerTable,
+        staleness: &ListStaleness,
+        throughput: &mut Throughput,
+    ) -> f64 {
+        throughput.rate(now, workers, |worker| self.is_warm(now, staleness.started(now, worker)))
     }
 
     /// Whether a worker can take one more attempt of this router. In each turn of the window the router sends
@@ -55,20 +63,22 @@
         now: f64,
         worker: usize,
         workers: &mut WorkerTable,
+        staleness: &ListStaleness,
         throughput: &mut Throughput,
         random: &mut Random,
     ) -> bool {
         /// Part of the limit that is used: work differs from its mean, and measurements lag.
         const BUDGET_SHARE: f64 = 0.6;
-        if !self.is_cold(now, &workers[worker]) {
+        let started = staleness.started(now, &workers[worker]);
+        if !self.is_cold(now, started) {
             return true;
         }
         let SlowStartTurn { began_at, attempts_left } = workers[worker].turn;
         if now - began_at < self.turn_seconds() {
             return attempts_left >= 1.0;
         }
-        let full = self.rate(now, workers, throughput) * workers[worker].size;
-        let age = now - workers[worker].started;
+        let full = self.rate(now, workers, staleness, throughput) * workers[worker].size;
+        let age = now - started;
         let grown = if self.warm_up > 0.0 { (age / self.warm_up).clamp(0.0, 1.0) } else { 1.0 };
         let capacity = full * (self.initial_capacity + (1.0 - self.initial_capacity) * grown);
         let part = BUDGET_SHARE * self.overload_multiple * capacity * self.overload_window / TURNS;
--- a/crates/policy/src/worker_state.rs
+++ b/crates/policy/src/worker_state.rs
@@ -1,6 +1,7 @@
 //! What is known of each worker: its endpoint, this router's attempts there, and their results. Times are in
 //! seconds.
 
+use crate::acceptance::Acceptance;
 use crate::decay::DecayingSum;
 use crate::events::{EndpointState, EndpointUpdate};
 use std::ops::{Index, IndexMut};
@@ -65,6 +66,8 @@
     pub(crate) reported_at: f64,
     /// When a health check was sent that is not answered yet; minus infinity where there is none.
     pub(crate) health_check_sent_at: f64,
+    /// What it stated itself of taking new work.
+    pub(crate) acceptance: Acceptance,
     /// Outlier score, 0 to 1.
     pub(crate) outlier_score: DecayingSum,
     /// The current turn of its slow-start window.
@@ -89,6 +92,7 @@
         counts_running: false,
         reported_at: f64::NEG_INFINITY,
         health_check_sent_at: f64::NEG_INFINITY,
+        acceptance: Acceptance::UNKNOWN,
         outlier_score: DecayingSum { sum: 0.0, at: 0.0 },
         turn: SlowStartTurn::NONE,
     };
@@ -110,6 +114,7 @@
             self.started = started;
             self.outlier_score = DecayingSum::default();
             self.other_routers_load = None;
+            self.acceptance = Acceptance::UNKNOWN;
             self.turn = SlowStartTurn::NONE;
         }
         self.name = endpoint.name;
--- a/crates/simulator/src/gateways.rs
+++ b/crates/simulator/src/gateways.rs
@@ -162,7 +162,7 @@
 
     /// The registry confirms the endpoint list to all gateways.
     pub fn endpoints_confirmed(&mut self, now: f64) {
-        self.0.iter_mut().for_each(|gateway| gateway.dispatcher.endpoint_list_confirmed(now));
+        self.0.iter_mut().for_each(|gateway| gateway.dispatcher.endpoint_list_confirmed(now, now));
     }
 
     /// Carries out what a dispatcher has decided, and sets its timer.
--- a/crates/test-support/src/platform_rig/discovery.rs
+++ b/crates/test-support/src/platform_rig/discovery.rs
@@ -1,9 +1,10 @@
 //! Discovery, as the platform offers it: a server that is asked for events after a number, and writes them as lines.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Discovery that answers by a script.
 pub struct Discovery {
@@ -13,9 +14,19 @@
 }
 
 impl Discovery {
-    /// Starts discovery that never writes anything.
-    pub fn silent() -> Self {
-        Self::start(vec![])
+    /// Starts discovery of which nothing changes: it writes a heartbeat at once and then one a second, on each stream.
+    pub fn steady() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket");
+        let requests = Arc::<Mutex<Vec<String>>>::default();
+        let all = requests.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let all = all.clone();
+                std::thread::spawn(move || write_heartbeats(stream, &all));
+            }
+        });
+        Self { address, requests }
     }
 
     /// Starts discovery that writes each text to the connection of one request, and nothing to those that come after.
@@ -51,7 +62,24 @@
     }
 }
 
-/// Discovery whose streams the test gets, to write on them when it wants.
+/// Answers a request with a heartbeat of the number that it names, and another each second.
+fn write_heartbeats(mut stream: TcpStream, requests: &Mutex<Vec<String>>) -> Option<()> {
+    let line = heartbeat_after(&stream)?;
+    requests.lock().expect("no test thread panicked").push(format!("after {}", line.trim()));
+    loop {
+        stream.write_all(line.as_bytes()).ok()?;
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
+
+/// The heartbeat that answers the request on a stream: nothing has changed since the event that it names.
+fn heartbeat_after(stream: &TcpStream) -> Option<String> {
+    let mut request = String::new();
+    BufReader::new(stream).read_line(&mut request).ok()?;
+    request.strip_prefix("after ").map(str::to_owned)
+}
+
+/// Discovery whose streams the test gets, to write on them when it wants. Each begins with a heartbeat.
 pub struct DiscoveryStreams {
     /// Where it listens.
     pub address: SocketAddr,
@@ -62,15 +90,13 @@
 impl DiscoveryStreams {
     /// Starts it.
     pub fn start() -> Self {
-        /// Bytes of the shortest request, `after 1` and an end of line.
-        const REQUEST_BYTES: usize = 8;
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
         let (sender, streams) = channel();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
-                let mut request = [0; REQUEST_BYTES];
-                if stream.read(&mut request).is_err() || sender.send(stream).is_err() {
+                let Some(heartbeat) = heartbeat_after(&stream) else { return };
+                if stream.write_all(heartbeat.as_bytes()).is_err() || sender.send(stream).is_err() {
                     return;
                 }
             }
--- a/crates/test-support/src/platform_rig/router.rs
+++ b/crates/test-support/src/platform_rig/router.rs
@@ -3,10 +3,15 @@
 use super::configuration::RouterConfiguration;
 use crate::process::Process;
 use crate::program::{program, program_path, scratch_path};
+use crate::wait::becomes_true;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+/// Lines of a router's log that are kept.
+const MAX_LOG_LINES: usize = 10_000;
 
 /// `milletpath platform`; it is killed, and its file removed, when it is dropped.
 pub struct Router {
@@ -16,6 +21,7 @@
     pub address: SocketAddr,
     /// Its configuration file.
     pub configuration_file: PathBuf,
+    log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Router {
@@ -47,9 +53,30 @@
         let mut log = BufReader::new(child.stderr.take().expect("a piped stream"));
         let process = Process::new(child);
         let address = read_address(&mut log);
+        let lines = Arc::<Mutex<Vec<String>>>::default();
+        let kept = lines.clone();
         // Read to its end, so that the router never waits for room in the pipe.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { process, address, configuration_file }
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                let mut kept = kept.lock().expect("no test thread panicked");
+                if kept.len() < MAX_LOG_LINES {
+                    kept.push(line);
+                }
+            }
+        });
+        Self { process, address, configuration_file, log: lines }
+    }
+
+    /// The lines with this text that it has logged since it listens.
+    pub fn logged(&self, text: &str) -> Vec<String> {
+        let lines = self.log.lock().expect("no test thread panicked");
+        lines.iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+
+    /// Waits until discovery has vouched for its list: from then on a worker's first frame is a call's.
+    pub fn wait_for_current_list(&self) {
+        let is_current = || !self.logged("the endpoint list is current").is_empty();
+        assert!(becomes_true(is_current), "discovery does not vouch for the list");
     }
 }
 
