Known for how long a worker has been one process, by the connections on which it answered

Need: while the list is stale a worker may have restarted unseen. It was taken for a new process only where a connection was made while there was no other; one that was still open to a machine that had vanished hid a restart.

Change: each answer extends the time for which the worker is known to be one process, if its connection is older than the answer before. The rig's workers can be gone and come back at their address, and have an address for each router.

--- a/crates/dispatcher/src/dispatcher/endpoints.rs
+++ b/crates/dispatcher/src/dispatcher/endpoints.rs
@@ -69,9 +69,10 @@
         self.router.unproven_workers(now)
     }
 
-    /// A connection to a worker was made while there was no other: its process may be another than before.
-    pub fn first_connection_made(&mut self, now: f64, worker: usize) {
-        self.router.first_connection_made(now, worker);
+    /// A worker answered on a connection that was made then, whatever it answered: by that it is known for how long it
+    /// has been one process.
+    pub fn worker_answered(&mut self, now: f64, worker: usize, connected_at: f64) {
+        self.router.worker_answered(now, worker, connected_at);
     }
 
     /// The wall clock was read, in seconds since the Unix epoch. It may have been stepped since the last reading; it
--- a/crates/platform-router/src/platform_router/worker_connection.rs
+++ b/crates/platform-router/src/platform_router/worker_connection.rs
@@ -135,6 +135,8 @@
     pub recent_ids: VecDeque<u64>,
     /// When something was last queued, written or read.
     pub last_used: f64,
+    /// When it was made; until then, when it was begun.
+    pub connected_at: f64,
     /// When bytes last came from the worker.
     pub last_received: f64,
     /// Pauses after reads that failed for a local reason.
@@ -169,6 +171,7 @@
             outstanding: Vec::new(),
             recent_ids: VecDeque::new(),
             last_used: now,
+            connected_at: now,
             last_received: now,
             read_backoff: Backoff::new(connect_timeout),
             write_backoff: Backoff::new(connect_timeout),
--- a/crates/platform-router/src/worker_connections/read.rs
+++ b/crates/platform-router/src/worker_connections/read.rs
@@ -94,8 +94,9 @@
         if response.probe != matches!(awaited, AwaitedResponse::HealthCheck { .. }) {
             return Err(WorkerConnectionError::UnexpectedResponse);
         }
-        let worker = connection.worker;
+        let (worker, connected_at) = (connection.worker, connection.connected_at);
         connection.finish(at);
+        self.dispatcher.worker_answered(now, worker, connected_at);
         match awaited {
             AwaitedResponse::Attempt { request, attempt } => {
                 self.log_response(worker, request, response, now);
--- a/crates/platform-router/src/worker_connections/send.rs
+++ b/crates/platform-router/src/worker_connections/send.rs
@@ -78,16 +78,6 @@
         self.flush_worker(slot);
     }
 
-    /// Notifies the dispatcher of a connection that was made while there was no other to its worker.
-    pub(super) fn note_first_connection(&mut self, slot: usize, worker: usize) {
-        let others = self.connections_by_worker.get(&worker).into_iter().flatten();
-        let is_connected = |other: &usize| self.worker_connections[*other].stream.is_some();
-        if !others.filter(|&&other| other != slot).any(is_connected) {
-            let now = self.now();
-            self.dispatcher.first_connection_made(now, worker);
-        }
-    }
-
     /// The connection on which one more frame for a worker goes, where need be a new one. `id` is that of a request.
     fn connection_for(&mut self, worker: usize, id: Option<u64>) -> usize {
         let WorkerProcess { address, process } = self.dispatcher.worker_process(worker);
--- a/crates/platform-router/src/worker_connections/task.rs
+++ b/crates/platform-router/src/worker_connections/task.rs
@@ -69,11 +69,11 @@
 /// Takes a new socket into use and writes what is queued; false where the connection was removed meanwhile.
 fn connected(router: &SharedRouter, handle: &ConnectionHandle, stream: &Rc<TcpStream>) -> bool {
     let mut router = router.borrow_mut();
+    let now = router.now();
     let Some(connection) = handle.get_mut(&mut router) else { return false };
     connection.stream = Some(stream.clone());
+    connection.connected_at = now;
     connection.connect_failing = false;
-    let worker = connection.worker;
-    router.note_first_connection(handle.slot, worker);
     router.flush_worker(handle.slot);
     router.run_actions();
     true
--- a/crates/policy/src/acceptance.rs
+++ b/crates/policy/src/acceptance.rs
@@ -10,8 +10,10 @@
     pub(crate) accepted_at: f64,
     /// When the last health check was sent that it did not pass, or did not answer.
     pub(crate) declined_at: f64,
-    /// When a connection to it was made while there was no other.
-    pub(crate) connected_at: f64,
+    /// Since when it is certain that it is one process: it answered on connections that overlapped in time.
+    pub(crate) alive_since: f64,
+    /// When it last answered.
+    alive_until: f64,
 }
 
 impl Acceptance {
@@ -19,7 +21,8 @@
     pub(crate) const UNKNOWN: Self = Self {
         accepted_at: f64::NEG_INFINITY,
         declined_at: f64::NEG_INFINITY,
-        connected_at: f64::NEG_INFINITY,
+        alive_since: f64::NEG_INFINITY,
+        alive_until: f64::NEG_INFINITY,
     };
 
     /// A request that was sent then was served: a draining worker rejects what is new.
@@ -41,8 +44,11 @@
         self.accepted_at > self.declined_at
     }
 
-    /// A connection to it was made while there was no other.
-    pub(crate) fn first_connection_made(&mut self, now: f64) {
-        self.connected_at = now;
+    /// It answered on a connection that was made then. A connection that is younger than its last answer before may lead
+    /// to another process at its address.
+    pub(crate) fn answered(&mut self, now: f64, connected_at: f64) {
+        let same_process = connected_at <= self.alive_until;
+        self.alive_since = if same_process { self.alive_since.min(connected_at) } else { connected_at };
+        self.alive_until = now;
     }
 }
--- a/crates/policy/src/list_staleness.rs
+++ b/crates/policy/src/list_staleness.rs
@@ -1,8 +1,8 @@
 //! What holds while the endpoint list is stale: the source of the list has been silent for so long that it may have
 //! missed to report a worker that drains, is gone or has restarted. Then the list alone does not justify new work. A
 //! worker gets some only while its own word that it takes new work is recent: a health check that it passed, or a
-//! request that it served, both counted from when they were sent. A worker whose connections were all made since the
-//! list was last confirmed may be another process: it is in slow start.
+//! request that it served, both counted from when they were sent. A worker that has answered since the list was last
+//! confirmed, but only on connections that are younger, may be another process: it is in slow start.
 //!
 //! Bounds are those of the configuration: nothing here is tuned. The other modules ask here before each send.
 
@@ -58,10 +58,10 @@
     }
 
     /// When a worker's process started, as far as that is certain now. A router that has never had a current list knows
-    /// no connection from before.
+    /// no process from before.
     pub(crate) fn started(&self, now: f64, worker: &Worker) -> f64 {
-        let connected_at = worker.acceptance.connected_at;
-        let is_new_to_list = self.confirmed_at.is_finite() && connected_at > self.confirmed_at;
-        if is_new_to_list && self.is_stale(now) { worker.started.max(connected_at) } else { worker.started }
+        let alive_since = worker.acceptance.alive_since;
+        let may_be_new = self.confirmed_at.is_finite() && alive_since > self.confirmed_at;
+        if may_be_new && self.is_stale(now) { worker.started.max(alive_since) } else { worker.started }
     }
 }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -221,10 +221,10 @@
         state.workers.iter().filter(|w| w.is_ready() && !state.staleness.allows(now, w)).count()
     }
 
-    /// A connection to a worker was made while there was no other: its process may be another than before.
-    pub fn first_connection_made(&mut self, now: f64, worker: usize) {
+    /// A worker answered on a connection that was made then, whatever it answered.
+    pub fn worker_answered(&mut self, now: f64, worker: usize, connected_at: f64) {
         if worker < self.state.workers.len() {
-            self.state.workers[worker].acceptance.first_connection_made(now);
+            self.state.workers[worker].acceptance.answered(now, connected_at);
         }
     }
 
--- a/crates/policy/tests/stale_list.rs
+++ b/crates/policy/tests/stale_list.rs
@@ -214,12 +214,12 @@
     let mut router = TestRouter::new(config, 4);
     for _ in 0..50 {
         router.router.list_confirmed(router.host.now);
-        router.serve(0, 0.02);
+        let worker = router.serve(0, 0.02);
+        router.router.worker_answered(router.host.now, worker, 0.0);
     }
     router.advance(LIST_VALID_FOR);
-    if reconnects {
-        (0..4).for_each(|worker| router.router.first_connection_made(router.host.now, worker));
-    }
+    let connected_at = if reconnects { router.host.now } else { 0.0 };
+    (0..4).for_each(|worker| router.router.worker_answered(router.host.now, worker, connected_at));
     let mut sent = 0;
     for _ in 0..REQUESTS {
         let id = router.arrive(0, 0.1);
--- a/crates/test-support/src/platform_rig/live_discovery.rs
+++ b/crates/test-support/src/platform_rig/live_discovery.rs
@@ -52,15 +52,14 @@
 impl LiveDiscovery {
     /// Starts it for routers whose configuration holds events up to this number.
     pub fn start(first: u64) -> Self {
+        Self::with_events(first, Vec::new())
+    }
+
+    /// Starts it with events after that number, as lines, that no configuration holds.
+    pub fn with_events(first: u64, events: Vec<String>) -> Self {
         let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
-        let state = Arc::new(Mutex::new(State {
-            first,
-            events: Vec::new(),
-            outage: None,
-            outages: 0,
-            stopped: false,
-        }));
+        let state = Arc::new(Mutex::new(State { first, events, outage: None, outages: 0, stopped: false }));
         let shared = state.clone();
         std::thread::spawn(move || accept_streams(listener, address, &shared));
         Self { address, state }
@@ -74,6 +73,11 @@
         state.events.push(line);
     }
 
+    /// The events so far, as lines.
+    pub fn events(&self) -> Vec<String> {
+        self.state.lock().expect("no test thread panicked").events.clone()
+    }
+
     /// Is out of reach from now on.
     pub fn fail(&self, outage: Outage) {
         let mut state = self.state.lock().expect("no test thread panicked");
--- a/crates/test-support/src/platform_rig/worker.rs
+++ b/crates/test-support/src/platform_rig/worker.rs
@@ -1,8 +1,11 @@
 //! Workers that treat every attempt alike.
 
 use crate::worker_frames::{Frame, frame, read_frame, request, response};
+use nix::poll::{PollFd, PollFlags};
+use socket2::Socket;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -42,6 +45,8 @@
     Full,
     /// It reads, and answers nothing.
     Hung,
+    /// Its process is gone: its connections are reset, and new ones refused.
+    Gone,
 }
 
 /// A frame and when it was read.
@@ -49,6 +54,10 @@
 pub struct TimedFrame {
     /// When it had been read whole.
     pub at: Instant,
+    /// Which of the worker's addresses it came to, by its position.
+    pub listener: usize,
+    /// Whether the worker took new work then.
+    pub condition: WorkerCondition,
     /// The frame.
     pub frame: Frame,
 }
@@ -70,10 +79,10 @@
 
 impl ReceivedFrames {
     /// Takes in a frame; returns how many attempts came before it.
-    fn push(&self, frame: Frame) -> usize {
+    fn push(&self, frame: Frame, listener: usize, condition: WorkerCondition) -> usize {
         let mut frames = self.0.lock().expect("no test thread panicked");
         let earlier = frames.iter().filter(|received| received.frame.code == request::ATTEMPT).count();
-        frames.push(TimedFrame { at: Instant::now(), frame });
+        frames.push(TimedFrame { at: Instant::now(), listener, condition, frame });
         earlier
     }
 
@@ -126,8 +135,10 @@
 
 /// A worker on loopback, on threads of its own.
 pub struct Worker {
-    /// Where it listens.
+    /// Where it listens; the first of its addresses.
     pub address: SocketAddr,
+    /// All its addresses, so that each router can be given one of its own.
+    pub addresses: Vec<SocketAddr>,
     /// What it has received.
     pub received: ReceivedFrames,
     state: Arc<SharedState>,
@@ -136,41 +147,125 @@
 impl Worker {
     /// Starts a worker that treats every attempt so.
     pub fn start(behaviour: WorkerBehaviour) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("a bound socket");
+        Self::with_addresses(behaviour, 1)
+    }
+
+    /// Starts one with so many addresses.
+    pub fn with_addresses(behaviour: WorkerBehaviour, addresses: usize) -> Self {
+        let mut ports: Vec<_> = (0..addresses).map(|_| Port::open()).collect();
+        let addresses: Vec<_> = ports.iter().map(|port| port.address).collect();
         let received = ReceivedFrames::default();
         let state = Arc::<SharedState>::default();
         let (frames, shared) = (received.clone(), state.clone());
         std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let (frames, shared) = (frames.clone(), shared.clone());
-                if let Ok(copy) = stream.try_clone() {
-                    shared.connections.lock().expect("no test thread panicked").push(copy);
-                }
-                std::thread::spawn(move || serve(stream, behaviour, &frames, &shared));
+            while Arc::strong_count(&shared) > 1 {
+                accept_connections(&mut ports, behaviour, &frames, &shared);
             }
         });
-        Self { address, received, state }
+        Self { address: addresses[0], addresses, received, state }
     }
 
     /// Changes whether it takes new work.
     pub fn set_condition(&self, condition: WorkerCondition) {
         *self.state.condition.lock().expect("no test thread panicked") = condition;
+        if condition == WorkerCondition::Gone {
+            self.reset_connections();
+        }
     }
 
-    /// Ends all its connections, as a process does that dies.
-    pub fn end_connections(&self) {
-        let connections =
-            std::mem::take(&mut *self.state.connections.lock().expect("no test thread panicked"));
-        for connection in connections {
+    /// Resets all its connections, as a process does that dies.
+    pub fn reset_connections(&self) {
+        let mut connections = self.state.connections.lock().expect("no test thread panicked");
+        for connection in connections.drain(..) {
+            let _ = socket2::SockRef::from(&connection).set_linger(Some(Duration::ZERO));
             let _ = connection.shutdown(Shutdown::Both);
         }
     }
 }
 
+/// A port of a worker. It stays bound while nobody listens there, so that nobody else gets it.
+struct Port {
+    address: SocketAddr,
+    /// Present while the worker's process is there.
+    listener: Option<TcpListener>,
+    /// Holds the port otherwise.
+    reservation: Option<Socket>,
+}
+
+impl Port {
+    fn open() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        listener.set_nonblocking(true).expect("a socket");
+        let address = listener.local_addr().expect("a bound socket");
+        Self { address, listener: Some(listener), reservation: None }
+    }
+
+    /// Refuses connections or accepts them.
+    fn set_listening(&mut self, listens: bool) {
+        if listens == self.listener.is_some() {
+            return;
+        }
+        if !listens {
+            self.listener = None;
+            self.reservation = reserve(self.address).ok();
+            return;
+        }
+        let socket = self.reservation.take().or_else(|| reserve(self.address).ok());
+        self.listener = socket.and_then(|socket| {
+            socket.listen(BACKLOG).ok()?;
+            socket.set_nonblocking(true).ok()?;
+            Some(socket.into())
+        });
+    }
+}
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 128;
+
+fn reserve(address: SocketAddr) -> std::io::Result<Socket> {
+    let socket = Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+/// Waits a moment for connections, and starts a thread for each.
+fn accept_connections(
+    ports: &mut [Port],
+    behaviour: WorkerBehaviour,
+    received: &ReceivedFrames,
+    state: &Arc<SharedState>,
+) {
+    /// Milliseconds after which the worker's condition is looked at again.
+    const WAIT_MS: u8 = 20;
+    let is_there = state.condition() != WorkerCondition::Gone;
+    ports.iter_mut().for_each(|port| port.set_listening(is_there));
+    let listeners: Vec<_> = ports.iter().filter_map(|port| port.listener.as_ref()).collect();
+    let mut polled: Vec<_> =
+        listeners.iter().map(|listener| PollFd::new(listener.as_fd(), PollFlags::POLLIN)).collect();
+    if polled.is_empty() {
+        std::thread::sleep(Duration::from_millis(WAIT_MS.into()));
+        return;
+    }
+    if nix::poll::poll(&mut polled, WAIT_MS).unwrap_or(0) == 0 {
+        return;
+    }
+    for (index, port) in ports.iter().enumerate() {
+        while let Some((stream, _)) = port.listener.as_ref().and_then(|listener| listener.accept().ok()) {
+            let (received, state) = (received.clone(), state.clone());
+            let _ = stream.set_nonblocking(false);
+            if let Ok(copy) = stream.try_clone() {
+                state.connections.lock().expect("no test thread panicked").push(copy);
+            }
+            std::thread::spawn(move || serve(stream, index, behaviour, &received, &state));
+        }
+    }
+}
+
 /// Serves one connection until it ends.
 fn serve(
     mut stream: TcpStream,
+    listener: usize,
     behaviour: WorkerBehaviour,
     received: &ReceivedFrames,
     state: &SharedState,
@@ -179,10 +274,11 @@
         let frame_in = read_frame(&mut stream)?;
         let (code, id) = (frame_in.code, frame_in.id);
         let only_asks = frame_in.fields.ends_with("n=0");
-        let earlier_attempts = received.push(frame_in);
         let condition = state.condition();
+        let earlier_attempts = received.push(frame_in, listener, condition);
         let answer = match (code, condition) {
             (_, WorkerCondition::Hung) => continue,
+            (_, WorkerCondition::Gone) => return None,
             (request::ATTEMPT, WorkerCondition::Ready) => {
                 behaviour(earlier_attempts, id, &mut stream);
                 continue;
