A worker of the rig outlives its handle, as before

Seen: three to four cases of corrupt_answers_are_not_passed_on failed after the commit before, in each run. Cause: the rig's new accept loop ended when the test dropped its handle, and these tests keep addresses alone. The loop now ends only when it is told to.

--- a/crates/test-support/src/platform_rig/worker.rs
+++ b/crates/test-support/src/platform_rig/worker.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -122,6 +123,7 @@
 /// What the threads of a worker share.
 #[derive(Debug, Default)]
 struct SharedState {
+    is_stopped: AtomicBool,
     condition: Mutex<WorkerCondition>,
     /// Its open connections, to reset them. Bounded by those that the test's routers open.
     connections: Mutex<Vec<TcpStream>>,
@@ -158,7 +160,7 @@
         let state = Arc::<SharedState>::default();
         let (frames, shared) = (received.clone(), state.clone());
         std::thread::spawn(move || {
-            while Arc::strong_count(&shared) > 1 {
+            while !shared.is_stopped.load(Ordering::Relaxed) {
                 accept_connections(&mut ports, behaviour, &frames, &shared);
             }
         });
@@ -173,6 +175,12 @@
         }
     }
 
+    /// Ends it for good. A worker that is only dropped goes on until its process ends.
+    pub fn stop(&self) {
+        self.set_condition(WorkerCondition::Gone);
+        self.state.is_stopped.store(true, Ordering::Relaxed);
+    }
+
     /// Resets all its connections, as a process does that dies.
     pub fn reset_connections(&self) {
         let mut connections = self.state.connections.lock().expect("no test thread panicked");
