A rejected load request counts as a rejection of loads by that worker

Cause: a rejected load request left no trace, so that each request in the queue asked again as soon as the rejection came. Ruled out: several functions or several requests, as path and router are one.

Related to the outage as it made it worse; it holds for workers without room as well.

--- a/crates/milletpath/tests/outage_soak/fleet.rs
+++ b/crates/milletpath/tests/outage_soak/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{CallRecord, ClientPlan, run_client};
 use crate::day::{Day, Fault};
-use crate::judge::{Notice, Observations, Verdict, WorkerChange, judge};
+use crate::judge::{Notice, Observations, Pause, Verdict, WorkerChange, judge};
 use crate::lateness::record_lateness;
 use milletpath_test_support::platform_rig::{
     LiveDiscovery, MAX_SOCKETS, Outage, Router, RouterConfiguration, Worker, WorkerCondition, answers_after,
@@ -225,6 +225,8 @@
             }
             Fault::Pause { router, seconds: length } => {
                 self.signal(router, Signal::SIGSTOP);
+                let from = Instant::now();
+                self.observations.pauses.push(Pause { router, from, until: from + seconds(length) });
                 self.later(seconds(length), Step::Resume { router });
             }
             Fault::Crowd { router, clients } => {
--- a/crates/milletpath/tests/outage_soak/main.rs
+++ b/crates/milletpath/tests/outage_soak/main.rs
@@ -51,6 +51,9 @@
     for broken in &verdict.breaks {
         println!("  broken: {broken}");
     }
+    if !verdict.breaks.is_empty() {
+        println!("  day: {day:?}");
+    }
 }
 
 #[test]
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -335,6 +335,8 @@
         }
         match outcome {
             Outcome::Unreachable => state.workers[worker].record_evidence(now, Evidence::UNREACHED),
+            // It has no room, or drains: asked again at once it would reject as often as it can be asked.
+            Outcome::Rejected => state.workers[worker].rejected_at.set(now, false),
             Outcome::Failed | Outcome::Succeeded => {
                 state.load_requests.load_ended(now, outcome == Outcome::Succeeded, &mut state.random);
             }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -378,3 +378,22 @@
     let (few, many) = (taken(3), taken(100));
     assert!(few > many && many > 0, "{few} and {many}");
 }
+
+/// A worker without room rejects a load request: asked again at once it rejected as often as it was asked, some
+/// thousands of times a second, for as long as a request waited.
+#[test]
+fn a_rejected_load_request_is_not_repeated_at_once() {
+    let mut router =
+        TestRouter::new(PolicyConfig { reports_missing_functions: true, ..config(idempotent()) }, 1);
+    let id = router.arrive(0, 4.0);
+    router.answer(id, 0, Outcome::NotLoaded, 0.001);
+    assert_eq!(router.load_requests().len(), 1);
+    for _ in 0..20 {
+        router.advance(0.001);
+        router.router.load_request_ended(router.host.now, 0, 0, Outcome::Rejected, 0, &mut router.host);
+    }
+    assert_eq!(router.load_requests().len(), 1, "none within 20 ms");
+    router.advance(0.5);
+    router.arrive(0, 4.0);
+    assert_eq!(router.load_requests().len(), 2, "and again after a while");
+}
