--- a/crates/milletpath/tests/outage_soak/client.rs
+++ b/crates/milletpath/tests/outage_soak/client.rs
@@ -53,6 +53,8 @@
     pub pause: Duration,
     /// Every so many calls it leaves before the answer; never where that is 0.
     pub leaves_every: u64,
+    /// Calls that it makes at most.
+    pub most_calls: usize,
 }
 
 /// The router that a call went to, by its id.
@@ -63,7 +65,7 @@
 /// Calls until it is stopped, on connections that it keeps for as long as the router does.
 pub fn run_client(plan: &ClientPlan, stop: &AtomicBool) -> Vec<CallRecord> {
     let mut records = Vec::new();
-    while !stop.load(Ordering::Relaxed) {
+    while !stop.load(Ordering::Relaxed) && records.len() < plan.most_calls {
         match TcpStream::connect(plan.address) {
             Ok(stream) => call_on(stream, plan, stop, &mut records),
             // The router is not there.
@@ -79,7 +81,7 @@
     let _ = stream.set_read_timeout(Some(PATIENCE + READ_ON));
     let mut stream = BufReader::new(stream);
     for number in 1_u64.. {
-        if stop.load(Ordering::Relaxed) {
+        if stop.load(Ordering::Relaxed) || records.len() >= plan.most_calls {
             return;
         }
         let made = records.len() as u64 + 1;
--- a/crates/milletpath/tests/outage_soak/fleet.rs
+++ b/crates/milletpath/tests/outage_soak/fleet.rs
@@ -57,7 +57,10 @@
     routers: Vec<RouterPlace>,
     steps: Vec<(Instant, Step)>,
     observations: Observations,
+    /// Clients that are to be started.
     crowds: Vec<ClientPlan>,
+    /// Clients that came later than the first second.
+    crowd_size: u64,
 }
 
 /// Plays a day and judges it.
@@ -75,7 +78,14 @@
     for (router, place) in routers.iter().enumerate() {
         for number in 0..day.clients as u64 {
             let leaves_every = if number == 1 { 13 } else { 0 };
-            let plan = ClientPlan { router, address: place.address, number: number + 1, pause, leaves_every };
+            let plan = ClientPlan {
+                router,
+                address: place.address,
+                number: number + 1,
+                pause,
+                leaves_every,
+                most_calls: usize::MAX,
+            };
             clients.push(start_client(plan, &stop, &records));
         }
     }
@@ -90,6 +100,7 @@
         steps,
         observations: Observations::default(),
         crowds: Vec::new(),
+        crowd_size: 0,
     };
     let end = began + seconds(day.seconds);
     while Instant::now() < end {
@@ -227,17 +238,22 @@
                 self.signal(router, Signal::SIGSTOP);
                 let from = Instant::now();
                 self.observations.pauses.push(Pause { router, from, until: from + seconds(length) });
+                // Clients that leave while nobody reads.
+                self.add_crowd(router, 5, 1, 3);
                 self.later(seconds(length), Step::Resume { router });
             }
-            Fault::Crowd { router, clients } => {
-                let address = self.routers[router].address;
-                let number = |n| 100 + 1000 * self.crowds.len() as u64 + n as u64;
-                let pause = Duration::from_millis(300);
-                let plans: Vec<_> = (0..clients)
-                    .map(|n| ClientPlan { router, address, number: number(n), pause, leaves_every: 0 })
-                    .collect();
-                self.crowds.extend(plans);
-            }
+            Fault::Crowd { router, clients } => self.add_crowd(router, clients, 0, usize::MAX),
+        }
+    }
+
+    /// More clients of a router, who call seldom.
+    fn add_crowd(&mut self, router: usize, clients: usize, leaves_every: u64, most_calls: usize) {
+        let address = self.routers[router].address;
+        let pause = Duration::from_millis(300);
+        for _ in 0..clients {
+            self.crowd_size += 1;
+            let number = 100 + self.crowd_size;
+            self.crowds.push(ClientPlan { router, address, number, pause, leaves_every, most_calls });
         }
     }
 
--- a/crates/simulator/src/clocks.rs
+++ b/crates/simulator/src/clocks.rs
@@ -29,6 +29,9 @@
     pub clock_step: Option<ClockStep>,
     /// A worker's new process has the address of the former one.
     pub same_address: bool,
+    /// Gateways believe the endpoint list however long the registry has been silent: they break the rules that a silence
+    /// tests.
+    pub believes_silent_registry: bool,
 }
 
 impl Variation {
--- a/crates/simulator/src/endpoint_list.rs
+++ b/crates/simulator/src/endpoint_list.rs
@@ -2,6 +2,7 @@
 
 use crate::context::Context;
 use crate::event::{Event, WorkerProcess};
+use crate::registry_silence::RegistrySilence;
 use milletpath_emulator::scenario;
 use milletpath_history_checker::HistoryEvent;
 use milletpath_protocol::registry::{EndpointEntry, EndpointStatus};
@@ -10,13 +11,15 @@
 pub(crate) struct EndpointList {
     /// By worker.
     entries: Vec<EndpointEntry>,
+    /// The registry's silence.
+    pub silence: RegistrySilence,
 }
 
 impl EndpointList {
     /// The endpoints of workers that started long ago.
     pub fn new(workers: usize) -> Self {
         let entry = |worker| entry(WorkerProcess { worker, number: 0 }, None);
-        Self { entries: (0..workers).map(entry).collect() }
+        Self { entries: (0..workers).map(entry).collect(), silence: RegistrySilence::NONE }
     }
 
     pub fn entries(&self) -> &[EndpointEntry] {
@@ -39,14 +42,26 @@
 
     /// Notifies all gateways of the entries of some workers.
     fn announce(&self, context: &mut Context, workers: &[usize]) {
-        for gateway in 0..context.scenario.gateways {
-            for &worker in workers {
-                let ready = self.entries[worker].state == EndpointStatus::Ready;
-                context.record(HistoryEvent::EndpointNotified { gateway, worker, ready });
-            }
-        }
+        let states: Vec<_> = workers
+            .iter()
+            .map(|&worker| (worker, self.entries[worker].state == EndpointStatus::Ready))
+            .collect();
         let entries = workers.iter().map(|worker| self.entries[*worker].clone()).collect();
-        context.send(Event::EndpointsChanged(entries));
+        if !self.silence.holds(context.now) {
+            record_notified(context, &states);
+            return context.send(Event::EndpointsChanged(entries));
+        }
+        context.schedule(self.silence.told_at(context.now), Event::EndpointsCountAsTold(states));
+        context.schedule(self.silence.heard_at(context.now), Event::EndpointsChanged(entries));
+    }
+}
+
+/// Records that all gateways are notified of whether workers are ready.
+pub(crate) fn record_notified(context: &mut Context, states: &[(usize, bool)]) {
+    for gateway in 0..context.scenario.gateways {
+        for &(worker, ready) in states {
+            context.record(HistoryEvent::EndpointNotified { gateway, worker, ready });
+        }
     }
 }
 
--- a/crates/simulator/src/faults.rs
+++ b/crates/simulator/src/faults.rs
@@ -1,13 +1,15 @@
 //! The scenario's faults of workers and of the store, by the steps that the emulator's player has too. Faults of traffic are
 //! in the plan of the clients' calls; those of gateways' processes, of links and of the endpoint list's delivery are played
-//! on sockets only.
+//! on sockets only, but for a registry that falls silent.
 
 use crate::context::Context;
 use crate::endpoint_list::EndpointList;
 use crate::event::{Event, FaultEvent};
+use crate::registry_silence::RegistrySilence;
 use crate::workers::Workers;
 use milletpath_emulator::scenario::{FaultStep, TimedStep, affects_workers, pick, worker_steps};
 use milletpath_emulator::scenario_file::FaultKind;
+use milletpath_protocol::registry::EndpointStatus;
 use std::collections::VecDeque;
 
 /// Schedules all faults of the scenario.
@@ -26,6 +28,10 @@
     number: usize,
 ) {
     let fault = context.scenario.faults[number].clone();
+    if fault.kind == FaultKind::RegistryStall {
+        endpoints.silence = RegistrySilence::begin(context.now, fault.duration);
+        return;
+    }
     if fault.kind == FaultKind::FunctionRelease {
         return release_functions(context, workers, fault.fraction);
     }
@@ -67,7 +73,13 @@
 ) {
     match step {
         FaultStep::Kill(affected) => affected.iter().for_each(|worker| workers.kill(context, *worker)),
-        FaultStep::SetStatus(affected, status) => endpoints.set_status(context, &affected, status),
+        FaultStep::SetStatus(affected, status) => {
+            // Nobody hears of it: on the platform a draining worker takes nothing new from the start.
+            if status == EndpointStatus::Draining && endpoints.silence.holds(context.now) {
+                affected.iter().for_each(|worker| workers.get_mut(*worker).model.draining = true);
+            }
+            endpoints.set_status(context, &affected, status);
+        }
         FaultStep::StopAdmission(worker) => workers.get_mut(worker).model.draining = true,
         FaultStep::Replace(affected) => {
             // The processes of a crash have ended when it began.
--- a/crates/simulator/src/gateways.rs
+++ b/crates/simulator/src/gateways.rs
@@ -3,7 +3,7 @@
 use crate::clients::Clients;
 use crate::context::Context;
 use crate::event::{
-    ClientAttempt, ClientInput, Event, GatewayAttempt, GatewayInput, LoadRequest, WorkerInput,
+    ClientAttempt, ClientInput, Event, GatewayAttempt, GatewayInput, LoadRequest, WorkerInput, WorkerProcess,
 };
 use crate::workers::Workers;
 use milletpath_config::GatewayConfig;
@@ -12,12 +12,15 @@
 };
 use milletpath_history_checker::AttemptOutcome;
 use milletpath_protocol::registry::EndpointEntry;
+use std::collections::BTreeMap;
 
 /// A dispatcher that knows each request by its client's attempt.
 pub(crate) type SimulatedDispatcher = Dispatcher<ClientAttempt>;
 
 struct Gateway {
     dispatcher: SimulatedDispatcher,
+    /// The number of the process of each worker that it last sent to, and since when it is connected to that one.
+    connections: BTreeMap<usize, (u64, f64)>,
     /// When its timer is due; infinite where none is set.
     timer: f64,
 }
@@ -26,7 +29,11 @@
 
 impl Gateways {
     pub fn new(configs: &[GatewayConfig]) -> Self {
-        let gateway = |config| Gateway { dispatcher: Dispatcher::new(config, 0.0), timer: f64::INFINITY };
+        let gateway = |config| Gateway {
+            dispatcher: Dispatcher::new(config, 0.0),
+            connections: BTreeMap::new(),
+            timer: f64::INFINITY,
+        };
         Self(configs.iter().map(gateway).collect())
     }
 
@@ -144,6 +151,19 @@
         }
     }
 
+    /// Since when a gateway is connected to a worker's process.
+    pub fn connected_at(&self, gateway: usize, worker: usize) -> f64 {
+        self.0[gateway].connections.get(&worker).map_or(f64::INFINITY, |(_, at)| *at)
+    }
+
+    /// A gateway sends something to a worker: on a new connection where its process is another than before.
+    fn connect(&mut self, now: f64, gateway: usize, process: WorkerProcess) {
+        let connection = self.0[gateway].connections.entry(process.worker).or_insert((process.number, now));
+        if connection.0 != process.number {
+            *connection = (process.number, now);
+        }
+    }
+
     /// Changes of the endpoint list reach all gateways.
     pub fn endpoints_changed(
         &mut self,
@@ -170,7 +190,7 @@
         while let Some(action) = self.0[gateway].dispatcher.next_action() {
             self.carry_out_one(context, workers, gateway, action);
         }
-        let Gateway { dispatcher, timer } = &mut self.0[gateway];
+        let Gateway { dispatcher, timer, .. } = &mut self.0[gateway];
         if let Some(deadline) = dispatcher.next_deadline().filter(|deadline| *deadline < *timer) {
             *timer = deadline;
             let event = Event::Gateway { gateway, input: GatewayInput::Timer };
@@ -189,6 +209,7 @@
         match action {
             Action::SendAttempt { request, attempt: number, worker } => {
                 if dispatcher.begin_attempt(context.now, request, number) {
+                    self.connect(context.now, gateway, workers.process(worker));
                     let input = WorkerInput::AttemptArrives(GatewayAttempt { gateway, request, number });
                     context.send(Event::Worker { process: workers.process(worker), input });
                 }
@@ -208,6 +229,7 @@
                 }
             }
             Action::HealthCheck { worker, serial } => {
+                self.connect(context.now, gateway, workers.process(worker));
                 let input = WorkerInput::HealthCheckArrives { gateway, serial };
                 context.send(Event::Worker { process: workers.process(worker), input });
             }
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -15,6 +15,7 @@
 mod event_queue;
 mod faults;
 mod gateways;
+mod registry_silence;
 mod report;
 mod simulation;
 mod slow_start;
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -4,17 +4,19 @@
 use crate::clients::Clients;
 use crate::clocks::Variation;
 use crate::context::Context;
-use crate::endpoint_list::EndpointList;
+use crate::endpoint_list::{EndpointList, record_notified};
 use crate::event::{ClientInput, Event, FaultEvent, GatewayInput, WorkerInput, WorkerProcess};
 use crate::event_queue::ScheduledEvent;
 use crate::faults;
 use crate::gateways::Gateways;
+use crate::registry_silence::list_valid_for;
 use crate::report::SimulationReport;
 use crate::workers::Workers;
 use milletpath_config::GatewayConfig;
 use milletpath_emulator::scenario::GatewayConfigFile;
 use milletpath_emulator::scenario_file::Scenario;
 use milletpath_history_checker::AttemptOutcome;
+use milletpath_policy::Outcome;
 use std::net::{Ipv4Addr, SocketAddr};
 
 /// Plays a scenario.
@@ -48,7 +50,10 @@
 impl Simulation {
     fn new(scenario: &Scenario, seed: u64, variation: Variation) -> Self {
         let mut context = Context::new(scenario, seed, variation);
-        let configs = gateway_configs(scenario, seed);
+        let mut configs = gateway_configs(scenario, seed);
+        if !variation.believes_silent_registry {
+            configs.iter_mut().for_each(limit_list_validity);
+        }
         let mut workers = Workers::new(&mut context);
         let endpoints = EndpointList::new(scenario.workers);
         let mut gateways = Gateways::new(&configs);
@@ -86,8 +91,11 @@
             Event::EndpointsChanged(entries) => {
                 self.gateways.endpoints_changed(&mut self.context, &mut self.workers, &entries);
             }
+            Event::EndpointsCountAsTold(states) => record_notified(&mut self.context, &states),
             Event::EndpointsConfirmed => {
-                self.gateways.endpoints_confirmed(self.context.now);
+                if !self.endpoints.silence.holds(self.context.now) {
+                    self.gateways.endpoints_confirmed(self.context.now);
+                }
                 self.context.schedule_in(CONFIRMATION_INTERVAL, Event::EndpointsConfirmed);
             }
         }
@@ -135,7 +143,11 @@
                 });
             }
             GatewayInput::HealthCheckEnded { worker, serial, outcome, report } => {
+                let connected_at = gateways.connected_at(gateway, worker);
                 gateways.input(context, workers, gateway, |dispatcher, now| {
+                    if outcome != Outcome::Unreachable {
+                        dispatcher.worker_answered(now, worker, connected_at);
+                    }
                     dispatcher.health_check_ended(now, worker, serial, outcome, report);
                 });
             }
@@ -176,6 +188,11 @@
     }
 }
 
+/// The simulated registry confirms the list each second; a gateway believes it for as long as the platform's routers do.
+fn limit_list_validity(config: &mut GatewayConfig) {
+    config.policy.list_valid_for = list_valid_for(config.limits.drain_grace);
+}
+
 /// The configurations that the gateways of a scenario on sockets have, for addresses at which nobody listens.
 fn gateway_configs(scenario: &Scenario, seed: u64) -> Vec<GatewayConfig> {
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
--- a/crates/simulator/src/workers.rs
+++ b/crates/simulator/src/workers.rs
@@ -153,7 +153,9 @@
     ) {
         let worker = process.worker;
         let (outcome, report) = if self.is_reachable(process) {
-            (Outcome::Succeeded, Some(self.workers[worker].load_report()))
+            let outcome =
+                if self.workers[worker].model.draining { Outcome::Failed } else { Outcome::Succeeded };
+            (outcome, Some(self.workers[worker].load_report()))
         } else {
             (Outcome::Unreachable, None)
         };
--- a/crates/simulator/tests/clocks.rs
+++ b/crates/simulator/tests/clocks.rs
@@ -30,7 +30,7 @@
 
 fn play(seed: u64, clock_step: Option<ClockStep>, same_address: bool) -> (SimulationReport, SlowStartReport) {
     let scenario = rolling_restart();
-    let report = play_varied(&scenario, seed, Variation { clock_step, same_address });
+    let report = play_varied(&scenario, seed, Variation { clock_step, same_address, ..Variation::default() });
     let load = slow_start_report(&scenario, &report.records);
     (report, load)
 }
