--- a/crates/policy/src/list_staleness.rs
+++ b/crates/policy/src/list_staleness.rs
@@ -17,11 +17,18 @@
     acceptance_valid_for: f64,
     /// When the list was known to be current; minus infinity before the first confirmation.
     confirmed_at: f64,
+    /// When a worker was last asked that no request waited for.
+    asked_in_background_at: f64,
 }
 
 impl ListStaleness {
     pub(crate) fn new(list_valid_for: f64, acceptance_valid_for: f64) -> Self {
-        Self { list_valid_for, acceptance_valid_for, confirmed_at: f64::NEG_INFINITY }
+        Self {
+            list_valid_for,
+            acceptance_valid_for,
+            confirmed_at: f64::NEG_INFINITY,
+            asked_in_background_at: f64::NEG_INFINITY,
+        }
     }
 
     /// The list was current at a time, which may be past.
@@ -57,6 +64,17 @@
         !declined && (sent_at == f64::NEG_INFINITY || now - sent_at < patience)
     }
 
+    /// Whether a worker may be asked that no request waits for: one in the time for which a proof holds, so that the checks
+    /// of many routers stay few.
+    pub(crate) fn may_ask_in_background(&self, now: f64) -> bool {
+        now - self.asked_in_background_at >= self.acceptance_valid_for
+    }
+
+    /// A worker is asked that no request waits for.
+    pub(crate) fn asked_in_background(&mut self, now: f64) {
+        self.asked_in_background_at = now;
+    }
+
     /// When a worker's process started, as far as that is certain now. A router that has never had a current list knows
     /// no process from before.
     pub(crate) fn started(&self, now: f64, worker: &Worker) -> f64 {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -149,7 +149,7 @@
         let Some(query) = self.query(now, id) else { return Decision::GiveUp };
         let Some(function) = self.functions.take(query.function_index) else { return Decision::GiveUp };
         let common = self.common_load(now, &query, &function);
-        let search = self.search_by_proof(now, query, &function, common);
+        let search = self.search_by_proof(now, query, &function, common, host);
         self.functions.put_back(query.function_index, function);
         if let Some(worker) =
             search.without_function.filter(|_| search.least_loaded_warm.or(search.past_set_warm).is_none())
@@ -252,14 +252,39 @@
 
     /// Compares the workers that may get new work. While the list is stale proven ones come first, as a check of another
     /// costs a round trip, and a worker can answer only so many of all routers.
-    fn search_by_proof(&mut self, now: f64, query: Query, function: &Function, common: CommonLoad) -> Search {
-        if self.staleness.is_stale(now) {
-            let proven = self.search(now, &Comparison { query, function, common, scope: Scope::Proven });
-            if proven.has_warm_within(&common) {
-                return proven;
-            }
+    fn search_by_proof(
+        &mut self,
+        now: f64,
+        query: Query,
+        function: &Function,
+        common: CommonLoad,
+        host: &mut dyn Effects,
+    ) -> Search {
+        let among = |scope| Comparison { query, function, common, scope };
+        if !self.staleness.is_stale(now) {
+            return self.search(now, &among(Scope::Askable));
+        }
+        let proven = self.search(now, &among(Scope::Proven));
+        if !proven.has_warm_within(&common) {
+            return self.search(now, &among(Scope::Askable));
+        }
+        if self.staleness.may_ask_in_background(now) {
+            self.ask_in_background(now, &among(Scope::Askable), host);
+        }
+        proven
+    }
+
+    /// Checks the health of the worker that the request would wait for where none were proven, though it does not wait:
+    /// or a worker that takes new work again would stay unused.
+    fn ask_in_background(&mut self, now: f64, comparison: &Comparison, host: &mut dyn Effects) {
+        let search = self.search(now, comparison);
+        let target = self.choose(&comparison.common, &search).target;
+        if let Some(Candidate { worker, .. }) = target
+            && !self.staleness.allows(now, &self.workers[worker])
+        {
+            self.staleness.asked_in_background(now);
+            self.ask_for_proof(now, worker, host);
         }
-        self.search(now, &Comparison { query, function, common, scope: Scope::Askable })
     }
 
     /// Whether a worker is compared, by what it has proved or can be asked to prove while the list is stale.
--- a/crates/policy/tests/stale_list.rs
+++ b/crates/policy/tests/stale_list.rs
@@ -243,3 +243,35 @@
     let (known, restarted) = (sent_in_a_rush(false), sent_in_a_rush(true));
     assert!(known > 190 && restarted < known / 2, "{restarted} where {known} are sent");
 }
+
+/// A worker that was declined once takes new work again, while another serves all that comes: it is asked in the
+/// background, no more than once in the time for which a proof holds, and used again.
+#[test]
+fn a_worker_that_takes_work_again_is_found_while_another_serves() {
+    let mut router = stale_router(stale_config(), 2);
+    let id = router.arrive(0, 4.0);
+    let home = answer_check(&mut router, Outcome::Failed);
+    answer_check(&mut router, Outcome::Succeeded);
+    router.advance(0.02);
+    router.answer(id, 0, Outcome::Succeeded, 0.02);
+    let (mut asked, mut served_by_home) = (0, 0);
+    for _ in 0..100 {
+        router.host.calls.clear();
+        served_by_home += usize::from(router.serve(0, 0.02) == home);
+        for worker in checked(&router) {
+            asked += usize::from(worker == home);
+            router.router.health_check_ended(
+                router.host.now,
+                worker,
+                Outcome::Succeeded,
+                None,
+                &mut router.host,
+            );
+        }
+    }
+    assert!(
+        asked >= 1 && f64::from(asked as u32) <= 100.0 * 0.02 / GRACE + 1.0,
+        "asked {asked} times in 2 s"
+    );
+    assert!(served_by_home > 50, "{served_by_home} of 100");
+}
