--- /dev/null
+++ b/crates/milletpath/tests/serve_registry_outage.rs
@@ -0,0 +1,131 @@
+//! `milletpath serve` whose registry is gone. A worker drains that was listed as ready, and the gateway sent it requests
+//! until the registry was back: its list had no age, as that of the router on the platform had none.
+
+use milletpath_test_support::serve_rig::{Client, Gateway, Message, OK, Worker, call_request};
+use milletpath_test_support::wait::becomes_true;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Until what a registry would have told counts as told, and the grace.
+const NOTICE_AND_GRACE: Duration = Duration::from_millis(2500);
+/// What a busy machine may take between the gateway's write and the worker's read.
+const DELAY: Duration = Duration::from_secs(1);
+
+/// A registry that lists two workers to all who ask, until it is gone.
+struct Registry {
+    address: SocketAddr,
+    is_gone: Arc<AtomicBool>,
+}
+
+impl Registry {
+    fn start(workers: [SocketAddr; 2]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("a bound socket");
+        let is_gone = Arc::<AtomicBool>::default();
+        let gone = is_gone.clone();
+        let entry = |(n, address): (usize, &SocketAddr)| {
+            format!(r#"{{"name":"w{n}","address":"{address}","state":"ready"}}"#)
+        };
+        let entries: Vec<_> = workers.iter().enumerate().map(entry).collect();
+        let list = format!("{{\"edition\":1,\"whole\":true,\"workers\":[{}]}}\n", entries.join(","));
+        std::thread::spawn(move || {
+            listener.set_nonblocking(true).expect("a socket");
+            let mut streams: Vec<TcpStream> = Vec::new();
+            while !gone.load(Ordering::Relaxed) {
+                if let Ok((mut stream, _)) = listener.accept() {
+                    stream.set_nonblocking(false).expect("a socket");
+                    let _ = Message::read(&mut BufReader::new(&stream));
+                    let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{list}").as_bytes());
+                    streams.push(stream);
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            streams.iter().for_each(|stream| stream.shutdown(Shutdown::Both).expect("an open stream"));
+        });
+        Self { address, is_gone }
+    }
+}
+
+/// A worker that drains when it is told to: it rejects what is new, and does not pass a health check.
+#[derive(Clone, Default)]
+struct DrainingWorker {
+    drains: Arc<AtomicBool>,
+    /// When requests of functions came.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl DrainingWorker {
+    fn start(&self) -> SocketAddr {
+        let worker = self.clone();
+        Worker::serve_with(move |stream| worker.serve(stream))
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let mut stream = BufReader::new(stream);
+        while let Some(message) = Message::read(&mut stream) {
+            let is_check = message.start.contains("/v2/health/ready");
+            if !is_check {
+                self.arrivals.lock().expect("no test thread panicked").push(Instant::now());
+            }
+            let answer = match (self.drains.load(Ordering::Relaxed), is_check) {
+                (false, _) => OK,
+                (true, true) => "HTTP/1.1 503 Draining\r\ncontent-length: 0\r\n\r\n",
+                (true, false) => {
+                    "HTTP/1.1 503 Draining\r\nmilletpath-refused: full\r\ncontent-length: 0\r\n\r\n"
+                }
+            };
+            let _ = stream.get_mut().write_all(answer.as_bytes());
+        }
+    }
+
+    fn arrivals_after(&self, time: Instant) -> usize {
+        let arrivals = self.arrivals.lock().expect("no test thread panicked");
+        arrivals.iter().filter(|at| **at > time).count()
+    }
+}
+
+/// One call of each of a number of functions; returns how many were served.
+fn serve_calls(client: &mut Client) -> usize {
+    const FUNCTIONS: usize = 16;
+    (0..FUNCTIONS)
+        .filter(|n| {
+            let call = call_request("", "").replace("greet", &format!("greet-{n}"));
+            client.write(&call).expect("the gateway reads");
+            client.response().expect("an answer").status() == 200
+        })
+        .count()
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new_while_the_registry_is_gone() {
+    let [draining, other] = [(); 2].map(|()| DrainingWorker::default());
+    let registry = Registry::start([draining.start(), other.start()]);
+    let configuration = format!(
+        "seed = 3\nlisten = \"127.0.0.1:0\"\n\
+         profile \"pure\" {{\ndue = 1\ncut_off = 3\neffect = \"pure\"\n}}\n\
+         workers {{\norders = false\ndrain_grace = 0.5\nregistry = \"{}\"\n}}\n",
+        registry.address
+    );
+    let gateway = Gateway::with_configuration(&configuration, 1024);
+    let mut client = Client::connect(gateway.address).expect("it listens");
+    assert!(becomes_true(|| serve_calls(&mut client) > 0));
+    assert!(becomes_true(|| {
+        serve_calls(&mut client);
+        draining.arrivals_after(Instant::now() - DELAY) > 0
+    }));
+    registry.is_gone.store(true, Ordering::Relaxed);
+    let began = Instant::now();
+    draining.drains.store(true, Ordering::Relaxed);
+    let due = began + NOTICE_AND_GRACE + DELAY;
+    let (mut rounds, mut served) = (0, 0);
+    while Instant::now() < due + Duration::from_secs(2) {
+        rounds += 1;
+        served += serve_calls(&mut client);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(draining.arrivals_after(due), 0, "requests of a draining worker");
+    assert!(rounds > 3 && served * 100 >= rounds * 16 * 95, "{served} served in {rounds} rounds of 16");
+}
--- a/crates/test-support/src/serve_rig/gateway.rs
+++ b/crates/test-support/src/serve_rig/gateway.rs
@@ -56,9 +56,14 @@
 
     /// Starts one on a port of its own.
     pub fn with_options(worker: SocketAddr, options: &GatewayOptions) -> Self {
+        Self::with_configuration(&configuration(worker, options), options.descriptors)
+    }
+
+    /// Starts one with the text of its configuration, to which the system grants so many descriptors.
+    pub fn with_configuration(text: &str, descriptors: usize) -> Self {
         let configuration_file = scratch_path("gateway", ".hcl");
-        std::fs::write(&configuration_file, configuration(worker, options)).expect("a writable file");
-        let script = format!("ulimit -n {}; exec \"$0\" serve --config \"$1\"", options.descriptors);
+        std::fs::write(&configuration_file, text).expect("a writable file");
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" serve --config \"$1\"");
         let mut shell = Command::new("sh");
         shell.arg("-c").arg(script).arg(program_path()).arg(&configuration_file);
         let mut child = shell.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().expect("it starts");
