serve's worker list has an age as well: it is stale once the registry's stream has ended

Cause: the same as on the platform; the stream's end was reported to the policy, which asked again and believed the list until it was answered. Change: while the stream is open the list counts as current every 250 ms, as of the look before; 2 s and the grace after its end a worker gets new work only by its own recent word. The health checks of workers prove it. A list in the configuration has no age. What remains: a registry that keeps its stream open and is silent can't be told from one without changes, as its protocol has no heartbeat.

The simulator takes the same validity from the configuration.

--- a/crates/config/src/reader/gateway.rs
+++ b/crates/config/src/reader/gateway.rs
@@ -35,6 +35,7 @@
     let source = source.unwrap_or_else(|| WorkerSource::List(Vec::new()));
     let limits_section = top.block("limits");
     let gateways = top.count("gateways", "gateways", 1..=100_000).unwrap_or(1);
+    let limits = limits::read(top, limits_section.as_ref(), workers);
     let policy = PolicySources {
         top,
         limits: limits_section.as_ref(),
@@ -44,9 +45,9 @@
         quotas: groups.quotas,
         ceilings: groups.ceilings,
         memory: kinds.memory,
+        drain_grace: limits.drain_grace,
     };
     let policy = policy.read(&source);
-    let limits = limits::read(top, limits_section.as_ref(), workers);
     let membership = top.block("peers").and_then(|section| membership::read(top, &section, gateways));
     let config_log =
         top.block("changes").and_then(|section| config_log::read(&section, listen, membership.as_ref()));
--- a/crates/config/src/reader/policy.rs
+++ b/crates/config/src/reader/policy.rs
@@ -6,6 +6,7 @@
 use crate::document::Section;
 use crate::model::WorkerSource;
 use milletpath_policy::{PolicyConfig, Profile, RequestBudget};
+use milletpath_protocol::registry;
 
 /// Seconds between two turns of the gateway's clock: what a loop on a busy core keeps.
 const TICK: f64 = 0.004;
@@ -22,6 +23,8 @@
     pub ceilings: Vec<f64>,
     /// Memory of each kind of worker, in MB.
     pub memory: Vec<f64>,
+    /// Seconds for which a draining worker may still be sent requests.
+    pub drain_grace: f64,
 }
 
 impl PolicySources<'_, '_> {
@@ -53,8 +56,11 @@
             watches_on_request: matches!(source, WorkerSource::Registry(_)),
             can_check_health: workers.flag("health_checks", true),
             health_checks_report_load: true,
-            list_valid_for: f64::INFINITY,
-            acceptance_valid_for: seconds("drain_grace", 0.0, 1.0),
+            list_valid_for: match source {
+                WorkerSource::List(_) => f64::INFINITY,
+                WorkerSource::Registry(_) => registry::NOTICE_AFTER_END + self.drain_grace,
+            },
+            acceptance_valid_for: self.drain_grace,
             max_retry_after: Some(limits.number("come_back", "seconds", 0.0..=MAX_SECONDS, 1.0))
                 .filter(|seconds| *seconds > 0.0),
             keep_alive: seconds("idle_timeout", 0.0, 10.0),
--- a/crates/gateway/src/endpoint_watch.rs
+++ b/crates/gateway/src/endpoint_watch.rs
@@ -12,6 +12,10 @@
 use milletpath_protocol::registry::{self, EndpointListUpdate};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
+
+/// Time between two looks at an open stream, by each of which the list counts as current.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Why the stream ended.
 #[derive(Debug, thiserror::Error)]
@@ -57,7 +61,20 @@
             self.context.connect_unpooled(Endpoint { address: registry, process: 0 }).await?;
         let mut body = open_stream(&mut connection, registry).await?;
         let mut unparsed = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        let mut confirmations = tokio::time::interval(CONFIRMATION_INTERVAL);
+        let mut read_until = self.context.now();
+        loop {
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                _ = confirmations.tick() => {
+                    // Nothing was unread when it was last looked at: the process may have been paused since.
+                    self.confirm_list(read_until);
+                    read_until = self.context.now();
+                    continue;
+                }
+            };
+            let Some(frame) = frame else { break };
             let Ok(data) = frame?.into_data() else { return Err(WatchError::Ended) };
             unparsed.extend_from_slice(&data);
             while let Some(end) = unparsed.iter().position(|&byte| byte == b'\n') {
@@ -70,6 +87,14 @@
         Err(WatchError::Ended)
     }
 
+    /// The stream is open, and the registry states each change on it at once.
+    fn confirm_list(&self, stated_at: f64) {
+        if self.last_revision.is_some() && !self.gap_reported {
+            self.context
+                .with_dispatcher(|dispatcher, now| dispatcher.endpoint_list_confirmed(now, stated_at));
+        }
+    }
+
     /// Applies one line.
     fn apply(&mut self, line: &[u8]) -> Result<(), WatchError> {
         let update = registry::read(line).map_err(WatchError::Malformed)?;
--- a/crates/protocol/src/registry.rs
+++ b/crates/protocol/src/registry.rs
@@ -8,6 +8,8 @@
 
 /// Longest line in bytes; room for several times 10,000 workers.
 pub const MAX_LINE_BYTES: usize = 8 << 20;
+/// Seconds after the end of its stream by which all that the registry would have stated counts as stated.
+pub const NOTICE_AFTER_END: f64 = 2.0;
 /// The path at which the registry streams revisions.
 pub const PATH: &str = "/v1/workers";
 
--- a/crates/simulator/src/registry_silence.rs
+++ b/crates/simulator/src/registry_silence.rs
@@ -1,9 +1,7 @@
 //! Silences of the registry: what it would tell counts as told a while after the silence began, and reaches the gateways
 //! only at its end.
 
-/// Seconds after the beginning of a silence by which all that would have been told counts as told: the shorter of the
-/// platform's two times.
-const NOTICE: f64 = 2.0;
+use milletpath_protocol::registry::NOTICE_AFTER_END;
 
 /// The silence that is, or was the last.
 #[derive(Clone, Copy, Debug)]
@@ -27,7 +25,7 @@
 
     /// When a change of this moment counts as told.
     pub fn told_at(&self, now: f64) -> f64 {
-        if self.holds(now) { now.max(self.from + NOTICE).min(self.until) } else { now }
+        if self.holds(now) { now.max(self.from + NOTICE_AFTER_END).min(self.until) } else { now }
     }
 
     /// When a change of this moment reaches the gateways.
@@ -35,9 +33,3 @@
         now.max(self.until)
     }
 }
-
-/// Seconds for which gateways believe the list after the registry confirmed it: until what they miss counts as told, and
-/// the grace after that.
-pub(crate) fn list_valid_for(drain_grace: f64) -> f64 {
-    NOTICE + drain_grace
-}
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -9,7 +9,6 @@
 use crate::event_queue::ScheduledEvent;
 use crate::faults;
 use crate::gateways::Gateways;
-use crate::registry_silence::list_valid_for;
 use crate::report::SimulationReport;
 use crate::workers::Workers;
 use milletpath_config::GatewayConfig;
@@ -51,8 +50,8 @@
     fn new(scenario: &Scenario, seed: u64, variation: Variation) -> Self {
         let mut context = Context::new(scenario, seed, variation);
         let mut configs = gateway_configs(scenario, seed);
-        if !variation.believes_silent_registry {
-            configs.iter_mut().for_each(limit_list_validity);
+        if variation.believes_silent_registry {
+            configs.iter_mut().for_each(|config| config.policy.list_valid_for = f64::INFINITY);
         }
         let mut workers = Workers::new(&mut context);
         let endpoints = EndpointList::new(scenario.workers);
@@ -188,11 +187,6 @@
     }
 }
 
-/// The simulated registry confirms the list each second; a gateway believes it for as long as the platform's routers do.
-fn limit_list_validity(config: &mut GatewayConfig) {
-    config.policy.list_valid_for = list_valid_for(config.limits.drain_grace);
-}
-
 /// The configurations that the gateways of a scenario on sockets have, for addresses at which nobody listens.
 fn gateway_configs(scenario: &Scenario, seed: u64) -> Vec<GatewayConfig> {
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
