--- a/crates/emulator/src/worker/http_service.rs
+++ b/crates/emulator/src/worker/http_service.rs
@@ -56,7 +56,9 @@
     }
 
     fn health_check(&self) -> WorkerResponse {
-        let mut response = responses::empty(StatusCode::OK);
+        let draining = self.model.borrow().draining;
+        let status = if draining { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+        let mut response = responses::empty(status);
         responses::add_load_report(&mut response, self.load_figures());
         response
     }
