The search for a request's worker is a module of its own

Moved as it is, with the visibility that needs, and the share of a health check beside health checks; no behaviour.

--- /dev/null
+++ b/crates/policy/src/candidate_search.rs
@@ -0,0 +1,289 @@
+//! The search for a request's worker: the workers in ring order, compared by load, instances and what they may be sent, and
+//! the choice among what was found. Placement decides what becomes of the request by it.
+
+use crate::function_state::Function;
+use crate::health_check::HEALTH_CHECK_SHARE;
+use crate::overload::TimeBounds;
+use crate::router_state::RouterState;
+
+/// The request that is placed. Times are in seconds.
+#[derive(Clone, Copy)]
+pub(crate) struct Query {
+    pub(crate) id: usize,
+    pub(crate) function_index: usize,
+    pub(crate) over_quota: bool,
+    /// Time since it arrived.
+    pub(crate) age: f64,
+    /// Time until its client gives up.
+    pub(crate) time_left: f64,
+    /// Within which it should be answered; half of that for one over its quota.
+    pub(crate) latency_objective: f64,
+    /// Concurrency of its function over all routers.
+    pub(crate) concurrency: f64,
+    /// Weight of the concurrency that other routers reported, 0 to 1.
+    pub(crate) remote_weight: f64,
+}
+
+/// Means over all ready workers, and bounds that follow from them.
+#[derive(Clone, Copy)]
+pub(crate) struct CommonLoad {
+    /// Mean of other routers' requests at a worker; assumed for one without a recent report.
+    pub(crate) average: f64,
+    pub(crate) mean_size: f64,
+    /// Fair load: where all members are above it, workers past the set are taken.
+    pub(crate) fair: f64,
+    /// Requests that an instance is expected to run at a time.
+    pub(crate) instance_concurrency: f64,
+    /// Ready workers with an instance, or with one that is being loaded.
+    pub(crate) live: usize,
+}
+
+/// The state of a comparison of workers that does not change from one to the next.
+pub(crate) struct Comparison<'a> {
+    pub(crate) query: Query,
+    pub(crate) function: &'a Function,
+    pub(crate) common: CommonLoad,
+    pub(crate) scope: Scope,
+}
+
+/// Which workers are compared while the endpoint list is stale; otherwise both are the same.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Scope {
+    /// Those that have proved recently that they take new work.
+    Proven,
+    /// Those as well that can be asked for the proof.
+    Askable,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Candidate {
+    pub(crate) load: f64,
+    pub(crate) worker: usize,
+}
+
+/// What was found in ring order so far.
+#[derive(Default)]
+pub(crate) struct Search {
+    /// Concurrent requests that the members so far can run.
+    pub(crate) capacity: f64,
+    /// Number of members so far.
+    pub(crate) members: usize,
+    /// How many of them the function's concurrency needs.
+    pub(crate) needed: usize,
+    /// Workers with an instance, or with one that is being loaded.
+    pub(crate) with_instance: usize,
+    /// A member was overloaded.
+    pub(crate) member_overloaded: bool,
+    /// The first that lacks the function and loads only on request.
+    pub(crate) without_function: Option<usize>,
+    /// The first where an instance is being loaded.
+    pub(crate) loading: Option<Candidate>,
+    /// The least loaded member, and the least loaded one with an instance.
+    pub(crate) least_loaded: Option<Candidate>,
+    pub(crate) least_loaded_warm: Option<Candidate>,
+    /// The first past the set, and the first of those with an instance.
+    pub(crate) past_set: Option<Candidate>,
+    pub(crate) past_set_warm: Option<Candidate>,
+}
+
+impl Search {
+    /// Whether a worker with an instance was found that is not above the fair load.
+    pub(crate) fn has_warm_within(&self, common: &CommonLoad) -> bool {
+        [self.least_loaded_warm, self.past_set_warm]
+            .into_iter()
+            .flatten()
+            .any(|warm| warm.load <= common.fair)
+    }
+
+    pub(crate) fn is_member(&self, query: &Query, function: &Function) -> bool {
+        self.capacity < query.concurrency || self.members < function.set_size
+    }
+
+    /// Whether no later worker could be chosen.
+    fn is_over(&self, common: &CommonLoad, member: bool) -> bool {
+        let fits = self.least_loaded.is_some_and(|any| any.load <= common.fair) || self.past_set.is_some();
+        !member
+            && fits
+            && (self.least_loaded_warm.is_some() && self.past_set.is_none()
+                || self.with_instance == common.live)
+    }
+
+    /// Takes a candidate: in the set the least loaded, past it the first.
+    fn offer(&mut self, candidate: Candidate, member: bool, warm: bool) {
+        let (any, loaded) = if member {
+            (&mut self.least_loaded, &mut self.least_loaded_warm)
+        } else {
+            (&mut self.past_set, &mut self.past_set_warm)
+        };
+        let better = |best: &Option<Candidate>| best.is_none_or(|b| member && candidate.load < b.load);
+        if better(any) {
+            *any = Some(candidate);
+        }
+        if warm && better(loaded) {
+            *loaded = Some(candidate);
+        }
+    }
+}
+
+/// The worker of a request, and the worker that is to load one more instance.
+pub(crate) struct Choice {
+    pub(crate) target: Option<Candidate>,
+    pub(crate) load_at: Option<Candidate>,
+}
+
+impl RouterState {
+    /// Means over all workers of the ring.
+    pub(crate) fn common_load(&mut self, now: f64, query: &Query, function: &Function) -> CommonLoad {
+        /// Times the mean load, and requests beyond that: with less spread the home of several busy functions
+        /// would be overloaded beside idle workers.
+        const SPREAD: f64 = 1.25;
+        const SLACK: f64 = 3.0;
+        /// Squared standard deviations of unknown traffic for which an instance keeps capacity free.
+        const CHANCE: f64 = 1.0;
+        self.slow_start.rate(now, &self.workers, &self.staleness, &mut self.throughput);
+        let n = function.ring_order.len().max(1) as f64;
+        // One pass: with thousands of workers this is most of what a request costs.
+        let (mut reports, mut other_routers_load, mut sizes, mut in_flight) = (0, 0.0, 0.0, 0.0);
+        for worker in function.ring_order.iter().map(|&worker| &self.workers[worker]) {
+            if let Some(reported) = worker.recent_other_routers_load(now) {
+                reports += 1;
+                other_routers_load += reported;
+            }
+            sizes += worker.size;
+            in_flight += worker.in_flight as f64;
+        }
+        let average = other_routers_load / reports.max(1) as f64;
+        let (mean_size, mean_in_flight) = (sizes / n, in_flight / n);
+        let fair = (average + mean_in_flight) * SPREAD + SLACK;
+        let live = function.placements.iter().filter(|s| s.is_loaded(now) || s.loading_until > now);
+        let live = live.filter(|s| self.workers[s.worker].is_ready()).count();
+        // Capacity is kept free for the variance of other routers' traffic, or a moment's burst would start
+        // one more load. Sets that are sized by what all routers report need none.
+        let unobserved_variance = CHANCE * (1.0 - 1.0 / self.routers) * (1.0 - query.remote_weight);
+        let instance_concurrency = function.instance_concurrency + unobserved_variance / 2.0
+            - (unobserved_variance * (function.instance_concurrency + unobserved_variance / 4.0)).sqrt();
+        CommonLoad { average, mean_size, fair, instance_concurrency, live }
+    }
+
+    /// Whether a worker is compared, by what it has proved or can be asked to prove while the list is stale.
+    fn is_in_scope(&self, now: f64, comparison: &Comparison, worker: usize) -> bool {
+        let state = &self.workers[worker];
+        self.staleness.allows(now, state)
+            || comparison.scope == Scope::Askable
+                && self.can_check_health
+                && self.staleness.may_ask(now, state, HEALTH_CHECK_SHARE * comparison.query.latency_objective)
+    }
+
+    /// Compares the workers in ring order, up to where no later one could be chosen.
+    pub(crate) fn search(&mut self, now: f64, comparison: &Comparison) -> Search {
+        let Comparison { query, function, common, .. } = comparison;
+        let mut search = Search::default();
+        for &worker in &function.ring_order {
+            let member = search.is_member(query, function);
+            if search.is_over(common, member) {
+                break;
+            }
+            self.consider(now, comparison, &mut search, worker, member);
+        }
+        search
+    }
+
+    /// Compares one worker with those before it.
+    fn consider(
+        &mut self,
+        now: f64,
+        comparison: &Comparison,
+        search: &mut Search,
+        worker: usize,
+        member: bool,
+    ) {
+        /// Part of the latency objective that a request may be queued for a busy instance before one more is
+        /// loaded.
+        const BUSY_INSTANCE_WAIT: f64 = 0.05;
+        /// Seconds for which a worker that rejected an attempt gets none, apart for loads and for loaded
+        /// instances.
+        const REJECTION_PAUSE: f64 = 0.3;
+        let Comparison { query, function, common, .. } = comparison;
+        if !self.is_in_scope(now, comparison, worker)
+            || !self.may_attempt(now, query.id, worker)
+            || self.passes_over(now, worker)
+        {
+            return;
+        }
+        let worker_state = &self.workers[worker];
+        let size = worker_state.size / common.mean_size;
+        let instances = function.instances(now, worker);
+        let in_flight_there = worker_state.in_flight as f64
+            + worker_state.recent_other_routers_load(now).unwrap_or(common.average);
+        let load = (in_flight_there + 1.0) / size + 1e-6 * self.random.uniform();
+        search.needed += usize::from(search.capacity < query.concurrency);
+        search.members += usize::from(member);
+        search.capacity += common.instance_concurrency * size;
+        let warm = instances.count > 0.0;
+        search.with_instance += usize::from(warm || instances.loading);
+        // Beyond its instances' concurrency a worker loads one more, at cost of others' memory. Of an
+        // instance that is being loaded other routers want their part as well.
+        let counts_all_instances = warm || query.remote_weight < 0.5;
+        let own =
+            if counts_all_instances { function.instance_concurrency * instances.count.max(1.0) } else { 1.0 };
+        if instances.in_flight >= own && (!warm || query.age < BUSY_INSTANCE_WAIT * query.latency_objective) {
+            return;
+        }
+        // An overloaded worker gets nothing: the search goes on past the set, or the request is queued here.
+        let rejected = now - self.workers[worker].rejected_at.last(warm) < REJECTION_PAUSE;
+        let missing =
+            function.placements.iter().any(|s| s.worker == worker && now - s.missing_at < self.load_latency);
+        let refused = rejected || missing && !instances.loading && self.load_requests.backs_off(now);
+        let times = TimeBounds {
+            latency_objective: query.latency_objective,
+            time_left: query.time_left,
+            relative_latency: function.relative_latency,
+        };
+        if refused || self.is_overloaded(now, worker, times, warm || query.over_quota) {
+            search.member_overloaded |= member;
+            return;
+        }
+        // Where workers load only on request, one that lacks the function is sent nothing until an instance
+        // is there.
+        if self.reports_missing && !warm && (instances.loading || missing) {
+            search.without_function = search.without_function.or(Some(worker));
+            return;
+        }
+        let candidate = Candidate { load, worker };
+        if instances.loading && !warm {
+            search.loading = search.loading.or(Some(candidate));
+        }
+        // Past the set only workers that are not above the fair load themselves.
+        if member || load <= common.fair {
+            search.offer(candidate, member, warm);
+        }
+    }
+
+    /// Whether a worker is passed over: the more often the higher its outlier score.
+    fn passes_over(&mut self, now: f64, worker: usize) -> bool {
+        let trust = 1.0 - self.workers[worker].ejection_probability(now);
+        trust < 1.0 && self.random.uniform() > trust.powi(3)
+    }
+
+    /// Chooses among what was found.
+    pub(crate) fn choose(&self, common: &CommonLoad, search: &Search) -> Choice {
+        let &Search { least_loaded: any, past_set: past, member_overloaded, with_instance, loading, .. } =
+            search;
+        let above = any.map_or(member_overloaded, |any| any.load > common.fair);
+        let to_load = if above { past.or(any) } else { any };
+        let warm_past = search.past_set_warm.filter(|_| above);
+        let warm = if above { warm_past.or(search.least_loaded_warm) } else { search.least_loaded_warm };
+        // A request starts a load only in the set, and where no instance is or is being loaded: rejected by a
+        // full home, it would start loads at one worker after the other.
+        let orders = self.load_requests.is_supported();
+        let target = match warm.or(warm_past) {
+            // An instance past the set, as after it shrank, is used while the home loads one.
+            None if with_instance > 0 && orders => loading.or(search.past_set_warm),
+            None => any,
+            found if orders => found,
+            found => any.or(found),
+        };
+        let same = |to_load: &Candidate| target.is_some_and(|target| target.worker == to_load.worker);
+        Choice { target, load_at: to_load.filter(|to_load| !same(to_load) && warm_past.is_none()) }
+    }
+}
--- a/crates/policy/src/health_check.rs
+++ b/crates/policy/src/health_check.rs
@@ -4,6 +4,9 @@
 use crate::events::{LoadReport, Outcome};
 use crate::worker_state::Worker;
 
+/// Part of the latency objective that a health check before an attempt may take.
+pub(crate) const HEALTH_CHECK_SHARE: f64 = 0.03;
+
 /// Seconds for which a load report is fresh: about as long as a queue takes to change.
 const REPORT_AGE: f64 = 1.0;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,7 +9,7 @@
 //! | modules | concern |
 //! | --- | --- |
 //! | `router`, `router_state` | the events and the order of the stages; what is known |
-//! | `admission`, `placement`, `dispatch`, `attempt_result` | the stages of a request, and of the results of its attempts |
+//! | `admission`, `placement`, `candidate_search`, `dispatch`, `attempt_result` | the stages of a request, and of the results of its attempts |
 //! | `hash_ring`, `worker_set`, `overload` | which workers a function has, and how much each takes |
 //! | `slow_start`, `throughput`, `outlier_detection`, `health_check` | what a worker can be trusted with |
 //! | `list_staleness`, `acceptance` | what is believed while the endpoint list is out of date |
@@ -19,6 +19,7 @@
 mod acceptance;
 mod admission;
 mod attempt_result;
+mod candidate_search;
 mod config;
 mod decay;
 mod dispatch;
