Dispatchers in tests and benches that nothing confirms a list to believe theirs for good

Cause: their configuration names a registry that nobody follows, so that the list was stale from the start. No assertion changed; a test of an attempt and a stale list is new.

--- a/crates/capacity-model/benches/slopes/endpoint_list.rs
+++ b/crates/capacity-model/benches/slopes/endpoint_list.rs
@@ -41,7 +41,10 @@
     let functions = "functions {\n  lanes = 2\n  load = 0.4\n}\n";
     let workers = format!("workers {{\n  registry = \"127.0.0.1:1\"\n  keep = {idle_timeout}\n}}\n");
     let text = format!("seed = 7\ngateways = {gateways}\n{profile}{functions}{workers}{further}");
-    let config = milletpath_config::read(&text).unwrap_or_else(|errors| panic!("configuration: {errors:?}"));
+    let mut config =
+        milletpath_config::read(&text).unwrap_or_else(|errors| panic!("configuration: {errors:?}"));
+    // Nothing confirms the list here, and it changes only by what is passed on.
+    config.policy.list_valid_for = f64::INFINITY;
     Dispatcher::new(&config, 0.0)
 }
 
--- a/crates/dispatcher/benches/dispatcher.rs
+++ b/crates/dispatcher/benches/dispatcher.rs
@@ -64,7 +64,9 @@
             "seed = 7\ngateways = {gateways}\nprofile \"p\" {{\n  due = 1\n  effect = \"pure\"\n}}\nfunctions {{\n  lanes = 2\n  \
              load = 0.4\n}}\nworkers {{ registry = \"127.0.0.1:1\" }}\n"
         );
-        let config = milletpath_config::read(&text).expect("a valid configuration");
+        let mut config = milletpath_config::read(&text).expect("a valid configuration");
+        // Nothing confirms the list here, and it changes only by what is passed on.
+        config.policy.list_valid_for = f64::INFINITY;
         let mut dispatcher = Dispatcher::new(&config, 0.0);
         dispatcher.update_endpoints(0.0, true, &(0..workers).map(entry).collect::<Vec<_>>());
         let mut simulation = Self {
--- a/crates/dispatcher/tests/dispatcher/endpoints.rs
+++ b/crates/dispatcher/tests/dispatcher/endpoints.rs
@@ -59,3 +59,29 @@
     submit(&mut dispatcher, 5.0, 3.0);
     assert_eq!(take_attempts(&mut dispatcher).len(), 1);
 }
+
+/// The list becomes stale while an attempt waits for its connection, and its worker has proved nothing: the attempt ends as
+/// unsent, and no worker gets one before it has passed a health check.
+#[test]
+fn attempt_is_not_begun_once_the_list_is_stale() {
+    const VALID_FOR: f64 = 2.5;
+    let mut config = gateway_config(Effect::NonIdempotent.setting(), "orders = false");
+    config.policy.list_valid_for = VALID_FOR;
+    let mut dispatcher = dispatcher_with(&config, &ready_entries(2));
+    dispatcher.endpoint_list_confirmed(0.0, 0.0);
+    let request = submit(&mut dispatcher, VALID_FOR - 0.01, 2.0);
+    let first = take_attempts(&mut dispatcher)[0];
+    assert!(!dispatcher.begin_attempt(VALID_FOR, request, first.attempt));
+    let actions = take_actions(&mut dispatcher);
+    assert_eq!(sent_attempts(&actions), []);
+    let checked = actions.iter().find_map(|action| match *action {
+        Action::HealthCheck { worker, serial } => Some((worker, serial)),
+        _ => None,
+    });
+    let (worker, serial) = checked.expect("a health check");
+    let answered_at = VALID_FOR + 0.01;
+    dispatcher.health_check_ended(answered_at, worker, serial, Outcome::Succeeded, None);
+    let next = take_attempts(&mut dispatcher)[0];
+    assert_eq!(next.worker, worker);
+    assert!(dispatcher.begin_attempt(answered_at, request, next.attempt));
+}
--- a/crates/dispatcher/tests/dispatcher/support.rs
+++ b/crates/dispatcher/tests/dispatcher/support.rs
@@ -46,7 +46,10 @@
         "seed = 5\nprofile \"p\" {{\ndue = 1\ncut_off = 3\n{effect}\n}}\nfunctions {{ lanes = 2 }}\nlimits {{ shots = 3 }}\n\
          workers {{\nregistry = \"127.0.0.1:1\"\nconnect = 0.25\norder_wait = 2\n{worker_settings}\n}}\n"
     );
-    milletpath_config::read(&text).unwrap_or_else(|errors| panic!("{errors:#?}"))
+    let mut config = milletpath_config::read(&text).unwrap_or_else(|errors| panic!("{errors:#?}"));
+    // Nothing confirms the list here, and it changes only by what is passed on.
+    config.policy.list_valid_for = f64::INFINITY;
+    config
 }
 
 pub fn entry(number: u16, state: EndpointStatus) -> EndpointEntry {
--- a/crates/gateway/benches/cores.rs
+++ b/crates/gateway/benches/cores.rs
@@ -27,7 +27,9 @@
         "seed = 7\ngateways = {gateways}\nprofile \"p\" {{\n  due = 1\n  effect = \"pure\"\n}}\nworkers {{\n  registry = \
          \"127.0.0.1:1\"\n  orders = false\n  probes = false\n}}\n"
     );
-    let config = milletpath_config::read(&text).expect("a valid configuration");
+    let mut config = milletpath_config::read(&text).expect("a valid configuration");
+    // Nothing confirms the list here, and it changes only by what is passed on.
+    config.policy.list_valid_for = f64::INFINITY;
     let mut dispatcher = Dispatcher::new(&config, 0.0);
     let entry = |n: usize| EndpointEntry {
         name: format!("w{n}"),
