--- a/crates/gateway/src/endpoint_watch.rs
+++ b/crates/gateway/src/endpoint_watch.rs
@@ -112,7 +112,9 @@
         tracing::info!(revision, complete, endpoints = endpoints.len(), "endpoint list received");
         if self.last_revision.is_some() && !is_gap {
             // The stream was open since the revision before, so endpoints that it did not mention are unchanged.
-            self.context.with_dispatcher(|dispatcher, now| dispatcher.endpoint_list_confirmed(now, now));
+            let stated_at = self.read_until;
+            self.context
+                .with_dispatcher(|dispatcher, now| dispatcher.endpoint_list_confirmed(now, stated_at));
         }
         // Applied also after a gap: what it states about its endpoints is true, for example that one is draining.
         self.context.shared_runtime.update_endpoints(Some(self.context.core), complete, &endpoints);
