--- a/crates/milletpath/tests/outage_soak/client.rs
+++ b/crates/milletpath/tests/outage_soak/client.rs
@@ -1,6 +1,6 @@
 //! Clients: each calls on one connection until it ends, and records what came of every call.
 
-use milletpath_test_support::platform_rig::{DONE, REJECTED, call_line};
+use milletpath_test_support::platform_rig::{DONE, REJECTED, function_call_line};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -86,8 +86,7 @@
         }
         let made = records.len() as u64 + 1;
         let id = (plan.router as u64) << 48 | plan.number << 24 | made;
-        let function = format!("{:016x}", 0xf000 + made % FUNCTIONS);
-        let line = call_line(number, id).replace("7f3a9c21e0b4d655", &function);
+        let line = function_call_line(number, id, 0xf000 + made % FUNCTIONS);
         let line = line.replace("\"t\":", &format!("\"k\":\"key-{id}\",\"t\":"));
         let sent_at = Instant::now();
         if stream.get_mut().write_all(line.as_bytes()).is_err() {
--- a/crates/milletpath/tests/outage_soak/fleet.rs
+++ b/crates/milletpath/tests/outage_soak/fleet.rs
@@ -50,8 +50,7 @@
     Resume { router: usize },
 }
 
-struct Fleet<'d> {
-    day: &'d Day,
+struct Fleet {
     began: Instant,
     workers: Vec<Worker>,
     routers: Vec<RouterPlace>,
@@ -93,7 +92,6 @@
     let steps =
         day.faults.iter().map(|timed| (began + seconds(timed.at), Step::Begin(timed.fault))).collect();
     let mut fleet = Fleet {
-        day,
         began,
         workers,
         routers,
@@ -155,7 +153,7 @@
     }
 }
 
-impl Fleet<'_> {
+impl Fleet {
     fn do_what_is_due(&mut self) {
         let now = Instant::now();
         let steps = std::mem::take(&mut self.steps);
@@ -322,7 +320,6 @@
         }
         // What is sent after this is known by the event or by its time.
         self.observations.changes.push(WorkerChange { worker, condition, at: Instant::now() });
-        let _ = self.day;
     }
 }
 
--- a/crates/milletpath/tests/platform/discovery_outage.rs
+++ b/crates/milletpath/tests/platform/discovery_outage.rs
@@ -13,7 +13,7 @@
 
 use milletpath_test_support::platform_rig::{
     Client, DONE, LiveDiscovery, MAX_SOCKETS, Outage, Router, RouterConfiguration, TimedFrame, Worker,
-    WorkerCondition, answers, call_line, endpoint_event,
+    WorkerCondition, answers, endpoint_event, function_call_line,
 };
 use milletpath_test_support::wait::becomes_true;
 use nix::sys::signal::Signal;
@@ -55,9 +55,7 @@
         counts.made += 1;
         let id = client_number << 32 | counts.made;
         // Many functions have their home on many workers.
-        let line =
-            call_line(counts.made, id).replace("7f3a9c21e0b4d655", &format!("{:016x}", id % FUNCTIONS));
-        client.send(&line);
+        client.send(&function_call_line(counts.made, id, id % FUNCTIONS));
         counts.served += u64::from(client.receive().contains(DONE));
         std::thread::sleep(BETWEEN_CALLS);
     }
@@ -229,10 +227,9 @@
 /// Calls one after the other, each of another function; returns how many were served.
 fn serve_calls(router: &Router, calls: std::ops::Range<u64>) -> usize {
     let mut client = Client::connect(router);
-    let line = |id: u64| call_line(id, id).replace("7f3a9c21e0b4d655", &format!("{:016x}", id % FUNCTIONS));
     calls
         .filter(|&id| {
-            client.send(&line(id));
+            client.send(&function_call_line(id, id, id % FUNCTIONS));
             client.receive().contains(DONE)
         })
         .count()
@@ -295,8 +292,7 @@
         for (client, n) in clients.iter_mut().zip(1_u64..) {
             for call in 0..4 {
                 let id = 1000 * n + call;
-                let function = format!("{:016x}", id % FUNCTIONS);
-                client.send(&call_line(10 + call, id).replace("7f3a9c21e0b4d655", &function));
+                client.send(&function_call_line(10 + call, id, id % FUNCTIONS));
             }
         }
         for worker in 0..4 {
--- a/crates/test-support/src/platform_rig/client.rs
+++ b/crates/test-support/src/platform_rig/client.rs
@@ -12,16 +12,24 @@
 /// What the line of a call contains that was rejected: sending it again does no harm.
 pub const REJECTED: &str = "-32066";
 
+/// The function that calls name where it does not matter.
+const FUNCTION: &str = "7f3a9c21e0b4d655";
+
 /// The line by which a client cancels its call with number 1.
 const CANCEL_FIRST_CALL: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{\"id\":1}}\n";
 
 /// The line of a call, with its number on the connection and its id; the client waits for 2.5 s.
 pub fn call_line(number: u64, id: u64) -> String {
     format!(
-        r#"{{"jsonrpc":"2.0","id":{number},"method":"p","params":{{"i":"{id:016x}","d":2500,"t":"acme","o":"7f3a9c21e0b4d655","info":"memory_mb:5;lanes:64;load_ms:6","content":"aGk="}}}}"#
+        r#"{{"jsonrpc":"2.0","id":{number},"method":"p","params":{{"i":"{id:016x}","d":2500,"t":"acme","o":"{FUNCTION}","info":"memory_mb:5;lanes:64;load_ms:6","content":"aGk="}}}}"#
     ) + "\n"
 }
 
+/// The line of a call of this function.
+pub fn function_call_line(number: u64, id: u64, function: u64) -> String {
+    call_line(number, id).replace(FUNCTION, &format!("{function:016x}"))
+}
+
 /// The line that asks a router whether it is ready.
 pub fn health_check_line(number: u64) -> String {
     format!(r#"{{"jsonrpc":"2.0","id":{number},"method":"probe","params":{{"deep":false}}}}"#) + "\n"
