Platform router: a call that a shutdown answers is answered once

Cause: answer_open_calls ends each open call with client_gone. That lets the policy go through its queue, where it rejects requests that have waited too long; their rejections stay among the dispatcher's actions while the loop answers the same calls, and run_actions then writes a second line.

Change: take_open_call; a final response is written only for a call that is open.

--- a/crates/platform-router/src/client_connections/graceful_shutdown.rs
+++ b/crates/platform-router/src/client_connections/graceful_shutdown.rs
@@ -83,9 +83,11 @@
         let open_calls: Vec<(usize, OpenCall)> = self.clients.iter().flat_map(calls_of).collect();
         for (slot, OpenCall { number, request }) in open_calls {
             self.forget_request_id(request);
+            // Ending one request may end others, whose responses are then among the dispatcher's actions. Those find
+            // their calls answered.
             let may_have_run = self.dispatcher.client_gone(now, request);
             let Some(client) = self.clients.get_mut(slot) else { continue };
-            client.open_calls.retain(|call| call.number != number);
+            client.take_open_call(number);
             if may_have_run {
                 lines::write_failed(&mut client.write_buffer.bytes, number);
             } else {
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -126,13 +126,15 @@
     }
 
     /// Sends a client the final response to its call; `write` appends the response with the call's number to the
-    /// write buffer. Does nothing if the client has disconnected.
+    /// write buffer. Does nothing if the client has disconnected or already has a final response to this call.
     pub fn send_final_response(&mut self, request: RequestId, write: impl FnOnce(&mut Vec<u8>, u64)) {
         let Some(context) = self.dispatcher.context(request) else { return };
         let (key, number, id) = (context.client, context.number, context.id);
         self.open_request_ids.remove(&id);
         let Some(client) = self.client_by_key(key) else { return };
-        client.open_calls.retain(|call| call.number != number);
+        if !client.take_open_call(number) {
+            return;
+        }
         write(&mut client.write_buffer.bytes, number);
         self.flush_client(key.slot);
     }
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -1,7 +1,7 @@
 use crate::platform_router::tests::{router_with_workers, run_local};
 use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use socket2::SockRef;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::net::TcpListener;
@@ -168,3 +168,27 @@
         assert!(state.clients.is_empty());
     });
 }
+
+/// A call that the dispatcher has rejected, and whose response is not written yet, gets one response when the shutdown
+/// answers all open calls. Guards against a second one, written once the dispatcher's action is executed.
+#[test]
+fn call_rejected_as_the_shutdown_answers_all_is_answered_once() {
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        let mut client = connect_client(&router).await;
+        tokio::time::advance(Duration::from_millis(10)).await;
+        send_and_wait_until_read(&router, &mut client, format!("{CALL}\n").as_bytes()).await;
+        let mut state = router.borrow_mut();
+        assert_eq!(state.clients[client.1].open_calls.len(), 1);
+        let now = state.now();
+        state.dispatcher.advance(now + 2.0);
+        state.shutdown.begin(now - 60.0, now - 60.0);
+        state.step_shutdown(&mut None);
+        drop(state);
+        client.0.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        let mut received = Vec::new();
+        let _ = client.0.read_to_end(&mut received);
+        assert_eq!(String::from_utf8_lossy(&received).lines().count(), 1);
+    });
+}
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -91,6 +91,13 @@
         if self.has_sent_message { self.last_progress.max(self.last_received) } else { self.last_progress }
     }
 
+    /// Removes a call that gets its final response now; returns whether it was still open.
+    pub fn take_open_call(&mut self, number: u64) -> bool {
+        let open = self.open_calls.len();
+        self.open_calls.retain(|call| call.number != number);
+        self.open_calls.len() < open
+    }
+
     /// Whether the socket has no unread bytes. A call among them would be lost if the connection were closed.
     pub fn has_no_unread_bytes(&self) -> bool {
         peek_socket(&self.stream) != SocketState::Readable
