Platform router: rejects calls unread while it is behind its sockets

Change: turn.rs measures how long a turn has taken; past max_read_delay of the policy a call is rejected by its number (read_for_rejection), and the responses of one read are one write.

The tests of the read and of the turn are new and do not compile before.

--- a/crates/platform-protocol/src/lines.rs
+++ b/crates/platform-protocol/src/lines.rs
@@ -6,5 +6,5 @@
 mod write;
 
 pub use call::{Call, MAX_REQUEST_BODY};
-pub use message::{ClientMessage, InvalidLine, MAX_LINE, read};
+pub use message::{ClientMessage, InvalidLine, MAX_LINE, read, read_for_rejection};
 pub use write::{write_failed, write_health, write_invalid, write_rejected, write_success};
--- a/crates/platform-protocol/tests/codecs.rs
+++ b/crates/platform-protocol/tests/codecs.rs
@@ -46,6 +46,21 @@
     assert_eq!(invalid.fault.location, field);
 }
 
+/// A router that rejects a call whatever it contains reads its number only. Other lines are read as usual.
+#[test_case("", Some(7); "a call")]
+#[test_case("9b1f=>9B1F", Some(7); "a call with an invalid parameter")]
+#[test_case(r#""p"=>"probe""#, None; "a health check")]
+#[test_case(r#""p"=>"giveUp""#, None; "a cancellation")]
+#[test_case(r#""id":7=>"id":0"#, None; "a line number of 0")]
+#[test_case("2.0=>1.0", None; "an unsupported protocol version")]
+#[test_case("{=>", None; "invalid json")]
+fn only_the_number_of_a_call_is_read_for_its_rejection(change: &str, number: Option<u64>) {
+    let line = call(change);
+    let expected =
+        number.map_or_else(|| lines::read(line.as_bytes()), |n| Ok(ClientMessage::UnreadCall { number: n }));
+    assert_eq!(lines::read_for_rejection(line.as_bytes()), expected);
+}
+
 /// Regression test: attempts were once sent without the idempotency key, so workers could not recognize retries.
 #[test_case(r#""r":1=>"k":"51c47357e4320fd8""#, ",uniq=51c47357e4320fd8"; "with a key")]
 #[test_case("", ""; "without a key")]
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -2,7 +2,7 @@
 //! once no call is open and no byte is unread, then reads and discards input until the client closes its side too.
 //! Closing a socket with unread bytes would reset the connection, and responses in transit could be lost.
 
-use super::validate::calls;
+use super::validate::call_numbers;
 use crate::platform_router::{ClientConnection, PlatformRouter};
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
 use milletpath_protocol::InputError;
@@ -70,8 +70,7 @@
         tracing::debug!(slot, fault = %invalid.fault, "received an invalid line from a client");
         let Some(client) = self.clients.get_mut(slot) else { return };
         let open_calls = std::mem::take(&mut client.open_calls);
-        let numbers = calls(messages).map(|call| call.number);
-        let numbers = numbers.chain(open_calls.iter().map(|call| call.number));
+        let numbers = call_numbers(messages).chain(open_calls.iter().map(|call| call.number));
         client.closing = true;
         for number in numbers.filter(|number| Some(*number) != invalid.number) {
             let fault = InputError::new("connection", "is closed for another line");
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -26,6 +26,10 @@
 
     /// Reads from a client's socket once. The caller runs the resulting dispatcher actions.
     pub fn read_client(&mut self, slot: usize) {
+        if !self.clients.contains(slot) {
+            return;
+        }
+        self.begin_turn();
         let now = self.now();
         let Some(client) = self.clients.get_mut(slot) else { return };
         if client.closing {
@@ -121,6 +125,8 @@
         for message in messages {
             self.handle_message(slot, message);
         }
+        // Responses written so far go in one write.
+        self.flush_client(slot);
     }
 
     /// Splits bytes into lines and validates each one. The first line continues `partial_line`, which holds the
@@ -160,12 +166,12 @@
     fn handle_message(&mut self, slot: usize, message: ClientMessage) {
         match message {
             ClientMessage::Call(call) => self.submit_call(slot, *call),
+            ClientMessage::UnreadCall { number } => self.reject_call(slot, number),
             ClientMessage::Cancel { id, number } => self.cancel_calls(slot, id, number),
             ClientMessage::Probe { number } => {
                 let is_healthy = self.dispatcher.has_endpoints() && !self.shutdown.begun();
                 if let Some(client) = self.clients.get_mut(slot) {
                     lines::write_health(&mut client.write_buffer.bytes, number, is_healthy);
-                    self.flush_client(slot);
                 }
             }
         }
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -13,6 +13,11 @@
 const UNREAD_SLACK: f64 = 0.1;
 
 impl PlatformRouter {
+    /// Whether a call that is read now is rejected whatever it contains.
+    pub(super) fn rejects_all_calls(&self) -> bool {
+        self.is_behind() || self.shutdown.rejects(self.now())
+    }
+
     /// Submits a call to the dispatcher, or rejects it immediately.
     pub(super) fn submit_call(&mut self, slot: usize, call: Call) {
         if !self.admits_call(slot) {
@@ -84,11 +89,10 @@
         }
     }
 
-    /// Rejects a call that was not admitted.
-    fn reject_call(&mut self, slot: usize, number: u64) {
+    /// Rejects a call that was not admitted. The caller flushes the write buffer.
+    pub(super) fn reject_call(&mut self, slot: usize, number: u64) {
         if let Some(client) = self.clients.get_mut(slot) {
             lines::write_rejected(&mut client.write_buffer.bytes, number, self.retry_after);
-            self.flush_client(slot);
         }
     }
 
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -169,6 +169,33 @@
     });
 }
 
+/// While a router is behind its sockets, it rejects the calls that it reads, in one write, and still answers health
+/// checks. Guards against admitting calls that cannot be answered in time, which lost thousands of them.
+#[test]
+fn calls_are_rejected_unread_while_the_router_is_behind() {
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        let mut client = connect_client(&router).await;
+        let text = format!("{CALL}\n{}\n", CALL.replace("\"id\":2", "\"id\":3"));
+        let now = router.borrow().now();
+        assert!(router.borrow_mut().turn.begin(now));
+        tokio::time::advance(Duration::from_secs(1)).await;
+        assert!(router.borrow().is_behind());
+        let text = [text.as_bytes(), PROBE].concat();
+        send_and_wait_until_read(&router, &mut client, &text).await;
+        assert!(router.borrow().clients[client.1].open_calls.is_empty());
+        let mut received = [0; 512];
+        let length = client.0.read(&mut received).unwrap();
+        let lines = String::from_utf8_lossy(&received[..length]).into_owned();
+        let rejected: Vec<_> = lines.lines().map(|line| line.contains("-32066")).collect();
+        assert_eq!(rejected, [true, true, false], "{lines}");
+        let now = router.borrow().now();
+        router.borrow_mut().turn.end(now);
+        assert!(!router.borrow().is_behind());
+    });
+}
+
 /// A call that the dispatcher has rejected, and whose response is not written yet, gets one response when the shutdown
 /// answers all open calls. Guards against a second one, written once the dispatcher's action is executed.
 #[test]
--- a/crates/platform-router/src/client_connections/validate.rs
+++ b/crates/platform-router/src/client_connections/validate.rs
@@ -25,17 +25,21 @@
             return Ok(());
         }
         tracing::trace!(slot, line = %String::from_utf8_lossy(line), "received a line from a client");
-        let message = lines::read(line)?;
+        let message =
+            if self.rejects_all_calls() { lines::read_for_rejection(line) } else { lines::read(line) }?;
         match &message {
             ClientMessage::Call(call) => self
                 .check_call(slot, call, messages)
                 .map_err(|fault| InvalidLine { number: Some(call.number), fault })?,
             ClientMessage::Cancel { id, number } => {
-                let is_cancelled = |call: &Call| Some(call.id) == *id || Some(call.number) == *number;
-                messages
-                    .retain(|message| !matches!(message, ClientMessage::Call(call) if is_cancelled(call)));
+                let is_cancelled = |message: &ClientMessage| match message {
+                    ClientMessage::Call(call) => Some(call.id) == *id || Some(call.number) == *number,
+                    ClientMessage::UnreadCall { number: unread } => Some(*unread) == *number,
+                    _ => false,
+                };
+                messages.retain(|message| !is_cancelled(message));
             }
-            ClientMessage::Probe { number } => self
+            ClientMessage::UnreadCall { number } | ClientMessage::Probe { number } => self
                 .mark_number_used(slot, *number)
                 .map_err(|fault| InvalidLine { number: Some(*number), fault })?,
         }
@@ -71,8 +75,17 @@
     }
 }
 
+/// The numbers of the calls among the messages.
+pub(super) fn call_numbers(messages: &[ClientMessage]) -> impl Iterator<Item = u64> {
+    messages.iter().filter_map(|message| match message {
+        ClientMessage::Call(call) => Some(call.number),
+        ClientMessage::UnreadCall { number } => Some(*number),
+        _ => None,
+    })
+}
+
 /// The calls among the messages.
-pub(super) fn calls(messages: &[ClientMessage]) -> impl Iterator<Item = &Call> {
+fn calls(messages: &[ClientMessage]) -> impl Iterator<Item = &Call> {
     messages.iter().filter_map(|message| match message {
         ClientMessage::Call(call) => Some(&**call),
         _ => None,
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -15,8 +15,10 @@
 use crate::memory_budget::MemoryBudget;
 use crate::shutdown::{Liveness, Shutdown};
 use crate::sockets::{Sockets, SystemSockets};
+use crate::turn::Turn;
 use milletpath_dispatcher::dispatcher::Dispatcher;
 use milletpath_platform_protocol::bootstrap::{Bootstrap, WorkerList};
+use milletpath_policy::max_read_delay;
 use milletpath_process_environment::wall_clock::unix_time;
 use slab::Slab;
 use std::cell::RefCell;
@@ -24,6 +26,7 @@
 use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 /// Maximum number of bytes per read, so that every socket is served in turn.
@@ -81,6 +84,10 @@
     pub shutdown: Shutdown,
     /// Detects pauses of this process.
     pub liveness: Liveness,
+    /// How far the router is behind its sockets.
+    pub turn: Turn,
+    /// Seconds that a turn may have taken before calls are rejected unread.
+    pub max_read_delay: f64,
     /// Connect timeout for workers, in seconds.
     pub connect_timeout: f64,
     /// Whether health checks ask workers to report their load.
@@ -115,6 +122,12 @@
         for WorkerList { complete, entries } in &bootstrap.worker_lists {
             dispatcher.update_endpoints(0.0, *complete, entries);
         }
+        let max_read_delays = config
+            .policy
+            .profiles
+            .iter()
+            .map(|profile| max_read_delay(profile.latency_objective, longest_deadline));
+        let max_read_delay = max_read_delays.fold(f64::INFINITY, f64::min);
         let connection_limits = ConnectionLimits::new(&ConnectionSettings {
             descriptors: bootstrap.descriptors,
             streams_per_connection: bootstrap.streams_per_connection,
@@ -139,6 +152,8 @@
                 memory_budget: MemoryBudget::new(bootstrap.memory_bytes),
                 shutdown: Shutdown::new(longest_deadline),
                 liveness: Liveness::default(),
+                turn: Turn::default(),
+                max_read_delay,
                 connect_timeout: config.limits.connect_timeout,
                 load_reports: bootstrap.load_reports,
                 sends_cancels: config.policy.can_cancel,
@@ -161,6 +176,26 @@
         now
     }
 
+    /// Begins a turn before a socket is read, unless one is in progress.
+    pub fn begin_turn(&mut self) {
+        let now = self.now();
+        if !self.turn.begin(now) {
+            return;
+        }
+        let Some(router) = self.weak_self.upgrade() else { return };
+        // Runs after every task that is ready now.
+        spawn_local(async move {
+            let mut router = router.borrow_mut();
+            let now = router.now();
+            router.turn.end(now);
+        });
+    }
+
+    /// Whether the router is so far behind its sockets that calls are rejected unread.
+    pub fn is_behind(&self) -> bool {
+        self.turn.seconds(self.now()) > self.max_read_delay
+    }
+
     /// The client connection with this key, unless it was closed; its slot may have been reused.
     pub fn client_by_key(&mut self, key: ClientKey) -> Option<&mut ClientConnection> {
         self.clients.get_mut(key.slot).filter(|client| client.serial == key.serial)
--- a/crates/platform-router/src/worker_connections/read.rs
+++ b/crates/platform-router/src/worker_connections/read.rs
@@ -14,6 +14,7 @@
     pub fn on_worker_readable(&mut self, slot: usize) {
         let connection = self.worker_connections.get(slot);
         let Some(stream) = connection.and_then(|connection| connection.stream.clone()) else { return };
+        self.begin_turn();
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
         match self.sockets.read(&stream, &mut read_buffer) {
             Ok(0) => self.on_connection_lost(slot, &WorkerConnectionError::ClosedByWorker),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -6,6 +6,11 @@
 use crate::random::Random;
 use crate::request_state::Request;
 
+/// Fraction of the latency objective that may pass before the first attempt.
+const WAIT_SHARE: f64 = 0.15;
+/// Fraction of the client's timeout that may pass, as the timeout may be shorter than the objective. The rest must
+/// suffice for a retry elsewhere.
+const CLIENT_TIME_SHARE: f64 = 0.4;
 /// Seconds for which an admission under the rate limit is valid. If the process was suspended for longer, the request
 /// must be admitted again.
 const ADMITTED_FOR: f64 = 0.5;
@@ -127,6 +132,13 @@
     }
 }
 
+/// The longest time in seconds for which requests may wait until the host reads them. A host that is further behind lacks
+/// processor time, and rejects what it reads without submitting it: to reject costs far less than to serve, and lets the
+/// host answer all clients in time.
+pub fn max_read_delay(latency_objective: f64, timeout: f64) -> f64 {
+    (WAIT_SHARE * latency_objective).min(CLIENT_TIME_SHARE * timeout)
+}
+
 /// Whether a request has been queued for so long that a timely answer is unlikely. `loaded` states whether any worker
 /// has an instance of its function; `latency` is the mean latency of answers. Times are in seconds.
 pub(crate) fn has_waited_too_long(
@@ -136,11 +148,6 @@
     loaded: bool,
     latency: f64,
 ) -> bool {
-    /// Fraction of the latency objective that may pass before the first attempt.
-    const WAIT_SHARE: f64 = 0.15;
-    /// Fraction of the client's timeout that may pass, as the timeout may be shorter than the objective. The rest
-    /// must suffice for a retry elsewhere.
-    const CLIENT_TIME_SHARE: f64 = 0.4;
     // Rejected while a retry can still be in time. A request that waits for a load would wait as long elsewhere.
     let wait = if loaded { WAIT_SHARE * latency_objective } else { latency_objective - latency };
     now - request.arrived_at > wait.min(CLIENT_TIME_SHARE * (request.deadline - request.arrived_at))
