Platform router: shutdown keeps its times where its steps come late

Cause, from the times of each step of case 4 beside 12 busy loops: the first step that read clients began 0.83 to 0.92 s after SIGTERM instead of 0.75 s, took 70 to 180 ms and shut down 1 to 17 of 200 connections, as all were read before the first was shut down; the next one was the last before the kill.

Change: admission closes before the read where no time is left to serve a call, without waiting for the listener; a connection is shut down right after its own read; the shutdown's deadlines move forward by the lateness of its steps.

--- a/crates/platform-router/src/client_connections/graceful_shutdown.rs
+++ b/crates/platform-router/src/client_connections/graceful_shutdown.rs
@@ -2,7 +2,7 @@
 //! answered, and each connection is closed once it is idle.
 
 use super::accept::accept_connections;
-use crate::platform_router::{ClientConnection, OpenCall, PlatformRouter, SharedRouter};
+use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use milletpath_platform_protocol::lines;
 use socket2::SockRef;
 use std::rc::Rc;
@@ -29,17 +29,27 @@
     /// `None`, which closes the listener, once its queue is empty.
     pub fn step_shutdown(&mut self, acceptor: &mut Option<Acceptor>) -> bool {
         let now = self.now();
-        if !self.shutdown.admission_over(now) || !self.close_acceptor(acceptor, now) {
+        self.shutdown.record_step(now);
+        if !self.shutdown.admission_over(now) {
+            return false;
+        }
+        let acceptor_closed = self.close_acceptor(acceptor, now);
+        // Where there is no time left to serve a call, nothing has to be read before the admission is closed.
+        if self.shutdown.rejects(now) {
+            self.shutdown.close_admission();
+        } else if !acceptor_closed {
             return false;
         }
         self.read_unread_clients();
         self.shutdown.close_admission();
+        let now = self.now();
         if self.shutdown.answers_due(now) {
             self.answer_open_calls(now);
         }
         self.run_actions();
         self.shut_down_idle(now, |_| true);
         self.close_lingering(now);
+        let now = self.now();
         let (open_requests, connections) = (self.dispatcher.open_requests(), self.clients.len());
         if self.shutdown.exit_due(now) {
             tracing::info!(open_requests, connections, "exiting before the earliest SIGKILL");
@@ -77,23 +87,30 @@
 
     /// Sends every open call its final response: failed if it may have run, rejected if it has not started.
     fn answer_open_calls(&mut self, now: f64) {
-        let calls_of = |(slot, client): (usize, &ClientConnection)| {
-            client.open_calls.iter().map(|call| (slot, *call)).collect::<Vec<_>>()
-        };
-        let open_calls: Vec<(usize, OpenCall)> = self.clients.iter().flat_map(calls_of).collect();
-        for (slot, OpenCall { number, request }) in open_calls {
+        for slot in self.clients_where(|_, client| !client.open_calls.is_empty()) {
+            self.answer_calls_of(slot, now);
+            // The client may have sent more calls, which are rejected, since its socket was last read.
+            self.read_client(slot);
+            self.shut_down_if_idle(slot, now);
+        }
+    }
+
+    /// Does the same for the calls of one client.
+    fn answer_calls_of(&mut self, slot: usize, now: f64) {
+        let open_calls = self.clients.get(slot).map_or_else(Vec::new, |client| client.open_calls.clone());
+        for OpenCall { number, request } in open_calls {
             self.forget_request_id(request);
             // Ending one request may end others, whose responses are then among the dispatcher's actions. Those find
             // their calls answered.
             let may_have_run = self.dispatcher.client_gone(now, request);
-            let Some(client) = self.clients.get_mut(slot) else { continue };
+            let Some(client) = self.clients.get_mut(slot) else { return };
             client.take_open_call(number);
             if may_have_run {
                 lines::write_failed(&mut client.write_buffer.bytes, number);
             } else {
                 lines::write_rejected(&mut client.write_buffer.bytes, number, self.retry_after);
             }
-            self.flush_client(slot);
         }
+        self.flush_client(slot);
     }
 }
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -47,7 +47,8 @@
             }
             Err(reason) => router.close_client(slot, &reason),
         });
-        if self.clients.get(slot).is_some_and(|client| client.overflow) {
+        // At once, as a client that goes on sending has unread bytes again soon.
+        if self.shutdown.admission_closed() || self.clients.get(slot).is_some_and(|client| client.overflow) {
             self.shut_down_if_idle(slot, now);
         }
     }
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -7,6 +7,7 @@
 use crate::client_connections::Acceptor;
 use crate::discovery_watch::watch_discovery;
 use crate::platform_router::{PlatformRouter, SharedRouter};
+use crate::shutdown::STEP_SECONDS;
 use milletpath_platform_protocol::bootstrap::{self, Bootstrap};
 use milletpath_process_environment::signals::{SIGHUP, SIGTERM, SignalReceiver};
 use milletpath_protocol::InputError;
@@ -21,9 +22,6 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
-/// Interval between the steps of a shutdown.
-const SHUTDOWN_STEP: Duration = Duration::from_millis(20);
-
 /// Why the router could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
@@ -140,7 +138,7 @@
                 spawn_local(reload_bootstrap(file.clone(), text.clone(), discovery_address.clone()));
             }
             () = signals.terminate.next() => begin_shutdown(&router),
-            () = tokio::time::sleep(SHUTDOWN_STEP), if shutting_down => {
+            () = tokio::time::sleep(Duration::from_secs_f64(STEP_SECONDS)), if shutting_down => {
                 if router.borrow_mut().step_shutdown(&mut acceptor) {
                     tracing::info!("shutdown complete");
                     return;
--- a/crates/platform-router/src/shutdown.rs
+++ b/crates/platform-router/src/shutdown.rs
@@ -22,6 +22,11 @@
 /// Seconds before the earliest SIGKILL at which the process exits even if clients are still connected.
 const EXIT_MARGIN: f64 = 0.03;
 
+/// Interval in seconds between the steps of a shutdown, if none is late.
+pub(crate) const STEP_SECONDS: f64 = 0.02;
+/// Upper bound in seconds of the lateness that is expected of the next step.
+const MAX_LATENESS: f64 = 0.1;
+
 /// Seconds without activity after which the process counts as paused. An idle process runs its cleanup five times a
 /// second.
 const PAUSE_THRESHOLD: f64 = 0.25;
@@ -42,12 +47,21 @@
     longest_deadline: f64,
     schedule: Option<Schedule>,
     admission_closed: bool,
+    last_step_at: Option<f64>,
+    /// By how much the next step may be late, in seconds.
+    expected_lateness: f64,
 }
 
 impl Shutdown {
     /// Creates the state for calls with a deadline of at most `longest_deadline` seconds.
     pub fn new(longest_deadline: f64) -> Self {
-        Self { longest_deadline, schedule: None, admission_closed: false }
+        Self {
+            longest_deadline,
+            schedule: None,
+            admission_closed: false,
+            last_step_at: None,
+            expected_lateness: 0.0,
+        }
     }
 
     /// Starts the shutdown when SIGTERM is read at `now`; the signal may have arrived as early as `earliest`. Further
@@ -62,6 +76,14 @@
         });
     }
 
+    /// Records the time of a step. On a busy host steps are late, so that the last one in time for a deadline is an
+    /// earlier one: the next step is expected to be as late as the last one, or half as late as the one before.
+    pub fn record_step(&mut self, now: f64) {
+        let interval = self.last_step_at.replace(now).map_or(STEP_SECONDS, |last| now - last);
+        let lateness = (interval - STEP_SECONDS).clamp(0.0, MAX_LATENESS);
+        self.expected_lateness = lateness.max(self.expected_lateness / 2.0);
+    }
+
     /// Whether SIGTERM was read.
     pub fn begun(&self) -> bool {
         self.schedule.is_some()
@@ -90,12 +112,12 @@
 
     /// Whether all calls in flight must be answered now.
     pub fn answers_due(&self, now: f64) -> bool {
-        self.schedule.is_some_and(|s| now >= s.answer_by)
+        self.schedule.is_some_and(|s| now + self.expected_lateness >= s.answer_by)
     }
 
     /// Whether the process must exit now.
     pub fn exit_due(&self, now: f64) -> bool {
-        self.schedule.is_some_and(|s| now >= s.exit_by)
+        self.schedule.is_some_and(|s| now + self.expected_lateness >= s.exit_by)
     }
 
     /// Seconds that a call admitted now may take.
--- a/crates/platform-router/src/shutdown/tests.rs
+++ b/crates/platform-router/src/shutdown/tests.rs
@@ -35,6 +35,28 @@
     assert_eq!(shutdown.rejects(10.8), rejected);
 }
 
+/// Where steps are late, the next one may come after a deadline, so the deadline counts as reached before it. Guards
+/// against an exit after the SIGKILL on a busy host.
+#[test]
+fn late_steps_bring_the_deadlines_forward() {
+    let mut shutdown = Shutdown::new(0.5);
+    shutdown.begin(10.0, 10.0);
+    for step_at in [10.02, 10.04] {
+        shutdown.record_step(step_at);
+    }
+    assert!(!shutdown.answers_due(11.0) && !shutdown.exit_due(11.12));
+    shutdown.record_step(10.13);
+    assert!(shutdown.answers_due(11.0) && shutdown.exit_due(11.12));
+    assert!(!shutdown.answers_due(10.97) && !shutdown.exit_due(11.09));
+    // An interval of many seconds counts as MAX_LATENESS only, and is forgotten once steps are in time again.
+    shutdown.record_step(20.0);
+    assert!(!shutdown.answers_due(10.94));
+    for step in 1..20 {
+        shutdown.record_step(20.0 + 0.02 * f64::from(step));
+    }
+    assert!(!shutdown.answers_due(11.049));
+}
+
 #[test]
 fn no_call_is_admitted_after_admission_closes() {
     let mut shutdown = Shutdown::new(3.0);
