Discovery: a stream is read before it counts as silent

Cause: SIGSTOP interrupts the wait for sockets, so on SIGCONT the runtime fires timers before it learns which sockets are readable. With the last heartbeat 1.8 s old, the stream's task closed the socket with the events unread; calls that were read next found no socket to check.

--- a/crates/milletpath/tests/platform/discovery_outage.rs
+++ b/crates/milletpath/tests/platform/discovery_outage.rs
@@ -290,6 +290,19 @@
 /// are applied first. Guards against polling the clients' sockets first and sending their calls to draining workers.
 #[test]
 fn an_event_received_during_a_pause_is_applied_before_calls() {
+    pause_with_calls_and_events(DRAIN_GRACE + DELIVERY_MARGIN);
+}
+
+/// The same where discovery counts as silent once the router resumes, before it has read what discovery has sent. Guards
+/// against closing the stream with the events unread.
+#[test]
+fn an_event_received_during_a_pause_past_the_silence_timeout_is_applied_before_calls() {
+    const PAUSE: Duration = Duration::from_millis(2100);
+    pause_with_calls_and_events(PAUSE);
+}
+
+/// Pauses a router while clients send calls and then workers drain, and checks that draining workers get none of them.
+fn pause_with_calls_and_events(pause: Duration) {
     let setup = TestSetup::start(Scenario { routers: 1, ..Scenario::WITH_DRAINS });
     setup.router.wait_for_current_list();
     assert_eq!(count_served_calls(&setup.router, 1..60), 59);
@@ -306,7 +319,7 @@
         for worker in 0..4 {
             setup.drain(worker);
         }
-        std::thread::sleep(DRAIN_GRACE + DELIVERY_MARGIN);
+        std::thread::sleep(pause);
     });
     let resumed_at = Instant::now();
     for client in &mut clients {
--- a/crates/platform-router/src/discovery_watch.rs
+++ b/crates/platform-router/src/discovery_watch.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Time without a complete line after which the stream counts as silent, even if parts of a line arrive. The platform
 /// completes a line every second. Well below the 4 s after which the router is expected to know an event.
@@ -95,6 +96,16 @@
     Ok(())
 }
 
+/// Reads what the stream has sent although its socket is not known to be readable, and returns an error if there was no
+/// line. After a pause of the process the timers fire before the runtime learns which sockets are readable, as the wait
+/// for them was interrupted by the signal.
+fn end_if_silent(router: &SharedRouter) -> Result<(), StreamEnd> {
+    let mut router = router.borrow_mut();
+    router.read_discovery();
+    let is_silent = router.discovery.last_line_at + SILENCE_TIMEOUT <= Instant::now();
+    if is_silent { Err(StreamEnd::Silent) } else { Ok(()) }
+}
+
 /// Subscribes to the events after the last known one and applies them until the stream ends.
 async fn read_events(
     router: &SharedRouter,
@@ -116,8 +127,11 @@
         bytes.clear();
         tokio::select! {
             read = tokio::time::timeout_at(silent_at, stream.read_buf(&mut bytes)) => {
-                if read.map_err(|_| StreamEnd::Silent)?.map_err(StreamEnd::ReadFailed)? == 0 {
-                    return Err(StreamEnd::Closed);
+                match read {
+                    Ok(Ok(1..)) => {}
+                    Ok(Ok(0)) => return Err(StreamEnd::Closed),
+                    Ok(Err(error)) => return Err(StreamEnd::ReadFailed(error)),
+                    Err(_) => end_if_silent(router)?,
                 }
             }
             () = read_outside_task.notified() => {}
