Platform router: queued connections are accepted together

Cause: the accept task yielded after each connection, which made one accept a turn of all ready tasks; turns take 60 ms and more when the router is behind.

Change: it yields only at the connection limit, where its reason holds (an evicted connection releases its descriptor).

Test: queued_connections_are_accepted_in_one_turn: 1 of 20 before (red), 20 after.

--- a/crates/platform-router/src/client_connections/accept.rs
+++ b/crates/platform-router/src/client_connections/accept.rs
@@ -78,6 +78,9 @@
 /// Accepts connections for the lifetime of the router.
 pub(super) async fn accept_connections(router: SharedRouter, listener: Rc<TcpListener>) {
     let mut failures = 0;
+    let max_clients = router.borrow().connection_limits.clients;
+    // Below the limit all queued connections are accepted in one turn, as far as the runtime's task budget allows: one a
+    // turn would leave them unread for seconds while turns are long.
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -87,8 +90,10 @@
                     tokio::time::sleep(ADMISSION_RETRY_PAUSE).await;
                 }
                 router.borrow_mut().run_actions();
-                // Lets the task of an evicted connection run and release its file descriptor before the next accept.
-                tokio::task::yield_now().await;
+                if router.borrow().clients.len() >= max_clients {
+                    // Lets the task of an evicted connection run and release its file descriptor before the next accept.
+                    tokio::task::yield_now().await;
+                }
             }
             Err(e) => {
                 tracing::warn!(error = %e, "could not accept a connection");
--- a/crates/platform-router/src/client_connections/accept/tests.rs
+++ b/crates/platform-router/src/client_connections/accept/tests.rs
@@ -110,3 +110,21 @@
         assert_eq!(peek_socket(&client), SocketState::Closed);
     });
 }
+
+/// Connections that are queued together are accepted together. Guards against accepting one each time all sockets have
+/// been served, which left the calls on new connections unread for as many turns.
+#[test]
+fn queued_connections_are_accepted_in_one_turn() {
+    const CLIENTS: usize = 20;
+    run_local(async {
+        let router = router_with_workers(&[]);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let _clients: Vec<_> = (0..CLIENTS).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+        spawn_local(accept_connections(router.clone(), Rc::new(listener)));
+        while router.borrow().clients.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(router.borrow().clients.len(), CLIENTS);
+    });
+}
