--- a/crates/milletpath/tests/platform/persistent_client.rs
+++ b/crates/milletpath/tests/platform/persistent_client.rs
@@ -25,6 +25,8 @@
     pub lost: usize,
     /// The longest time between the write of a lost call and the end of its connection.
     pub longest_unanswered: Duration,
+    /// The longest time after its deadline at which a call was answered.
+    pub latest_answer: Duration,
 }
 
 impl CallTotals {
@@ -35,6 +37,7 @@
         self.answered_twice += other.answered_twice;
         self.lost += other.lost;
         self.longest_unanswered = self.longest_unanswered.max(other.longest_unanswered);
+        self.latest_answer = self.latest_answer.max(other.latest_answer);
     }
 }
 
@@ -114,7 +117,11 @@
                 .and_then(|n| n.trim().parse().ok())
                 .unwrap_or_else(|| panic!("an answer without a call number: {line}"));
             match self.open.remove(&number) {
-                Some(_) => self.totals.answered += 1,
+                Some(written) => {
+                    let late = written.elapsed().saturating_sub(Duration::from_millis(self.deadline_ms));
+                    self.totals.latest_answer = self.totals.latest_answer.max(late);
+                    self.totals.answered += 1;
+                }
                 None => self.totals.answered_twice += 1,
             }
         }
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -60,6 +60,11 @@
         self.resume();
     }
 
+    /// Whether the process has not exited yet.
+    pub fn is_running(&self) -> bool {
+        self.state().is_some_and(|state| !matches!(state, 'Z' | 'X'))
+    }
+
     /// Returns the state code from `/proc/PID/stat`, for example `T` for a stopped process.
     fn state(&self) -> Option<char> {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
