--- a/crates/milletpath/tests/platform/process_lifecycle.rs
+++ b/crates/milletpath/tests/platform/process_lifecycle.rs
@@ -97,7 +97,8 @@
     let same_address = format!("\"{}\"", router.address);
     let next = Router::with_configuration(&configuration.with("listen", same_address));
     assert_eq!(next.address, router.address);
-    assert!(Client::connect(&next).call(1, 9).contains(DONE));
+    let line = Client::connect(&next).call(1, 9);
+    assert!(line.contains(DONE), "{line:?}\nfirst process:\n{}\nnext process:\n{}", router.log(), next.log());
 }
 
 /// The inodes of the sockets that a process has open.
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -167,7 +167,7 @@
     fn handle_message(&mut self, slot: usize, message: ClientMessage) {
         match message {
             ClientMessage::Call(call) => self.submit_call(slot, *call),
-            ClientMessage::UnreadCall { number } => self.reject_call(slot, number),
+            ClientMessage::UnreadCall { number } => self.reject_unread_call(slot, number),
             ClientMessage::Cancel { id, number } => self.cancel_calls(slot, id, number),
             ClientMessage::Probe { number } => {
                 let is_healthy = self.dispatcher.has_endpoints() && !self.shutdown.begun();
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -90,12 +90,20 @@
     }
 
     /// Rejects a call that was not admitted. The caller flushes the write buffer.
-    pub(super) fn reject_call(&mut self, slot: usize, number: u64) {
+    fn reject_call(&mut self, slot: usize, number: u64) {
         if let Some(client) = self.clients.get_mut(slot) {
             lines::write_rejected(&mut client.write_buffer.bytes, number, self.retry_after);
         }
     }
 
+    /// Rejects a call of which only the number was read.
+    pub(super) fn reject_unread_call(&mut self, slot: usize, number: u64) {
+        if !self.shutdown.begun() {
+            self.unread_rejections.record();
+        }
+        self.reject_call(slot, number);
+    }
+
     /// Cancels the calls of a client that have this request id or, if no id is given, this number.
     pub(super) fn cancel_calls(&mut self, slot: usize, id: Option<u64>, number: Option<u64>) {
         let Some(client) = self.clients.get_mut(slot) else { return };
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! The modules, from those without I/O to those that wait for sockets:
 //!
-//! - `backoff`, `connection_limits`, `memory_budget`, `request_ids_seen`, `shutdown`, `socket_errors`, `turn`: rules without
+//! - `backoff`, `connection_limits`, `memory_budget`, `request_ids_seen`, `shutdown`, `socket_errors`, `turn`,
+//!   `unread_rejections`: rules without
 //!   I/O. They take times and sizes as arguments and are tested without sockets.
 //! - `sockets`, `write_buffer`: system calls on a connection, and buffered output.
 //! - `platform_router`: the shared state, `PlatformRouter`, with types for a client connection, a worker connection
@@ -42,6 +43,7 @@
 mod socket_errors;
 mod sockets;
 mod turn;
+mod unread_rejections;
 mod worker_connections;
 mod write_buffer;
 
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -16,6 +16,7 @@
 use crate::shutdown::{Liveness, Shutdown};
 use crate::sockets::{Sockets, SystemSockets};
 use crate::turn::Turn;
+use crate::unread_rejections::UnreadRejections;
 use milletpath_dispatcher::dispatcher::Dispatcher;
 use milletpath_platform_protocol::bootstrap::{Bootstrap, WorkerList};
 use milletpath_policy::max_read_delay;
@@ -86,6 +87,8 @@
     pub liveness: Liveness,
     /// How far the router is behind its sockets.
     pub turn: Turn,
+    /// Calls that were rejected unread, to be logged.
+    pub unread_rejections: UnreadRejections,
     /// Seconds that a turn may have taken before calls are rejected unread.
     pub max_read_delay: f64,
     /// Connect timeout for workers, in seconds.
@@ -153,6 +156,7 @@
                 shutdown: Shutdown::new(longest_deadline),
                 liveness: Liveness::default(),
                 turn: Turn::default(),
+                unread_rejections: UnreadRejections::new(),
                 max_read_delay,
                 connect_timeout: config.limits.connect_timeout,
                 load_reports: bootstrap.load_reports,
--- a/crates/platform-router/src/run/timer.rs
+++ b/crates/platform-router/src/run/timer.rs
@@ -20,6 +20,9 @@
         // Frequent checks of the socket let a heartbeat confirm the list for about the time at which it was written.
         self.peek_discovery();
         self.report_list_state(now);
+        if let Some(rejected) = self.unread_rejections.take_due(now) {
+            tracing::warn!(rejected, "too little processor time: calls that were read late were rejected");
+        }
         self.close_stale_clients(now);
         self.close_idle_worker_connections(now);
         self.run_actions();
--- a/crates/test-support/src/platform_rig/router.rs
+++ b/crates/test-support/src/platform_rig/router.rs
@@ -74,6 +74,11 @@
         lines.iter().filter(|line| line.contains(text)).cloned().collect()
     }
 
+    /// Returns the log since the router began to listen, for the message of a failed assertion.
+    pub fn log(&self) -> String {
+        self.log_lines_containing("").join("\n")
+    }
+
     /// Waits until discovery has confirmed the router's endpoint list. From then on the first frame that a worker
     /// receives belongs to a call.
     pub fn wait_for_current_list(&self) {
