Platform router: bursts and pauses are not rejected as late reads

Cause: one limit of 0.15 of the objective for every turn, and a turn that counted a pause of the process that began within it (the log names 4 rejected calls, the first client's).

Change: ReadDelayLimits of the policy: 0.4 of the longest deadline for a burst, and 0.15 of the shortest objective while the turn before was as long. A turn counts from the end of a pause.

--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -190,7 +190,8 @@
         let lines = String::from_utf8_lossy(&received[..length]).into_owned();
         let rejected: Vec<_> = lines.lines().map(|line| line.contains("-32066")).collect();
         assert_eq!(rejected, [true, true, false], "{lines}");
-        router.borrow_mut().turn.end();
+        let now = router.borrow().now();
+        router.borrow_mut().turn.end(now);
         assert!(!router.borrow().is_behind());
     });
 }
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -19,7 +19,7 @@
 use crate::unread_rejections::UnreadRejections;
 use milletpath_dispatcher::dispatcher::Dispatcher;
 use milletpath_platform_protocol::bootstrap::{Bootstrap, WorkerList};
-use milletpath_policy::max_read_delay;
+use milletpath_policy::ReadDelayLimits;
 use milletpath_process_environment::wall_clock::unix_time;
 use slab::Slab;
 use std::cell::RefCell;
@@ -89,8 +89,8 @@
     pub turn: Turn,
     /// Calls that were rejected unread, to be logged.
     pub unread_rejections: UnreadRejections,
-    /// Seconds that a turn may have taken before calls are rejected unread.
-    pub max_read_delay: f64,
+    /// How long a turn may have taken before calls are rejected unread.
+    pub read_delay_limits: ReadDelayLimits,
     /// Connect timeout for workers, in seconds.
     pub connect_timeout: f64,
     /// Whether health checks ask workers to report their load.
@@ -125,12 +125,8 @@
         for WorkerList { complete, entries } in &bootstrap.worker_lists {
             dispatcher.update_endpoints(0.0, *complete, entries);
         }
-        let max_read_delays = config
-            .policy
-            .profiles
-            .iter()
-            .map(|profile| max_read_delay(profile.latency_objective, longest_deadline));
-        let max_read_delay = max_read_delays.fold(f64::INFINITY, f64::min);
+        let objectives = config.policy.profiles.iter().map(|profile| profile.latency_objective);
+        let shortest_objective = objectives.fold(f64::INFINITY, f64::min);
         let connection_limits = ConnectionLimits::new(&ConnectionSettings {
             descriptors: bootstrap.descriptors,
             streams_per_connection: bootstrap.streams_per_connection,
@@ -157,7 +153,7 @@
                 liveness: Liveness::default(),
                 turn: Turn::default(),
                 unread_rejections: UnreadRejections::new(),
-                max_read_delay,
+                read_delay_limits: ReadDelayLimits::new(shortest_objective, longest_deadline),
                 connect_timeout: config.limits.connect_timeout,
                 load_reports: bootstrap.load_reports,
                 sends_cancels: config.policy.can_cancel,
@@ -184,18 +180,21 @@
     pub fn begin_turn(&mut self) {
         let now = self.now();
         if !self.turn.begin(now) {
+            self.turn.resume(self.liveness.resumed_at());
             return;
         }
         let Some(router) = self.weak_self.upgrade() else { return };
         // Runs after every task that is ready now.
         spawn_local(async move {
-            router.borrow_mut().turn.end();
+            let mut router = router.borrow_mut();
+            let now = router.now();
+            router.turn.end(now);
         });
     }
 
     /// Whether the router is so far behind its sockets that calls are rejected unread.
     pub fn is_behind(&self) -> bool {
-        self.turn.seconds(self.now()) > self.max_read_delay
+        self.turn.is_behind(self.now(), self.read_delay_limits)
     }
 
     /// The client connection with this key, unless it was closed; its slot may have been reused.
--- a/crates/platform-router/src/shutdown.rs
+++ b/crates/platform-router/src/shutdown.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// The end of the last pause; negative infinity if there was none.
+    pub fn resumed_at(&self) -> f64 {
+        self.pause.get().map_or(f64::NEG_INFINITY, |pause| pause.until)
+    }
+
     /// The earliest time at which a signal read at `now` may have arrived.
     pub fn earliest_signal(&self, now: f64) -> f64 {
         match self.pause.get() {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -132,11 +132,23 @@
     }
 }
 
-/// The longest time in seconds for which requests may wait until the host reads them. A host that is further behind lacks
-/// processor time, and rejects what it reads without submitting it: to reject costs far less than to serve, and lets the
-/// host answer all clients in time.
-pub fn max_read_delay(latency_objective: f64, timeout: f64) -> f64 {
-    (WAIT_SHARE * latency_objective).min(CLIENT_TIME_SHARE * timeout)
+/// The longest times in seconds for which requests may wait until the host reads them. A host that is further behind
+/// lacks processor time, and rejects what it reads without submitting it: to reject costs far less than to serve, and
+/// lets the host answer all clients in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadDelayLimits {
+    /// While the host has been behind for longer than one burst takes.
+    pub sustained: f64,
+    /// For a single burst, while its clients still have most of their time.
+    pub burst: f64,
+}
+
+impl ReadDelayLimits {
+    /// The limits for requests with this latency objective and this timeout, both in seconds.
+    pub fn new(latency_objective: f64, timeout: f64) -> Self {
+        let burst = CLIENT_TIME_SHARE * timeout;
+        Self { sustained: (WAIT_SHARE * latency_objective).min(burst), burst }
+    }
 }
 
 /// Whether a request has been queued for so long that a timely answer is unlikely. `loaded` states whether any worker
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,7 +46,7 @@
 mod worker_set;
 mod worker_state;
 
-pub use admission::max_read_delay;
+pub use admission::ReadDelayLimits;
 pub use config::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget};
 pub use decay::DecayingSum;
 pub use dispatch::SendRefusal;
