Gateway: the permission to write counts from the dispatcher's decision

Cause: the permission of 0.15 s was granted after the dispatcher had answered and the core had handled its messages. A stall in between was not counted: what was allowed before a drain was written when the stall ended.

Change: SendDecision carries the time of the decision, read under the dispatcher's lock, and the permission ends 0.15 s after it. Messages that follow a decision are handled once the request is with its connection. The permission is used up by the first byte, no longer by a write that accepted none. Health checks are asked about too. WritePermit has a file of its own.

Evidence: FaultInjection::StallBeforeWrite stalls a core between the two.

--- a/crates/dispatcher/src/dispatcher/health_checks.rs
+++ b/crates/dispatcher/src/dispatcher/health_checks.rs
@@ -5,6 +5,12 @@
 use milletpath_policy::{LoadReport, Outcome};
 
 impl<T> Dispatcher<T> {
+    /// Whether the result of a health check is still awaited. The caller asks right before it sends the check.
+    pub fn awaits_health_check(&self, worker: usize, serial: u64) -> bool {
+        let open = self.state.health_checks.get(worker).and_then(Option::as_ref);
+        open.is_some_and(|health_check| health_check.serial == serial)
+    }
+
     /// Reports that a health check was answered or failed. `serial` is the number from its action, and `report` is
     /// the load reported by the worker.
     pub fn health_check_ended(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,12 +3,13 @@
 
 use crate::connection_pool::WorkerTarget;
 use crate::core_context::CoreContext;
-use crate::core_message::AttemptId;
+use crate::core_message::{AttemptId, RequestKind};
 use crate::response::FinalResponse;
 use crate::worker_exchange::{
     self, BodyError, BufferedBody, PendingResponse, build_request, exchange, host_header,
 };
 use crate::worker_response::{attempt_result, remove_hop_by_hop_headers};
+use crate::write_permit::SendDecision;
 use bytes::Bytes;
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{Method, Request};
@@ -59,17 +60,20 @@
 }
 
 /// Begins an attempt that is about to be written and sets the header field with the seconds left, which are computed
-/// only now because opening the connection may have taken time. Returns false if the dispatcher withholds the attempt.
-fn begin(context: &Rc<CoreContext>, id: AttemptId, headers: &mut HeaderMap) -> bool {
-    let time_left = context.with_dispatcher(|dispatcher, now| {
-        let begun = dispatcher.begin_attempt(now, id.request, id.attempt);
-        begun.then(|| dispatcher.time_left(now, id.request, id.attempt)).flatten()
+/// only now because opening the connection may have taken time.
+fn begin(context: &CoreContext, id: AttemptId, headers: &mut HeaderMap) -> SendDecision {
+    let mut time_left = None;
+    let decision = context.decide_to_send(RequestKind::Attempt, |dispatcher, now| {
+        if dispatcher.begin_attempt(now, id.request, id.attempt) {
+            time_left = dispatcher.time_left(now, id.request, id.attempt);
+        }
+        time_left.is_some()
     });
-    let Some(time_left) = time_left else { return false };
-    if let Ok(time_left) = HeaderValue::from_str(&format!("{time_left:.3}")) {
+    let time_left = time_left.and_then(|seconds| HeaderValue::from_str(&format!("{seconds:.3}")).ok());
+    if let Some(time_left) = time_left {
         headers.insert(&wire::TIME_LEFT, time_left);
     }
-    true
+    decision
 }
 
 /// Reads the response of an attempt and reports the result.
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -4,19 +4,18 @@
 
 use crate::connection_limit::ConnectionPermit;
 use crate::io_fault;
+use crate::write_permit::WritePermit;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use milletpath_multicore::watchdog::STALL_THRESHOLD;
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -41,39 +40,6 @@
     pub endpoint: Endpoint,
 }
 
-/// Permission to write one request, with an expiry: a thread that has stalled since the decision to send must not
-/// write, because the decision may be outdated. Writes are not restricted while no permission is pending. Nothing but
-/// requests is ever written to a worker.
-#[derive(Default)]
-pub struct WritePermit {
-    until: Cell<Option<Instant>>,
-    was_refused: Cell<bool>,
-}
-
-impl WritePermit {
-    /// Permits writing one request, starting now.
-    pub fn grant(&self) {
-        self.until.set(Some(Instant::now() + Duration::from_secs_f64(STALL_THRESHOLD)));
-    }
-
-    /// Consumes the permission with the first write; called before each write. Fails if the permission has expired.
-    fn consume(&self) -> io::Result<()> {
-        if self.until.take().is_some_and(|until| Instant::now() > until) {
-            self.was_refused.set(true);
-            return Err(io::Error::new(
-                io::ErrorKind::TimedOut,
-                "the thread was stalled before it wrote the request",
-            ));
-        }
-        Ok(())
-    }
-
-    /// Whether a write was refused, in which case no part of the request was written.
-    pub fn was_refused(&self) -> bool {
-        self.was_refused.get()
-    }
-}
-
 /// A stream to a worker that refuses to write on an expired permission.
 struct PermittedStream {
     stream: TokioIo<TcpStream>,
@@ -92,8 +58,10 @@
 
 impl Write for PermittedStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.write_permit.consume()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.write_permit.check()?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.write_permit.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -113,8 +81,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write_permit.consume()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.write_permit.check()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.write_permit.record_write(&written);
+        written
     }
 }
 
--- a/crates/gateway/src/connection_pool/tests.rs
+++ b/crates/gateway/src/connection_pool/tests.rs
@@ -1,5 +1,7 @@
 use super::*;
 use crate::connection_limit::ConnectionLimit;
+use milletpath_multicore::watchdog::STALL_THRESHOLD;
+use std::time::Instant;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
@@ -17,7 +19,7 @@
         assert!(limit.reserve().is_none());
         let (mut stream, _) = listener.accept().await.unwrap();
         connection.sender.ready().await.unwrap();
-        connection.write_permit.grant();
+        connection.write_permit.grant(Instant::now());
         let request = http::Request::get("/").body(Body::default()).unwrap();
         let sent = connection.sender.send_request(request);
         std::thread::sleep(Duration::from_secs_f64(stall));
--- a/crates/gateway/src/core_context.rs
+++ b/crates/gateway/src/core_context.rs
@@ -2,12 +2,13 @@
 //! confined to one thread; other threads access the core through its slot in the shared runtime.
 
 use crate::connection_pool::{self, Connection, ConnectionPool, Endpoint, WorkerTarget};
-use crate::core_message::{CoreMessage, RequestLocation};
+use crate::core_message::{CoreMessage, RequestKind, RequestLocation};
 use crate::core_slot::CoreSlot;
 use crate::open_requests::{NewRequest, OpenRequest, OpenRequests};
 use crate::response::{BufferedBytes, FinalResponse};
 use crate::response_channel::ResponseChannel;
 use crate::shared_runtime::SharedRuntime;
+use crate::write_permit::SendDecision;
 use bytes::Bytes;
 use http::HeaderMap;
 use milletpath_config::{GatewayConfig, Limits};
@@ -70,6 +71,8 @@
     endpoint_watch: RefCell<Option<AbortHandle>>,
     last_heartbeat: Cell<f64>,
     last_stall: Cell<Stall>,
+    /// Injected by a test: a stall of this many seconds before the next write of a request of this kind.
+    stall_before_write: Cell<Option<(RequestKind, f64)>>,
     /// Wakes tasks that wait for the end of a stall.
     resumed: Notify,
     /// Observed by this core's client connections.
@@ -94,6 +97,7 @@
             pools: RefCell::default(),
             endpoint_watch: RefCell::default(),
             last_stall: Cell::default(),
+            stall_before_write: Cell::default(),
             resumed: Notify::new(),
             stopping: watch::Sender::new(false),
         })
@@ -151,6 +155,41 @@
         result
     }
 
+    /// Asks the dispatcher whether a request may be sent now. The resulting messages stay in the mailbox, because
+    /// handling them may take longer than the answer is valid; the caller must call
+    /// [`process_messages`](Self::process_messages) once the request was handed to its connection.
+    pub fn decide_to_send(
+        &self,
+        kind: RequestKind,
+        operation: impl FnOnce(&mut Dispatcher<RequestLocation>, f64) -> bool,
+    ) -> SendDecision {
+        let (allowed, decided_at) = self
+            .shared_runtime
+            .with_dispatcher(Some(self.core), |dispatcher, now| (operation(dispatcher, now), now));
+        self.apply_stall_before_write(kind);
+        if allowed {
+            SendDecision::Send { decided_at: self.shared_runtime.instant_at(decided_at) }
+        } else {
+            SendDecision::Withhold
+        }
+    }
+
+    /// Makes this thread sleep for this many seconds between the next decision to send a request of this kind and its
+    /// write.
+    pub fn stall_before_next_write(&self, kind: RequestKind, seconds: f64) {
+        self.stall_before_write.set(Some((kind, seconds)));
+    }
+
+    /// Sleeps if a test has requested a stall before this kind of request.
+    fn apply_stall_before_write(&self, kind: RequestKind) {
+        if let Some((stalled_kind, seconds)) = self.stall_before_write.get()
+            && stalled_kind == kind
+        {
+            self.stall_before_write.set(None);
+            std::thread::sleep(Duration::from_secs_f64(seconds));
+        }
+    }
+
     /// Handles the messages in this core's mailbox, unless another thread has replaced this one.
     pub fn process_messages(self: &Rc<Self>) {
         if self.slot().heartbeat.incarnation() != self.incarnation {
--- a/crates/gateway/src/core_message.rs
+++ b/crates/gateway/src/core_message.rs
@@ -90,11 +90,25 @@
     InjectFault(FaultInjection),
 }
 
+/// The kinds of requests to workers about which the dispatcher is asked right before they are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// An attempt of a client's request.
+    Attempt,
+    /// A request to load instances of a function.
+    LoadRequest,
+    /// A health check.
+    HealthCheck,
+}
+
 /// A fault that tests inject into a core.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FaultInjection {
     /// The core's thread sleeps for this many seconds.
     Stall(f64),
+    /// The core's thread sleeps for this many seconds between the next decision to send a request of this kind to a
+    /// worker and its write.
+    StallBeforeWrite(RequestKind, f64),
     /// The core's thread panics.
     Panic,
     /// The dispatcher panics while the core uses it.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,11 +47,12 @@
 mod worker_commands;
 mod worker_exchange;
 mod worker_response;
+mod write_permit;
 mod write_timeout;
 
 pub use config_follower::{ConfigFeed, ConfigStatus};
 pub use control_thread::ControlThreadError;
-pub use core_message::FaultInjection;
+pub use core_message::{FaultInjection, RequestKind};
 pub use datagram_receiver::is_power_of_ten;
 pub use key_file::{KeyFileError, read_control_key, read_fleet_key};
 pub use membership_link::{
--- a/crates/gateway/src/message_handler.rs
+++ b/crates/gateway/src/message_handler.rs
@@ -58,6 +58,7 @@
 fn inject_fault(context: &Rc<CoreContext>, fault: FaultInjection) {
     match fault {
         FaultInjection::Stall(seconds) => std::thread::sleep(Duration::from_secs_f64(seconds)),
+        FaultInjection::StallBeforeWrite(kind, seconds) => context.stall_before_next_write(kind, seconds),
         FaultInjection::Panic => panic!("panic injected by a test"),
         FaultInjection::DispatcherPanic => {
             let shared_runtime = context.shared_runtime.clone();
--- a/crates/gateway/src/shared_runtime.rs
+++ b/crates/gateway/src/shared_runtime.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
 /// Maximum number of messages of one request in a mailbox: its attempts, their cancellations and its response.
@@ -126,6 +126,11 @@
         self.started.elapsed().as_secs_f64()
     }
 
+    /// The time that is this many seconds after the start of the process.
+    pub fn instant_at(&self, seconds: f64) -> Instant {
+        self.started + Duration::from_secs_f64(seconds.max(0.0))
+    }
+
     /// Returns a new id for a client connection.
     pub fn new_connection_id(&self) -> u64 {
         self.next_connection_id.fetch_add(1, Ordering::Relaxed)
--- a/crates/gateway/src/worker_exchange.rs
+++ b/crates/gateway/src/worker_exchange.rs
@@ -6,6 +6,7 @@
 use crate::core_context::{ConnectError, CoreContext};
 use crate::io_fault::ConnectFault;
 use crate::response::BufferedBytes;
+use crate::write_permit::SendDecision;
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
 use http::{Method, Request, Response};
@@ -13,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use milletpath_policy::Outcome;
+use std::rc::Rc;
 
 /// Why an exchange yielded no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -62,14 +64,15 @@
     pub connection: Connection,
 }
 
-/// Sends one request. `begin` is called with its header fields right before it is written, and returns whether it may
-/// be sent. If a pooled connection was closed before anything was written, the worker has not received the request, and
-/// another connection is used.
+/// Sends one request. `begin` is called with its header fields right before it is written, and decides whether it may
+/// be sent. It must leave the messages that result from the decision in the mailbox; they are handled here, once the
+/// request was handed to its connection. If a pooled connection was closed before anything was written, the worker has
+/// not received the request, and another connection is used.
 pub async fn exchange(
-    context: &CoreContext,
+    context: &Rc<CoreContext>,
     target: WorkerTarget,
     mut request: Request<Body>,
-    mut begin: impl FnMut(&mut HeaderMap) -> bool,
+    mut begin: impl FnMut(&mut HeaderMap) -> SendDecision,
 ) -> Result<PendingResponse, ExchangeError> {
     loop {
         let (mut connection, is_new) = match context.idle_connection(target) {
@@ -83,12 +86,16 @@
             continue;
         }
         context.wait_until_responsive().await;
-        if !begin(request.headers_mut()) {
+        let decision = begin(request.headers_mut());
+        let SendDecision::Send { decided_at } = decision else {
+            context.process_messages();
             context.return_connection(target.worker, connection);
             return Err(ExchangeError::Withheld);
-        }
-        connection.write_permit.grant();
-        match connection.sender.try_send_request(request).await {
+        };
+        connection.write_permit.grant(decided_at);
+        let sent = connection.sender.try_send_request(request);
+        context.process_messages();
+        match sent.await {
             Ok(response) => return Ok(PendingResponse { response, connection }),
             // This thread stalled between the decision and the write.
             Err(_) if connection.write_permit.was_refused() => return Err(ExchangeError::NoConnection),
--- a/crates/gateway/tests/multiple_cores.rs
+++ b/crates/gateway/tests/multiple_cores.rs
@@ -3,10 +3,10 @@
 
 mod support;
 
-use milletpath_gateway::FaultInjection;
+use milletpath_gateway::{FaultInjection, RequestKind};
 use milletpath_process_environment::wall_clock::unix_time;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use support::{
     Behavior, IDEMPOTENT, NON_IDEMPOTENT, OK, RequestHeads, config_for, outcome, run, send_request,
     start_with_faults,
@@ -50,9 +50,13 @@
     format!("{{\"edition\": {number}, \"whole\": true, \"workers\": [{}]}}\n", entries.join(", "))
 }
 
-fn config_with_registry(cores: usize, registry: SocketAddr) -> milletpath_config::GatewayConfig {
+fn config_with_registry(
+    cores: usize,
+    registry: SocketAddr,
+    extra_config: &str,
+) -> milletpath_config::GatewayConfig {
     let text = format!(
-        "cores = {cores}\nseed = 3\nlisten = \"127.0.0.1:0\"\n{IDEMPOTENT}workers {{\norders = false\nregistry = \
+        "cores = {cores}\nseed = 3\nlisten = \"127.0.0.1:0\"\n{extra_config}workers {{\norders = false\nregistry = \
          \"{registry}\"\ndrain_grace = 0.5\n}}\n"
     );
     milletpath_config::read(&text).unwrap()
@@ -101,7 +105,7 @@
         let (registry, revisions) = registry().await;
         revisions.send(endpoint_list(1, &[(draining, "ready"), (remaining, "ready")])).unwrap();
         let (gateway_address, _stop, _served, faults) =
-            start_with_faults(config_with_registry(4, registry)).await;
+            start_with_faults(config_with_registry(4, registry, IDEMPOTENT)).await;
         pause(0.2).await;
         let clients: Vec<_> = (0..8).map(|_| spawn_local(send_requests(gateway_address, 20_000))).collect();
         pause(0.3).await;
@@ -117,6 +121,49 @@
     });
 }
 
+/// A core stalls after the dispatcher has allowed it to send a request and before the request is written. Meanwhile the
+/// worker drains, and the grace period ends. Nothing may be written to it, and clients are served by another worker.
+#[test_case(RequestKind::Attempt, IDEMPOTENT; "attempt")]
+#[test_case(RequestKind::Attempt, NON_IDEMPOTENT; "attempt that may run only once")]
+#[test_case(RequestKind::LoadRequest, IDEMPOTENT; "load request")]
+fn a_request_allowed_before_a_stall_is_not_sent_to_a_drained_worker(stalled: RequestKind, profile: &str) {
+    const STALL_SECONDS: f64 = 0.9;
+    run(async {
+        let (draining, mut heads) = support::start_worker(OK).await;
+        let (remaining, _others) = support::start_worker(OK).await;
+        let (registry, revisions) = registry().await;
+        let load_limit = "limits {\nration {\nwindow = 60\nfree = 10\nshare = 0\n}\n}\n";
+        let mut config = config_with_registry(1, registry, &format!("{profile}{load_limit}"));
+        config.policy.can_request_loads = stalled == RequestKind::LoadRequest;
+        revisions.send(endpoint_list(1, &[(draining, "ready")])).unwrap();
+        let (gateway_address, _stop, _served, faults) = start_with_faults(config).await;
+        pause(0.2).await;
+        faults.send((0, FaultInjection::StallBeforeWrite(stalled, STALL_SECONDS))).unwrap();
+        pause(0.1).await;
+        let began = Instant::now();
+        // Short enough for the policy to send a load request beside the attempt.
+        let patience = "milletpath-patience: 1.9\r\n";
+        let pending = spawn_local(async move { send_request(gateway_address, patience, "").await });
+        pause(0.1).await;
+        assert_eq!(received_count(&mut heads), 0, "written before the stall");
+        revisions.send(endpoint_list(2, &[(draining, "draining"), (remaining, "ready")])).unwrap();
+        let answer = pending.await.unwrap();
+        // A request that waits for a load longer than the policy allows is rejected during the stall.
+        let rejected = stalled == RequestKind::LoadRequest && outcome(&answer) == "bounced";
+        assert!(rejected || outcome(&answer) == "handled", "{answer}");
+        pause((STALL_SECONDS + 0.2 - began.elapsed().as_secs_f64()).max(0.2)).await;
+        let sent: Vec<_> = std::iter::from_fn(|| heads.try_recv().ok()).collect();
+        assert!(sent.is_empty(), "sent after the grace period: {sent:?}");
+        // Loads are paused for some time after one that was not sent.
+        let mut rejected = 0;
+        while outcome(&send_request(gateway_address, "", "").await) != "handled" {
+            rejected += 1;
+            assert!(rejected < 10, "the other worker serves nothing");
+            pause(0.2).await;
+        }
+    });
+}
+
 /// The endpoint list changes two thousand times in quick succession while a core is stalled. The last revision must
 /// apply to all cores.
 #[test]
@@ -133,7 +180,7 @@
         };
         revisions.send(revision(1)).unwrap();
         let (gateway_address, _stop, _served, faults) =
-            start_with_faults(config_with_registry(4, registry)).await;
+            start_with_faults(config_with_registry(4, registry, IDEMPOTENT)).await;
         pause(0.2).await;
         let clients: Vec<_> = (0..8).map(|_| spawn_local(send_requests(gateway_address, 20_000))).collect();
         faults.send((2, FaultInjection::Stall(1.5))).unwrap();
@@ -195,7 +242,8 @@
         .await;
         let (registry, revisions) = registry().await;
         revisions.send(endpoint_list(1, &[(warm, "ready")])).unwrap();
-        let (gateway_address, ..) = start_with_faults(config_with_registry(cores, registry)).await;
+        let (gateway_address, ..) =
+            start_with_faults(config_with_registry(cores, registry, IDEMPOTENT)).await;
         pause(0.2).await;
         let clients: Vec<_> = (0..16).map(|_| spawn_local(send_requests(gateway_address, 20_000))).collect();
         pause(2.0).await;
