Platform router: shutdown steps read sockets until they are empty

Seen: calls without an answer at the exit of a router short of processor time (case 4 of every_call_is_answered_before_sigkill beside 48 busy loops).

Cause: a step reads all clients in one go, 40 to 130 ms there, through the runtime, which knows of new bytes only between steps. Clients that had sent since were not read; the look before the shutdown found their bytes and left them open.

Change: the steps read with recv(2) until the socket is empty, and shut an idle connection down after the read that found nothing, without another look. One function reads for both ways; shut_down_if_idle is in parts.

The new test is red before (the connection does not end).

--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -107,16 +107,30 @@
         late && client.open_calls.is_empty() && (client.closing || client.has_no_unread_bytes())
     }
 
-    /// Shuts down the write side of a connection that is idle, provided that it has sent a call or had the time to.
+    /// Shuts down the write side of a connection that is idle and has no unread bytes, provided that it has sent a call
+    /// or had the time to.
     pub(super) fn shut_down_if_idle(&mut self, slot: usize, now: f64) {
-        let admission_closed = self.shutdown.admission_closed();
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        let had_time_for_first_call =
-            client.has_sent_message || admission_closed && now - client.last_progress >= FIRST_CALL_SECONDS;
-        let is_open = client.write_closed_at.is_none() && !client.closing;
-        if !is_open || !had_time_for_first_call || !client.is_idle() || !client.has_no_unread_bytes() {
-            return;
+        let Some(client) = self.clients.get(slot) else { return };
+        if self.may_shut_down(client, now) && client.has_no_unread_bytes() {
+            self.shut_down(slot, now);
         }
+    }
+
+    /// Does the same for a connection whose socket was found empty right before.
+    pub(super) fn shut_down_empty_if_idle(&mut self, slot: usize, now: f64) {
+        if self.clients.get(slot).is_some_and(|client| self.may_shut_down(client, now)) {
+            self.shut_down(slot, now);
+        }
+    }
+
+    fn may_shut_down(&self, client: &ClientConnection, now: f64) -> bool {
+        let had_time_for_first_call = client.has_sent_message
+            || self.shutdown.admission_closed() && now - client.last_progress >= FIRST_CALL_SECONDS;
+        client.write_closed_at.is_none() && !client.closing && had_time_for_first_call && client.is_idle()
+    }
+
+    fn shut_down(&mut self, slot: usize, now: f64) {
+        let Some(client) = self.clients.get_mut(slot) else { return };
         client.write_closed_at = Some(now);
         if let Err(error) = SockRef::from(&*client.stream).shutdown(Shutdown::Write) {
             self.close_client(slot, &CloseReason::Io(error));
--- a/crates/platform-router/src/client_connections/graceful_shutdown.rs
+++ b/crates/platform-router/src/client_connections/graceful_shutdown.rs
@@ -43,7 +43,7 @@
         if self.shutdown.answers_due(now) {
             self.answer_open_calls(now);
         } else {
-            self.read_unread_clients();
+            self.read_clients(now);
             self.shutdown.close_admission();
         }
         self.run_actions();
@@ -75,13 +75,12 @@
         result.accepted == 0 || self.shutdown.answers_due(now)
     }
 
-    /// Reads the sockets of clients that have unread bytes.
-    fn read_unread_clients(&mut self) {
-        let unread = self.clients_where(|_, client| {
-            !client.closing && client.write_closed_at.is_none() && !client.has_no_unread_bytes()
-        });
-        for slot in unread {
-            self.on_client_readable(slot);
+    /// Reads the sockets of all clients, and shuts down those connections that are idle then and whose calls are rejected
+    /// from now on.
+    fn read_clients(&mut self, now: f64) {
+        for slot in self.clients_where(|_, client| client.write_closed_at.is_none()) {
+            self.read_and_shut_down(slot, now);
+            self.run_actions();
         }
     }
 
@@ -90,8 +89,17 @@
         for slot in self.clients_where(|_, client| client.write_closed_at.is_none()) {
             self.answer_calls_of(slot, now);
             // The client may have sent more calls, which are rejected, since its socket was last read.
-            self.read_client(slot);
-            self.shut_down_if_idle(slot, now);
+            self.read_and_shut_down(slot, now);
+        }
+    }
+
+    /// Reads a client's socket until it is empty and shuts its connection down at once if it is idle then. The runtime
+    /// does not look at sockets during a step, so it is not asked whether there is something to read: most clients have
+    /// sent more since it looked.
+    fn read_and_shut_down(&mut self, slot: usize, now: f64) {
+        let empty = self.read_client_until_empty(slot);
+        if empty && self.shutdown.admission_closed() {
+            self.shut_down_empty_if_idle(slot, now);
         }
     }
 
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -7,7 +7,8 @@
 use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
 use milletpath_protocol::InputError;
-use std::io::ErrorKind;
+use socket2::SockRef;
+use std::io::{self, ErrorKind, Read};
 use tokio::net::TcpStream;
 
 /// Seconds for which the last check of a client's socket is considered valid before an attempt is started: a fifth of
@@ -17,6 +18,25 @@
 /// connection. More than the maximum number of open calls can fill.
 const MAX_READS_BEFORE_CHECK: usize = 16;
 
+/// Maximum number of reads of a client's socket in a row. A client that sends without a pause keeps its socket readable.
+const MAX_READS_UNTIL_EMPTY: usize = 4;
+
+/// What one read of a client's socket found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadResult {
+    /// Bytes, and there may be more.
+    Received,
+    /// Nothing.
+    Empty,
+    /// No more will follow: the connection was closed, or is about to be.
+    Closed,
+}
+
+/// Reads from a socket whether or not the runtime knows that it is readable.
+fn read_socket(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
+    (&*SockRef::from(stream)).read(buffer)
+}
+
 impl PlatformRouter {
     /// Handles read readiness of a client's socket.
     pub fn on_client_readable(&mut self, slot: usize) {
@@ -26,48 +46,66 @@
 
     /// Reads from a client's socket once. The caller runs the resulting dispatcher actions.
     pub fn read_client(&mut self, slot: usize) {
-        if !self.clients.contains(slot) {
-            return;
-        }
-        self.begin_turn();
         let now = self.now();
-        let Some(client) = self.clients.get_mut(slot) else { return };
-        if client.closing {
-            return;
-        }
-        let stream = client.stream.clone();
-        let write_closed = client.write_closed_at.is_some();
-        self.read_stream(&stream, |router, result| match result {
-            Ok(_) if write_closed => {}
-            Ok(bytes) => {
-                router.receive_bytes(slot, bytes);
-                if let Some(client) = router.clients.get_mut(slot).filter(|_| bytes.len() < READ_SIZE) {
-                    client.emptied_at = now;
-                }
-            }
-            Err(reason) => router.close_client(slot, &reason),
-        });
+        self.read_client_by(slot, now, |stream, buffer| stream.try_read(buffer));
         // At once, as a client that goes on sending has unread bytes again soon.
         if self.shutdown.admission_closed() || self.clients.get(slot).is_some_and(|client| client.overflow) {
             self.shut_down_if_idle(slot, now);
         }
     }
 
-    /// Reads once and passes on the bytes, or the reason why no more will follow; does nothing if there is nothing to
-    /// read. The read buffer is restored on every path.
-    fn read_stream(
+    /// Reads a client's socket until it is empty, which may be before the runtime knows that it is readable. Returns
+    /// whether it is known to be empty. The caller runs the resulting dispatcher actions.
+    pub(super) fn read_client_until_empty(&mut self, slot: usize) -> bool {
+        for _ in 0..MAX_READS_UNTIL_EMPTY {
+            let now = self.now();
+            match self.read_client_by(slot, now, read_socket) {
+                ReadResult::Empty => return true,
+                ReadResult::Received => {}
+                ReadResult::Closed => return false,
+            }
+        }
+        false
+    }
+
+    /// Reads once by `read` from a client's socket, and handles what was received.
+    fn read_client_by(
         &mut self,
-        stream: &TcpStream,
-        on_read: impl FnOnce(&mut Self, Result<&[u8], CloseReason>),
-    ) {
-        let mut read_buffer = std::mem::take(&mut self.read_buffer);
-        match stream.try_read(&mut read_buffer) {
-            Ok(0) => on_read(self, Err(CloseReason::ClosedByClient)),
-            Ok(length) => on_read(self, Ok(&read_buffer[..length])),
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(error) => on_read(self, Err(CloseReason::Io(error))),
+        slot: usize,
+        now: f64,
+        read: impl FnOnce(&TcpStream, &mut [u8]) -> io::Result<usize>,
+    ) -> ReadResult {
+        if !self.clients.contains(slot) {
+            return ReadResult::Closed;
         }
+        self.begin_turn();
+        let Some(client) = self.clients.get(slot).filter(|client| !client.closing) else {
+            return ReadResult::Closed;
+        };
+        let stream = client.stream.clone();
+        let write_closed = client.write_closed_at.is_some();
+        // Taken from the router while the bytes in it are handled, and restored on every path.
+        let mut read_buffer = std::mem::take(&mut self.read_buffer);
+        let result = match read(&stream, &mut read_buffer) {
+            Ok(0) => self.end_of_client(slot, &CloseReason::ClosedByClient),
+            Ok(_) if write_closed => ReadResult::Received,
+            Ok(length) => {
+                self.receive_bytes(slot, &read_buffer[..length]);
+                if let Some(client) = self.clients.get_mut(slot).filter(|_| length < READ_SIZE) {
+                    client.emptied_at = now;
+                }
+                ReadResult::Received
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => ReadResult::Empty,
+            Err(error) => self.end_of_client(slot, &CloseReason::Io(error)),
+        };
         self.read_buffer = read_buffer;
+        result
+    }
+
+    fn end_of_client(&mut self, slot: usize, reason: &CloseReason) -> ReadResult {
+        self.close_client(slot, reason);
+        ReadResult::Closed
     }
 
     /// Whether an attempt may start as far as its client is concerned. After a process pause the worker's socket may
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -223,3 +223,34 @@
         assert_eq!(String::from_utf8_lossy(&received).lines().count(), 1);
     });
 }
+
+/// Calls that arrive after the runtime last looked at the sockets are rejected in the last step of a shutdown, and their
+/// connections are shut down in it. They used to be left unread until the process exited.
+#[test]
+fn calls_that_the_runtime_has_not_noticed_are_answered_by_the_last_step() {
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        let mut clients = Vec::new();
+        for _ in 0..3 {
+            let mut client = connect_client(&router).await;
+            tokio::time::advance(Duration::from_millis(10)).await;
+            send_and_wait_until_read(&router, &mut client, PROBE).await;
+            clients.push(client.0);
+        }
+        let mut state = router.borrow_mut();
+        let now = state.now();
+        state.shutdown.begin(now - 60.0, now - 60.0);
+        // The runtime runs nothing between these calls and the step.
+        clients.iter_mut().for_each(|client| client.write_all(format!("{CALL}\n").as_bytes()).unwrap());
+        state.step_shutdown(&mut None);
+        drop(state);
+        for client in &mut clients {
+            client.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+            let mut received = String::new();
+            client.read_to_string(&mut received).expect("the connection ends");
+            let rejected = received.lines().filter(|line| line.contains("-32066")).count();
+            assert_eq!(rejected, 1, "{received}");
+        }
+    });
+}
