Platform router: a shutdown closes its listener before its connections

Seen: calls without an answer at the exit, some written 0.3 s before, on new connections (case 4 of every_call_is_answered_before_sigkill beside 48 busy loops).

Cause: the first step after the admission only stopped the accept task; the listener stayed open until a later step, 100 to 250 ms later there. Clients whose connections were closed connected again, were queued and sent calls. What the last step accepted it did not read or write, as the runtime did not know the sockets.

Change: that first step accepts what is queued and shuts the listener down itself, before it closes a connection. DirectSockets reads and writes sockets that the runtime does not know to be ready; the steps use it. may_exit is its own function.

The new test is red before (a connection is accepted).

--- a/crates/platform-router/src/client_connections/graceful_shutdown.rs
+++ b/crates/platform-router/src/client_connections/graceful_shutdown.rs
@@ -5,6 +5,7 @@
 use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use milletpath_platform_protocol::lines;
 use socket2::SockRef;
+use std::net::Shutdown;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -49,30 +50,36 @@
         self.run_actions();
         self.shut_down_idle(now, |_| true);
         self.close_lingering(now);
-        let now = self.now();
+        self.may_exit(acceptor.is_none())
+    }
+
+    /// Whether the process may exit after a step: nothing is open any more, or the SIGKILL may come before the next one.
+    fn may_exit(&self, acceptor_closed: bool) -> bool {
         let (open_requests, connections) = (self.dispatcher.open_requests(), self.clients.len());
-        if self.shutdown.exit_due(now) {
+        if self.shutdown.exit_due(self.now()) {
             tracing::info!(open_requests, connections, "exiting before the earliest SIGKILL");
             return true;
         }
-        acceptor.is_none() && open_requests == 0 && connections == 0
+        acceptor_closed && open_requests == 0 && connections == 0
     }
 
-    /// Stops the accept task, accepts what is still queued, then closes the listener. Returns false if the shutdown
-    /// can only continue in the next step.
+    /// Accepts what is queued at the listener, then closes it. Returns false if the shutdown can only continue in the
+    /// next step, because the queue could not be emptied.
     fn close_acceptor(&mut self, acceptor: &mut Option<Acceptor>, now: f64) -> bool {
         let Some(Acceptor { listener, accept_task }) = acceptor else { return true };
-        if !accept_task.is_finished() {
-            // The aborted task holds the listener until it has ended, which is before the next step.
-            accept_task.abort();
-            return false;
-        }
+        // From now on only the steps accept connections.
+        accept_task.abort();
         let result = self.accept_queued(|| SockRef::from(&**listener).accept().map(|(socket, _)| socket));
-        if result.empty || self.shutdown.exit_due(now) {
-            *acceptor = None;
+        if !result.empty && !self.shutdown.exit_due(now) {
+            return self.shutdown.answers_due(now);
+        }
+        // The aborted task holds the listener until the runtime has dropped it. Until then connections would be queued that
+        // nobody accepts, among them those of the clients whose connections are shut down in this step.
+        if let Err(error) = SockRef::from(&**listener).shutdown(Shutdown::Read) {
+            tracing::debug!(%error, "the listener can't be shut down; it is closed by the next step");
         }
-        // The readiness of newly accepted sockets is known only in the next step.
-        result.accepted == 0 || self.shutdown.answers_due(now)
+        *acceptor = None;
+        true
     }
 
     /// Reads the sockets of all clients, and shuts down those connections that are idle then and whose calls are rejected
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -2,13 +2,12 @@
 
 use super::close::CloseReason;
 use crate::platform_router::{DeferredFlush, PlatformRouter, READ_SIZE, UnreadSocket};
-use crate::sockets::{SocketState, peek_socket};
+use crate::sockets::{DirectSockets, SocketState, Sockets, peek_socket};
 use crate::write_buffer::RETAINED_CAPACITY;
 use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
 use milletpath_protocol::InputError;
-use socket2::SockRef;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
 
 /// Seconds for which the last check of a client's socket is considered valid before an attempt is started: a fifth of
@@ -32,11 +31,6 @@
     Closed,
 }
 
-/// Reads from a socket whether or not the runtime knows that it is readable.
-fn read_socket(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<usize> {
-    (&*SockRef::from(stream)).read(buffer)
-}
-
 impl PlatformRouter {
     /// Handles read readiness of a client's socket.
     pub fn on_client_readable(&mut self, slot: usize) {
@@ -59,7 +53,7 @@
     pub(super) fn read_client_until_empty(&mut self, slot: usize) -> bool {
         for _ in 0..MAX_READS_UNTIL_EMPTY {
             let now = self.now();
-            match self.read_client_by(slot, now, read_socket) {
+            match self.read_client_by(slot, now, |stream, buffer| DirectSockets.read(stream, buffer)) {
                 ReadResult::Empty => return true,
                 ReadResult::Received => {}
                 ReadResult::Closed => return false,
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -1,3 +1,4 @@
+use super::Acceptor;
 use crate::platform_router::tests::{router_with_workers, run_local};
 use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use socket2::SockRef;
@@ -254,3 +255,37 @@
         }
     });
 }
+
+/// The step that shuts connections down also closes the listener: connections queued until then are accepted, and none is
+/// queued after it. Clients that connected again were left in the queue until the process exited.
+#[test]
+fn the_step_that_shuts_connections_down_refuses_new_ones() {
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut acceptor = Some(Acceptor::open(router.clone(), listener));
+        let mut established = std::net::TcpStream::connect(address).unwrap();
+        while router.borrow().clients.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        let mut queued = std::net::TcpStream::connect(address).unwrap();
+        let mut state = router.borrow_mut();
+        let now = state.now();
+        state.shutdown.begin(now - 60.0, now - 60.0);
+        for client in [&mut established, &mut queued] {
+            client.write_all(format!("{CALL}\n").as_bytes()).unwrap();
+        }
+        state.step_shutdown(&mut acceptor);
+        drop(state);
+        let refused = std::net::TcpStream::connect(address).unwrap_err();
+        assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+        for mut client in [established, queued] {
+            client.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+            let mut received = String::new();
+            client.read_to_string(&mut received).expect("the connection ends");
+            assert_eq!(received.lines().filter(|line| line.contains("-32066")).count(), 1, "{received}");
+        }
+    });
+}
--- a/crates/platform-router/src/client_connections/write.rs
+++ b/crates/platform-router/src/client_connections/write.rs
@@ -2,6 +2,7 @@
 
 use super::close::CloseReason;
 use crate::platform_router::PlatformRouter;
+use crate::sockets::{DirectSockets, Sockets, SystemSockets};
 use crate::write_buffer::RETAINED_CAPACITY;
 
 /// Maximum number of response bytes buffered for a slow reader: several responses of the usual size, and small
@@ -12,8 +13,11 @@
     /// Writes buffered responses as far as the socket accepts them, and closes a client that reads too slowly.
     pub fn flush_client(&mut self, slot: usize) {
         let now = self.now();
+        // The process may exit before the runtime looks at the socket again.
+        let sockets: &dyn Sockets =
+            if self.shutdown.admission_closed() { &DirectSockets } else { &SystemSockets };
         let Some(client) = self.clients.get_mut(slot) else { return };
-        match client.write_buffer.write(&client.stream) {
+        match client.write_buffer.write(sockets, &client.stream) {
             Ok(0) => {}
             Ok(_) => client.last_progress = now,
             Err(error) => return self.close_client(slot, &CloseReason::Io(error)),
--- a/crates/platform-router/src/sockets.rs
+++ b/crates/platform-router/src/sockets.rs
@@ -3,7 +3,7 @@
 
 use crate::socket_errors::{self, Operation, Recovery};
 use socket2::SockRef;
-use std::io;
+use std::io::{self, ErrorKind, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -44,6 +44,30 @@
     }
 }
 
+/// The system calls of the operating system, also on sockets that the runtime does not know to be ready. It looks at
+/// sockets only between tasks, and not at all at a new one before that.
+pub(crate) struct DirectSockets;
+
+impl Sockets for DirectSockets {
+    fn connect(&self, address: SocketAddr) -> Connecting {
+        SystemSockets.connect(address)
+    }
+
+    fn read(&self, stream: &TcpStream, into: &mut [u8]) -> io::Result<usize> {
+        match stream.try_read(into) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => (&*SockRef::from(stream)).read(into),
+            result => result,
+        }
+    }
+
+    fn write(&self, stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+        match stream.try_write(bytes) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => (&*SockRef::from(stream)).write(bytes),
+            result => result,
+        }
+    }
+}
+
 /// What a peek found on a socket.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum SocketState {
--- a/crates/platform-router/src/worker_connections/write.rs
+++ b/crates/platform-router/src/worker_connections/write.rs
@@ -52,7 +52,7 @@
             return WriteStatus::Stopped;
         }
         let before = connection.write_buffer.remaining();
-        let result = connection.write_buffer.write_with(&*self.sockets, &stream);
+        let result = connection.write_buffer.write(&*self.sockets, &stream);
         // Bytes written before an error count as well.
         let written = before - connection.write_buffer.remaining();
         if written > 0 {
--- a/crates/platform-router/src/write_buffer.rs
+++ b/crates/platform-router/src/write_buffer.rs
@@ -1,6 +1,6 @@
 //! Buffers output to a socket, for client and worker connections.
 
-use crate::sockets::{Sockets, SystemSockets};
+use crate::sockets::Sockets;
 use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
 
@@ -26,21 +26,12 @@
         self.written > 0
     }
 
-    /// Writes as many bytes as the socket accepts and returns their number.
+    /// Writes as many bytes as the socket accepts, by the given system calls, and returns their number.
     ///
     /// # Errors
     ///
     /// Returns the error of the system call. Bytes accepted before it count as written.
-    pub fn write(&mut self, stream: &TcpStream) -> io::Result<usize> {
-        self.write_with(&SystemSockets, stream)
-    }
-
-    /// Same as [`write`](Self::write), using the given system calls.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error of the system call. Bytes accepted before it count as written.
-    pub fn write_with(&mut self, sockets: &dyn Sockets, stream: &TcpStream) -> io::Result<usize> {
+    pub fn write(&mut self, sockets: &dyn Sockets, stream: &TcpStream) -> io::Result<usize> {
         let before = self.written;
         while self.remaining() > 0 {
             match sockets.write(stream, &self.bytes[self.written..]) {
