Platform router: responses to one client are written together

Need: a read of a worker connection holds hundreds of responses when the router is short of processor time; each was written to its client by a call of its own, and the steps of a shutdown waited for that turn (a gap of 0.2 s between two steps).

Change: a final response is appended to the client's buffer; run_actions, which follows every event, writes each client once.

--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -5,11 +5,15 @@
 use milletpath_platform_protocol::lines;
 
 impl PlatformRouter {
-    /// Executes queued dispatcher actions until none are left, then wakes the timer task if the next deadline has
+    /// Executes queued dispatcher actions until none are left and writes the responses to clients, then wakes the timer task if the next deadline has
     /// moved forward. Called after every event reported to the dispatcher.
     pub fn run_actions(&mut self) {
         loop {
             self.run_queued_actions();
+            if self.flush_answered_clients() {
+                // A client that could not be written to was closed, which may cause further actions.
+                continue;
+            }
             let Some(DeferredFlush { unread, worker_connection }) = self.deferred_flushes.pop() else {
                 break;
             };
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -137,8 +137,8 @@
         id.is_some()
     }
 
-    /// Sends a client the final response to its call; `write` appends the response with the call's number to the
-    /// write buffer. Does nothing if the client has disconnected or already has a final response to this call.
+    /// Gives a client the final response to its call; `write` appends the response with the call's number to the
+    /// write buffer, which is written by the next [`run_actions`](Self::run_actions). Does nothing if the client has disconnected or already has a final response to this call.
     pub fn send_final_response(&mut self, request: RequestId, write: impl FnOnce(&mut Vec<u8>, u64)) {
         let Some(context) = self.dispatcher.context(request) else { return };
         let (key, number, id) = (context.client, context.number, context.id);
@@ -148,11 +148,25 @@
             return;
         }
         write(&mut client.write_buffer.bytes, number);
-        self.flush_client(key.slot);
-        if self.shutdown.admission_closed() {
-            self.shut_down_if_idle(key.slot, self.now());
+        if !std::mem::replace(&mut client.flush_pending, true) {
+            self.answered_clients.push(key);
         }
     }
+
+    /// Writes the final responses of the events handled since the last call: several responses to one client go in one
+    /// write. Returns whether there were any.
+    pub fn flush_answered_clients(&mut self) -> bool {
+        let answered = std::mem::take(&mut self.answered_clients);
+        for key in &answered {
+            let Some(client) = self.client_by_key(*key) else { continue };
+            client.flush_pending = false;
+            self.flush_client(key.slot);
+            if self.shutdown.admission_closed() {
+                self.shut_down_if_idle(key.slot, self.now());
+            }
+        }
+        !answered.is_empty()
+    }
 }
 
 /// Index of a name in a list, or `usize::MAX` if it is not in the list.
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -69,6 +69,8 @@
     pub groups: Vec<String>,
     /// Client connections, limited by `connection_limits`.
     pub clients: Slab<ClientConnection>,
+    /// Clients with a final response that is not written yet, each at most once.
+    pub answered_clients: Vec<ClientKey>,
     /// An accepted connection that waits for a free slot in `clients`.
     pub pending_connection: Option<TcpStream>,
     /// Connections to workers, limited by `connection_limits`.
@@ -143,6 +145,7 @@
                 profiles: config.profiles.iter().map(|profile| profile.name.clone()).collect(),
                 groups: config.clients.clone(),
                 clients: Slab::new(),
+                answered_clients: Vec::new(),
                 pending_connection: None,
                 worker_connections: Slab::new(),
                 connections_by_worker: BTreeMap::new(),
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -29,6 +29,8 @@
     pub partial_line: Vec<u8>,
     /// Responses that the socket has not accepted yet.
     pub write_buffer: WriteBuffer,
+    /// Whether a final response was appended to `write_buffer` that is written once all current events are handled.
+    pub flush_pending: bool,
     /// The bytes of both buffers in the memory budget.
     pub reservation: MemoryReservation,
     /// Calls without a final response.
@@ -65,6 +67,7 @@
             wake: Rc::new(Notify::new()),
             partial_line: Vec::new(),
             write_buffer: WriteBuffer::default(),
+            flush_pending: false,
             reservation,
             open_calls: Vec::new(),
             request_ids_seen: RequestIdsSeen::default(),
