Policy: a call waits for the first confirmation as long as its client allows

Forced: with discovery's first heartbeat and the worker's health check both 0.15 s late it is rejected after 0.1 s, though its client waits 2.5 s.

Cause: a request that may be sent to no worker yet waited as for busy ones (0.15 of the latency objective) or for a load. In a process that has just started nothing is known to be busy.

Change: QueueReason names what a request waits for; before the first confirmation of the list, while no worker has proved that it takes work, the bound by the client's time (0.4) alone holds. Nothing is sent earlier than before.

Tests of policy and dispatcher pass.

--- a/crates/gateway/tests/multiple_cores.rs
+++ b/crates/gateway/tests/multiple_cores.rs
@@ -164,6 +164,23 @@
     });
 }
 
+/// A request that comes before the registry has sent its first list waits for the list, for as much of its client's time
+/// as it may wait at all.
+#[test_case(0.5; "half a second")]
+#[test_case(1.1; "longer than the latency objective")]
+fn a_request_waits_for_the_first_endpoint_list(list_after: f64) {
+    run(async {
+        let (worker, _heads) = support::start_worker(OK).await;
+        let (registry, revisions) = registry().await;
+        let (gateway_address, ..) = start_with_faults(config_with_registry(1, registry, IDEMPOTENT)).await;
+        let pending = spawn_local(async move { send_request(gateway_address, "", "").await });
+        pause(list_after).await;
+        revisions.send(endpoint_list(1, &[(worker, "ready")])).unwrap();
+        let answer = pending.await.unwrap();
+        assert_eq!(outcome(&answer), "handled", "{answer}");
+    });
+}
+
 /// The endpoint list changes two thousand times in quick succession while a core is stalled. The last revision must
 /// apply to all cores.
 #[test]
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -151,16 +151,31 @@
     }
 }
 
-/// Whether a request has been queued for so long that a timely answer is unlikely. `loaded` states whether any worker
-/// has an instance of its function; `latency` is the mean latency of answers. Times are in seconds.
+/// What a queued request waits for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum QueueReason {
+    /// The workers with an instance of its function are busy.
+    Busy,
+    /// A load of its function. `latency` is the mean latency of answers in seconds.
+    Load { latency: f64 },
+    /// The first confirmation of the endpoint list, or the first proof of a worker that it takes new work.
+    FirstConfirmation,
+}
+
+/// Whether a request has been queued for so long that it is rejected. Times are in seconds.
 pub(crate) fn has_waited_too_long(
     now: f64,
     request: &Request,
     latency_objective: f64,
-    loaded: bool,
-    latency: f64,
+    reason: QueueReason,
 ) -> bool {
-    // Rejected while a retry can still be in time. A request that waits for a load would wait as long elsewhere.
-    let wait = if loaded { WAIT_SHARE * latency_objective } else { latency_objective - latency };
+    let wait = match reason {
+        // Rejected while a retry can still be in time.
+        QueueReason::Busy => WAIT_SHARE * latency_objective,
+        // It would wait as long elsewhere.
+        QueueReason::Load { latency } => latency_objective - latency,
+        // No worker is known to be busy, and the client may know of no other router.
+        QueueReason::FirstConfirmation => f64::INFINITY,
+    };
     now - request.arrived_at > wait.min(CLIENT_TIME_SHARE * (request.deadline - request.arrived_at))
 }
--- a/crates/policy/src/list_staleness.rs
+++ b/crates/policy/src/list_staleness.rs
@@ -41,6 +41,11 @@
         self.list_valid_for.is_finite() && now - self.confirmed_at >= self.list_valid_for
     }
 
+    /// Whether the list can become stale and was never known to be current.
+    pub(crate) fn awaits_first_confirmation(&self) -> bool {
+        self.list_valid_for.is_finite() && self.confirmed_at == f64::NEG_INFINITY
+    }
+
     /// Seconds since the list was known to be current; infinite before the first confirmation.
     pub(crate) fn age(&self, now: f64) -> f64 {
         now - self.confirmed_at
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -2,11 +2,13 @@
 //! to load one and is used once it is loaded. When all members exceed the fair load, workers past the set in ring
 //! order are used.
 
+use crate::admission::QueueReason;
 use crate::candidate_search::{Candidate, Comparison, FleetLoad, Query, Scope, Search};
 use crate::effects::Effects;
 use crate::function_state::Function;
 use crate::health_check::HEALTH_CHECK_SHARE;
 use crate::load_requests::LoadRequest;
+use crate::request_state::Request;
 use crate::router_state::RouterState;
 
 /// The result of a stage: an attempt at a worker, the queue, or a final response.
@@ -57,6 +59,19 @@
         Decision::Dispatch(worker)
     }
 
+    /// What a request that could not be placed waits for.
+    pub(crate) fn queue_reason(&self, now: f64, request: &Request) -> QueueReason {
+        if self.staleness.awaits_first_confirmation()
+            && !self.workers.iter().any(|worker| worker.acceptance.accepts_work())
+        {
+            return QueueReason::FirstConfirmation;
+        }
+        let function = self.functions.get(request.function);
+        let is_loaded =
+            function.is_some_and(|f| f.placements.iter().any(|placement| placement.is_loaded(now)));
+        if is_loaded { QueueReason::Busy } else { QueueReason::Load { latency: self.latency } }
+    }
+
     /// Builds the query for a request and updates its function's ring order.
     fn query(&mut self, now: f64, id: usize) -> Option<Query> {
         let request = self.requests.get(id)?;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -183,11 +183,8 @@
         }
         let Some(request) = state.requests.get(id) else { return Decision::GiveUp };
         let latency_objective = state.profiles[request.profile].latency_objective;
-        let loaded = state
-            .functions
-            .get(request.function)
-            .is_some_and(|f| f.placements.iter().any(|s| s.is_loaded(now)));
-        if admission::has_waited_too_long(now, request, latency_objective, loaded, state.latency) {
+        let reason = state.queue_reason(now, request);
+        if admission::has_waited_too_long(now, request, latency_objective, reason) {
             Decision::GiveUp
         } else {
             Decision::Queue
--- a/crates/policy/tests/stale_list.rs
+++ b/crates/policy/tests/stale_list.rs
@@ -292,3 +292,36 @@
     );
     assert!(served_by_home > 50, "{served_by_home} of 100");
 }
+
+/// Until the list is confirmed for the first time and no worker has proved that it takes new work, a request waits for
+/// as much of its client's time as it may, and is sent once either happens.
+#[test_case(0.15, true; "the list after 150 ms")]
+#[test_case(0.5, true; "the list after 500 ms")]
+#[test_case(0.15, false; "a worker after 150 ms")]
+#[test_case(0.5, false; "a worker after 500 ms")]
+fn a_request_waits_for_the_first_confirmation(seconds: f64, by_list: bool) {
+    let mut router = TestRouter::new(stale_config(), 4);
+    let id = router.arrive(0, 2.5);
+    assert_eq!((router.attempts(id).len(), health_checks(&router).len()), (0, 1));
+    router.advance(seconds);
+    assert!(!router.has_called(&HostCall::Reject { id }));
+    if by_list {
+        router.router.list_confirmed(router.host.now);
+    } else {
+        answer_check(&mut router, Outcome::Succeeded);
+    }
+    router.advance(0.02);
+    assert_eq!(router.attempts(id).len(), 1);
+}
+
+/// A request for which no confirmation comes is rejected while its client still has time to try elsewhere.
+#[test]
+fn a_request_without_a_first_confirmation_is_rejected_in_time() {
+    let mut router = TestRouter::new(stale_config(), 4);
+    let id = router.arrive(0, 2.5);
+    router.advance(0.9);
+    assert!(!router.has_called(&HostCall::Reject { id }));
+    router.advance(0.2);
+    assert!(router.has_called(&HostCall::Reject { id }));
+    assert!(router.attempts(id).is_empty());
+}
--- a/crates/test-support/src/platform_rig/discovery.rs
+++ b/crates/test-support/src/platform_rig/discovery.rs
@@ -81,8 +81,8 @@
     request.strip_prefix("after ").map(str::to_owned)
 }
 
-/// A discovery server that hands its streams to the test, which writes events to them. It writes only a first heartbeat
-/// to each stream.
+/// A discovery server that hands its streams to the test, which writes events to them. It writes a first heartbeat to each
+/// stream, or nothing.
 pub struct DiscoveryStreams {
     /// Address at which it listens.
     pub address: SocketAddr,
@@ -93,13 +93,23 @@
 impl DiscoveryStreams {
     /// Starts the server.
     pub fn start() -> Self {
+        Self::with_first_message(|heartbeat| heartbeat)
+    }
+
+    /// Starts a server that writes nothing to its streams. The first heartbeat, too, is left to the test.
+    pub fn without_heartbeat() -> Self {
+        Self::with_first_message(|_| String::new())
+    }
+
+    /// Starts a server that writes to each stream what `message` makes of its heartbeat.
+    fn with_first_message(message: impl Fn(String) -> String + Send + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("the socket is bound");
         let (sender, streams) = channel();
         std::thread::spawn(move || {
             for mut stream in listener.incoming().map_while(Result::ok) {
                 let Some(heartbeat) = heartbeat_after(&stream) else { return };
-                if stream.write_all(heartbeat.as_bytes()).is_err() || sender.send(stream).is_err() {
+                if stream.write_all(message(heartbeat).as_bytes()).is_err() || sender.send(stream).is_err() {
                     return;
                 }
             }
