Platform router: a pause is no part of a turn once the turn has ended

Cause: Turn::end counted the pause; only the looks within the turn left it out.

Change: end_turn counts from the end of the pause. rejects_all_calls reads the clock once, not twice, a line.

Evidence: the new test is red before (behind after 0.2 s in the turn after a pause of 3 s), green now; tests of the package pass.

--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -15,7 +15,8 @@
 impl PlatformRouter {
     /// Whether a call that is read now is rejected whatever it contains.
     pub(super) fn rejects_all_calls(&self) -> bool {
-        self.is_behind() || self.shutdown.rejects(self.now())
+        let now = self.now();
+        self.is_behind(now) || self.shutdown.rejects(now)
     }
 
     /// Submits a call to the dispatcher, or rejects it immediately.
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -186,7 +186,8 @@
             tokio::time::advance(Duration::from_millis(200)).await;
             router.borrow().now();
         }
-        assert!(router.borrow().is_behind());
+        let is_behind = || router.borrow().is_behind(router.borrow().now());
+        assert!(is_behind());
         let text = [text.as_bytes(), PROBE].concat();
         send_and_wait_until_read(&router, &mut client, &text).await;
         assert!(router.borrow().clients[client.1].open_calls.is_empty());
@@ -197,7 +198,24 @@
         assert_eq!(rejected, [true, true, false], "{lines}");
         let now = router.borrow().now();
         router.borrow_mut().turn.end(now);
-        assert!(!router.borrow().is_behind());
+        assert!(!is_behind());
+    });
+}
+
+/// A turn in which the process was paused was not a long one, so that the next turn has the limit of a burst.
+#[test]
+fn turn_with_a_pause_is_not_followed_by_a_shorter_limit() {
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        router.borrow_mut().begin_turn();
+        tokio::time::advance(Duration::from_secs(3)).await;
+        tokio::task::yield_now().await;
+        let mut state = router.borrow_mut();
+        state.begin_turn();
+        let now = state.now();
+        assert!(!state.is_behind(now + 0.2));
+        assert!(state.is_behind(now + 2.0));
     });
 }
 
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -188,16 +188,19 @@
         }
         let Some(router) = self.weak_self.upgrade() else { return };
         // Runs after every task that is ready now.
-        spawn_local(async move {
-            let mut router = router.borrow_mut();
-            let now = router.now();
-            router.turn.end(now);
-        });
+        spawn_local(async move { router.borrow_mut().end_turn() });
+    }
+
+    /// Ends the current turn, of which a pause of the process is no part.
+    fn end_turn(&mut self) {
+        let now = self.now();
+        self.turn.resume(self.liveness.resumed_at());
+        self.turn.end(now);
     }
 
-    /// Whether the router is so far behind its sockets that calls are rejected unread.
-    pub fn is_behind(&self) -> bool {
-        self.turn.is_behind(self.now(), self.read_delay_limits)
+    /// Whether the router is so far behind its sockets at `now` that calls are rejected unread.
+    pub fn is_behind(&self, now: f64) -> bool {
+        self.turn.is_behind(now, self.read_delay_limits)
     }
 
     /// The client connection with this key, unless it was closed; its slot may have been reused.
