--- a/review/standins/src/bin/answers_at_once.rs
+++ b/review/standins/src/bin/answers_at_once.rs
@@ -98,7 +98,7 @@
     let discovery = Discovery::start(&members);
     let address = free_address();
     let configuration = scratch.join("config.json");
-    std::fs::write(&configuration, settings::configuration(address, &discovery, CLASS))?;
+    std::fs::write(&configuration, settings::configuration(address, &discovery, 1, CLASS))?;
     let mut router = Router::start("n0", address, &configuration, &scratch.join("router.log"))?;
     if !router.becomes_ready() {
         record.line("the router did not become ready");
--- a/review/standins/src/settings.rs
+++ b/review/standins/src/settings.rs
@@ -3,10 +3,10 @@
 use crate::discovery::Discovery;
 use std::net::SocketAddr;
 
-/// One room, one kind of worker and one tenant, with these classes, as JSON objects.
-pub fn settings(classes: &str) -> String {
+/// One room, one kind of worker and one tenant, with this number of routers and these classes, as JSON objects.
+pub fn settings(routers: usize, classes: &str) -> String {
     format!(
-        r#"{{"Balancers":1,"Rank":0,"Tier":0,"Tiers":["runners"],"Zone":0,"Zones":["room"],"Tick":4000,"RegistryMode":"automatic",
+        r#"{{"Balancers":{routers},"Rank":0,"Tier":0,"Tiers":["runners"],"Zone":0,"Zones":["room"],"Tick":4000,"RegistryMode":"automatic",
 "Classes":[{classes}],"Clients":{{"MarksRetry":true}},"Family":"warm",
 "FamilyInfo":{{"PlacementCalls":true,"MissMode":"load","KeepAlive":11000000,"LoadWait":10000000,"LoadPeriod":0,"FreeLoads":0,"LoadShare":0,"SaysCompany":true,"TellsWarm":false,"MemoryMbByKind":[9856.0]}},
 "Kinds":["std"],
@@ -18,11 +18,11 @@
 }
 
 /// The configuration file of the router `n0`.
-pub fn configuration(address: SocketAddr, discovery: &Discovery, classes: &str) -> String {
+pub fn configuration(address: SocketAddr, discovery: &Discovery, routers: usize, classes: &str) -> String {
     format!(
         r#"{{"name":"n0","listen":"{address}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"bulletin":"{}","known":{},"settings":{}}}"#,
         discovery.address,
         discovery.known(),
-        settings(classes)
+        settings(routers, classes)
     )
 }
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -22,7 +22,8 @@
     address
 }
 
-fn serve(index: usize, mut stream: TcpStream, run: &Run) -> Option<()> {
+/// Serves one connection until it ends.
+pub fn serve(index: usize, mut stream: TcpStream, run: &Run) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
     loop {
