--- a/review/standins/src/router.rs
+++ b/review/standins/src/router.rs
@@ -77,6 +77,11 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
