--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod discovery;
 pub mod frames;
+pub mod http;
 pub mod record;
 pub mod router;
 pub mod settings;
