--- a/review/standins/src/bin/answers_at_once.rs
+++ b/review/standins/src/bin/answers_at_once.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const WORKERS: usize = 4;
@@ -40,6 +40,8 @@
     errors: u64,
     /// Requests of which no byte of an answer came.
     unanswered: u64,
+    /// The requests without a whole answer.
+    missing: Vec<u64>,
     /// Bytes of a last line that is not whole.
     partial: usize,
     ended_after: Option<Duration>,
@@ -78,6 +80,7 @@
         answered.extend(number.and_then(|number| number.trim().parse::<u64>().ok()));
         if line.contains("\"result\"") { seen.served += 1 } else { seen.errors += 1 }
     }
+    seen.missing = (1..=OPEN).filter(|number| !answered.contains(number)).map(|number| first_id + number).collect();
     seen.unanswered = (OPEN - answered.len() as u64).saturating_sub(u64::from(seen.partial > 0));
     Ok(seen)
 }
@@ -85,10 +88,14 @@
 fn play(folder: &Path, scratch: &Path) -> io::Result<ExitCode> {
     let record = Record::create(&folder.join("record.txt"))?;
     let body = if has_trouble() { LONGEST_BODY } else { SHORT_BODY };
+    let ran = Arc::new(Mutex::new(BTreeSet::new()));
     let members: Vec<_> = (0..WORKERS)
         .map(|index| {
-            let run = move |_: usize, _: &Frame| {
+            let (record, ran) = (record.clone(), ran.clone());
+            let run = move |index: usize, frame: &Frame| {
                 std::thread::sleep(WORK);
+                record.line(&format!("worker {index}: request {:016x} ran, answers {body} bytes", frame.id));
+                ran.lock().unwrap().insert(frame.id);
                 Some((frames::OK, vec![b'a'; body]))
             };
             let address = worker::start(index, Arc::new(run));
@@ -105,21 +112,26 @@
         return Ok(ExitCode::from(2));
     }
     std::thread::sleep(Duration::from_millis(1500));
+    let mut missing = Vec::new();
     let (mut served, mut unanswered, mut ended, mut late) = (0, 0, 0, 0);
     for connection in 1..=CONNECTIONS {
         let seen = use_connection(address, connection << 8)?;
-        let Seen { served: here, errors, unanswered: lost, partial, ended_after } = seen;
+        let Seen { served: here, errors, unanswered: lost, missing: without, partial, ended_after } = seen;
+        missing.extend(without);
         let end = match ended_after {
             Some(after) => format!("; the router ended it {:.3} s after the requests, {partial} bytes of an answer begun", after.as_secs_f64()),
             None => String::new(),
         };
-        record.line(&format!("connection {connection}: {OPEN} sent, {here} served, {errors} errors, {lost} with no byte of an answer{end}"));
+        let first = (connection << 8) + 1;
+        record.line(&format!("connection {connection}: {OPEN} sent from id {first:016x} on, {here} served, {errors} errors, {lost} with no byte of an answer{end}"));
         served += here;
         unanswered += lost;
         ended += u64::from(ended_after.is_some_and(|after| after < Duration::from_millis(DEADLINE_MS)));
         late += u64::from(ended_after.is_some_and(|after| after >= Duration::from_millis(DEADLINE_MS)));
         std::thread::sleep(PAUSE);
     }
+    let had_run = missing.iter().filter(|id| ran.lock().unwrap().contains(id)).count();
+    record.line(&format!("{} requests without a whole answer, {had_run} of them ran at a worker", missing.len()));
     let sent = CONNECTIONS * OPEN;
     record.line(&format!(
         "bodies of {body} bytes: {sent} requests sent, {served} served, {unanswered} lost; {ended} of {CONNECTIONS} connections ended by the router, {late} silent"
--- a/review/standins/src/bin/fleet_release.rs
+++ b/review/standins/src/bin/fleet_release.rs
@@ -2,11 +2,13 @@
 //!
 //! Usage: fleet_release FOLDER, with ROOT set to the repository.
 
+use review_standins::children;
 use review_standins::client::{Answer, Call, Client};
 use review_standins::discovery::{Discovery, Member};
 use review_standins::record::Record;
 use review_standins::router::{Router, free_address};
 use review_standins::{has_trouble, run_case, settings, unix_time};
+use std::collections::BTreeSet;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -30,6 +32,9 @@
 const DEADLINE_MS: u64 = 2900;
 const CLASS: &str = r#"{"Name":"check","Effect":"free","Objective":1000000,"HardLimit":3000000,"Gain":1.0,"Streaming":false}"#;
 
+/// The requests that ran at a worker.
+type Ran = Arc<Mutex<BTreeSet<u64>>>;
+
 /// A process with a part of the workers, which is killed when this is dropped.
 struct WorkerProcess {
     child: Child,
@@ -37,11 +42,20 @@
 }
 
 impl WorkerProcess {
-    fn start(count: usize) -> io::Result<Self> {
+    fn start(count: usize, record: &Record, ran: &Ran) -> io::Result<Self> {
         let program = std::env::current_exe()?.with_file_name("fleet_workers");
-        let mut child = Command::new(program).arg(count.to_string()).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()?;
-        let lines = BufReader::new(child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
-        let addresses: Vec<_> = lines.take(count).map_while(Result::ok).filter_map(|line| line.parse().ok()).collect();
+        let mut command = Command::new(program);
+        let mut child = children::spawn(command.arg(count.to_string()).stdin(Stdio::piped()).stdout(Stdio::piped()))?;
+        let mut lines = BufReader::new(child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
+        let addresses: Vec<_> = lines.by_ref().take(count).map_while(Result::ok).filter_map(|line| line.parse().ok()).collect();
+        let (record, ran, first) = (record.clone(), ran.clone(), addresses.first().copied());
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let Some((worker, id)) = line.split_once(' ') else { continue };
+                record.line(&format!("worker {worker} of the process of {first:?}: request {id} runs"));
+                ran.lock().unwrap().extend(u64::from_str_radix(id, 16).ok());
+            }
+        });
         Ok(Self { child, addresses })
     }
 }
@@ -89,7 +103,8 @@
 
 fn play(folder: &Path, scratch: &Path) -> io::Result<ExitCode> {
     let record = Record::create(&folder.join("record.txt"))?;
-    let processes = (0..WORKER_PROCESSES).map(|_| WorkerProcess::start(WORKERS / WORKER_PROCESSES)).collect::<io::Result<Vec<_>>>()?;
+    let ran = Ran::default();
+    let processes = (0..WORKER_PROCESSES).map(|_| WorkerProcess::start(WORKERS / WORKER_PROCESSES, &record, &ran)).collect::<io::Result<Vec<_>>>()?;
     let addresses: Vec<_> = processes.iter().flat_map(|process| process.addresses.iter().copied()).collect();
     if addresses.len() != WORKERS {
         record.line("the workers did not start");
@@ -133,7 +148,7 @@
     releaser.into_iter().for_each(|releaser| drop(releaser.join()));
     let is_running = router.is_running();
     let (lost, unsent) = *results.lock().unwrap();
-    record.line(&format!("{sent} requests, {unsent} could not connect, {lost} lost (no answer within their time and half a second); router running: {is_running}"));
+    record.line(&format!("{sent} requests, {unsent} could not connect, {lost} lost (no answer within their time and half a second), {} ran at a worker; router running: {is_running}", ran.lock().unwrap().len()));
     Ok(ExitCode::from(if lost > 0 || !is_running { 1 } else if unsent > 0 { 2 } else { 0 }))
 }
 
--- a/review/standins/src/bin/fleet_workers.rs
+++ b/review/standins/src/bin/fleet_workers.rs
@@ -1,5 +1,5 @@
-//! Many workers in one process: `fleet_workers COUNT` prints the address of each, and runs until its standard input
-//! ends. A request takes 50 ms.
+//! Many workers in one process: `fleet_workers COUNT` prints the address of each, then a line for each request that
+//! runs, and ends with its standard input. A request takes 50 ms.
 
 use review_standins::frames;
 use review_standins::worker::{Run, serve};
@@ -33,7 +33,8 @@
         let _ = std::io::stdin().read_to_end(&mut Vec::new());
         std::process::exit(0);
     });
-    let run: Run = Arc::new(|_, _| {
+    let run: Run = Arc::new(|index, frame| {
+        let _ = writeln!(std::io::stdout(), "{index} {:016x}", frame.id);
         std::thread::sleep(Duration::from_millis(50));
         Some((frames::OK, b"done".to_vec()))
     });
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for `milletpath serve`: workers and clients that speak HTTP/1.1, and the gateway's process.
 
+use crate::children;
 use crate::router::root;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -112,14 +113,14 @@
     /// Starts a gateway that listens at `address` by its configuration file; its log goes to the file `log`.
     pub fn start(address: SocketAddr, configuration: &Path, log: &Path) -> io::Result<Self> {
         let log = std::fs::File::create(log)?;
-        let child = Command::new(root().join("target/release/milletpath"))
+        let mut command = Command::new(root().join("target/release/milletpath"));
+        command
             .args(["serve", "--cores", "2", "--config"])
             .arg(configuration)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        Ok(Self { child, address })
+            .stderr(log);
+        Ok(Self { child: children::spawn(&mut command)?, address })
     }
 
     /// Waits until `/health/ready` answers 200; false after 30 s.
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform for the cases of the review: workers, discovery, clients and the router's process.
 //! They follow the protocol page and use the standard library alone. All addresses are loopback addresses.
 
+pub mod children;
 pub mod client;
 pub mod discovery;
 pub mod frames;
@@ -31,6 +32,7 @@
     if std::fs::create_dir_all(&scratch).is_err() {
         return ExitCode::from(2);
     }
+    children::end_all_after(std::time::Duration::from_secs(110), scratch.clone());
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| play(Path::new(&folder), &scratch)));
     let _ = std::fs::remove_dir_all(&scratch);
     match played {
--- a/review/standins/src/router.rs
+++ b/review/standins/src/router.rs
@@ -1,5 +1,6 @@
 //! The router's process, started by `run` of the deploy file.
 
+use crate::children;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -34,7 +35,8 @@
     /// Starts a router; its log goes to the file `log`.
     pub fn start(name: &str, address: SocketAddr, configuration: &Path, log: &Path) -> io::Result<Self> {
         let log = std::fs::File::create(log)?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .arg("-c")
             .arg(run_command()?)
             .current_dir(root())
@@ -43,9 +45,8 @@
             .env("LB_CONFIG", configuration)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        Ok(Self { child, address })
+            .stderr(log);
+        Ok(Self { child: children::spawn(&mut command)?, address })
     }
 
     /// Waits until the router answers `probe` with `"fit":true`; false after 30 s or if it has ended.
