A change of one worker costs that worker; a turn applies a bounded part of discovery's events

A start with thousands of events under `known` took as long.

Cause: each event of one worker cost the whole fleet. The ring was hashed and sorted anew, the names of all workers were copied, all workers and functions were walked, the whole queue was placed again; and up to 1 MiB of events were applied in one turn. What lay beyond that counted as read.

Change: the ring keeps each worker's points; a worker's place in an order follows from its own first point after the key, and an existing order takes the changed workers alone. A list without a difference changes nothing. Workers that are gone, adjustments and functions are looked at by what changed. Changes within 5 ms of another leave the queue to the next check of the open requests (no decision is taken between: a request that arrives is placed by itself, and whatever is sent asks again as its first byte can go). A turn applies 32 KiB of events; until the rest is applied nothing new is sent, and past half of the connect timeout it counts as not sent, so that the policy decides anew and the client has its answer in time. The last read from an old discovery address goes on until its socket is empty.

many_requests.rs of the policy's tests is costs.rs, its test as it was.

--- a/crates/dispatcher/src/dispatcher/endpoints.rs
+++ b/crates/dispatcher/src/dispatcher/endpoints.rs
@@ -21,20 +21,24 @@
         self.state
             .worker_table
             .update(now, complete, entries, |endpoint_update| self.router.update_endpoint(endpoint_update));
-        self.apply_worker_adjustments();
+        self.apply_worker_adjustments(entries);
         self.router.end_list(now, &mut self.state);
         self.report_cancelled_attempts();
     }
 
-    /// Applies the adjustments stored by worker name to the current index of each listed worker; the index may have
-    /// changed, for example in a restart.
-    fn apply_worker_adjustments(&mut self) {
-        let listed = self.state.worker_table.workers();
-        if self.worker_adjustments.len() > 2 * listed.len() + MIN_WORKER_ADJUSTMENTS {
-            self.worker_adjustments.retain(|name, _| listed.iter().any(|(_, known)| known == name));
+    /// Applies the adjustments stored by worker name to the current index of each worker among the updated entries;
+    /// the index may have changed, for example in a restart.
+    fn apply_worker_adjustments(&mut self, entries: &[EndpointEntry]) {
+        let worker_table = &self.state.worker_table;
+        if self.worker_adjustments.len() > 2 * worker_table.len() + MIN_WORKER_ADJUSTMENTS {
+            self.worker_adjustments.retain(|name, _| worker_table.listed_worker(name).is_some());
         }
-        for (worker, name) in listed {
-            if let Some(adjustment) = self.worker_adjustments.get(&name).copied() {
+        if self.worker_adjustments.is_empty() {
+            return;
+        }
+        for entry in entries {
+            let Some(worker) = self.state.worker_table.listed_worker(&entry.name) else { continue };
+            if let Some(adjustment) = self.worker_adjustments.get(entry.name.as_str()).copied() {
                 self.adjust_router_budget(Budget::InFlight(worker), adjustment);
             }
         }
--- a/crates/dispatcher/src/worker_table.rs
+++ b/crates/dispatcher/src/worker_table.rs
@@ -6,7 +6,8 @@
 use crate::start_times::{StartTimes, is_different_process};
 use milletpath_policy::{EndpointState, EndpointUpdate};
 use milletpath_protocol::registry::{EndpointEntry, EndpointStatus};
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,6 +37,27 @@
     Evicted,
 }
 
+/// A worker that is gone and still has its index, ordered by when it left the list.
+#[derive(Clone, Copy, PartialEq)]
+struct GoneWorker {
+    since: f64,
+    worker: usize,
+}
+
+impl Eq for GoneWorker {}
+
+impl Ord for GoneWorker {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.since.total_cmp(&other.since).then(self.worker.cmp(&other.worker))
+    }
+}
+
+impl PartialOrd for GoneWorker {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
 struct Worker {
     address: SocketAddr,
     /// Changes with every new process at this index.
@@ -72,6 +94,8 @@
     kinds: Vec<String>,
     /// By index. Its length is the largest number of workers known at once.
     workers: Vec<Worker>,
+    /// The workers that are to be evicted, each once.
+    gone: BTreeSet<GoneWorker>,
     /// Seconds after which nothing sent to a worker that is gone can still be in flight, so that its index may be
     /// reused.
     evict_after: f64,
@@ -101,6 +125,7 @@
             cells: Interner::new(seed),
             kinds: kinds.to_vec(),
             workers: Vec::new(),
+            gone: BTreeSet::new(),
             evict_after,
             start_times,
             saved_starts: BTreeMap::new(),
@@ -132,6 +157,16 @@
         listed.map(|(index, _)| (index, self.names.name(index))).collect()
     }
 
+    /// Index of the worker with this name, unless it is gone.
+    pub(crate) fn listed_worker(&self, name: &str) -> Option<usize> {
+        self.names.get(name).filter(|&index| self.workers[index].state != EndpointState::Gone)
+    }
+
+    /// Number of workers that have an index, including those that are gone and not evicted yet.
+    pub(crate) fn len(&self) -> usize {
+        self.names.len()
+    }
+
     pub(crate) fn name(&self, worker: usize) -> Arc<str> {
         self.names.name(worker)
     }
@@ -161,9 +196,7 @@
     ) {
         self.revision += 1;
         if complete {
-            for worker in &mut self.workers {
-                worker.set_state(now, EndpointState::Gone);
-            }
+            (0..self.workers.len()).for_each(|worker| self.set_state(now, worker, EndpointState::Gone));
         }
         self.evict_gone(now);
         for entry in entries {
@@ -194,7 +227,7 @@
             EndpointStatus::Draining => EndpointState::Draining,
             EndpointStatus::Gone => EndpointState::Gone,
         };
-        self.workers[worker].set_state(now, state);
+        self.set_state(now, worker, state);
         Some(worker)
     }
 
@@ -272,13 +305,30 @@
     /// Evicts workers that have been gone for long. Otherwise the table would keep growing where workers are replaced
     /// by others with new names.
     fn evict_gone(&mut self, now: f64) {
-        for worker in 0..self.workers.len() {
-            let Presence::GoneSince(since) = self.workers[worker].presence else { continue };
-            if now - since >= self.evict_after {
-                self.save_start(worker);
-                self.names.release(worker);
-                self.workers[worker].presence = Presence::Evicted;
+        let is_due = |gone: &&GoneWorker| now - gone.since >= self.evict_after;
+        let mut due: Vec<_> = self.gone.iter().take_while(is_due).copied().collect();
+        due.sort_unstable_by_key(|gone| gone.worker);
+        for gone in due {
+            self.gone.remove(&gone);
+            self.save_start(gone.worker);
+            self.names.release(gone.worker);
+            self.workers[gone.worker].presence = Presence::Evicted;
+        }
+    }
+
+    fn set_state(&mut self, now: f64, worker: usize, state: EndpointState) {
+        let record = &mut self.workers[worker];
+        record.state = state;
+        match record.presence {
+            Presence::Listed if state == EndpointState::Gone => {
+                record.presence = Presence::GoneSince(now);
+                self.gone.insert(GoneWorker { since: now, worker });
             }
+            Presence::GoneSince(since) if state != EndpointState::Gone => {
+                record.presence = Presence::Listed;
+                self.gone.remove(&GoneWorker { since, worker });
+            }
+            Presence::Listed | Presence::GoneSince(_) | Presence::Evicted => {}
         }
     }
 
@@ -295,16 +345,5 @@
     }
 }
 
-impl Worker {
-    fn set_state(&mut self, now: f64, state: EndpointState) {
-        self.state = state;
-        self.presence = match self.presence {
-            _ if state != EndpointState::Gone => Presence::Listed,
-            Presence::Listed => Presence::GoneSince(now),
-            gone => gone,
-        };
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/milletpath/tests/platform/main.rs
+++ b/crates/milletpath/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod discovery_outage;
 mod endpoint_changes;
+mod fleet_release;
 mod idle_router;
 mod killed_processes;
 mod misbehaving_clients;
--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -19,7 +19,8 @@
             };
             match unread {
                 UnreadSocket::Client(client) => self.read_client(client),
-                UnreadSocket::Discovery => self.read_discovery(),
+                UnreadSocket::Discovery if !self.catch_up_with_discovery(worker_connection) => continue,
+                UnreadSocket::Discovery => {}
             }
             self.run_queued_actions();
             self.flush_worker(worker_connection);
--- a/crates/platform-router/src/discovery_feed.rs
+++ b/crates/platform-router/src/discovery_feed.rs
@@ -1,6 +1,7 @@
 //! State of the discovery feed across all connections to the discovery address. Updated by the discovery watch.
 
 use milletpath_protocol::InputError;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -34,6 +35,14 @@
     AddressChanged,
 }
 
+/// Work that is not sent to workers before the events that are unread have been applied.
+pub(crate) struct Backlog {
+    /// Time at which there were first more unread events than one turn applies.
+    pub since: f64,
+    /// Slots of the worker connections whose queues wait, bounded by the number of connections.
+    pub worker_connections: BTreeSet<usize>,
+}
+
 /// State of the event stream across all connections to the discovery address.
 pub(crate) struct DiscoveryFeed {
     /// Number of the last event that was applied.
@@ -42,6 +51,8 @@
     pub socket: Option<Rc<TcpStream>>,
     /// Incomplete last line, limited by the protocol's maximum line length.
     pub partial_line: Vec<u8>,
+    /// What waits while more events are unread than one turn applies.
+    pub backlog: Option<Backlog>,
     /// Time at which the last line was completed.
     pub last_line_at: Instant,
     /// Time at which the socket was last known to be empty, on the router's clock.
@@ -59,6 +70,7 @@
             last_event,
             socket: None,
             partial_line: Vec::new(),
+            backlog: None,
             last_line_at: Instant::now(),
             emptied_at: 0.0,
             end: None,
@@ -84,6 +96,13 @@
         self.socket = None;
     }
 
+    /// Holds back the queue of a worker connection until the unread events have been applied.
+    pub fn hold_back(&mut self, now: f64, worker_connection: usize) {
+        let backlog =
+            self.backlog.get_or_insert_with(|| Backlog { since: now, worker_connections: BTreeSet::new() });
+        backlog.worker_connections.insert(worker_connection);
+    }
+
     /// Why the stream has to be replaced, if this was found outside its task.
     pub fn take_end(&mut self) -> Option<StreamEnd> {
         self.end.take()
--- a/crates/platform-router/src/discovery_watch.rs
+++ b/crates/platform-router/src/discovery_watch.rs
@@ -12,6 +12,7 @@
 use std::convert::Infallible;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -32,9 +33,14 @@
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Upper bound of the pause between two attempts.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
-/// Time to read what the previous address has already sent when the file names a different one. A drain event must
-/// not wait until the new address answers.
+/// Time to read what the previous address has already sent when the file names a different one, repeated while more of
+/// it is unread. A drain event must not wait until the new address answers.
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum number of such repetitions.
+const MAX_FINAL_READS: usize = 25;
+/// Maximum number of reads that look for a complete line before a stream counts as silent: enough for a complete list
+/// of the largest fleet.
+const MAX_READS_FOR_LINE: usize = 64;
 
 /// Watches the list for the lifetime of the router, starting after the last known event. `address` changes when a
 /// reload of the file changes the discovery address.
@@ -47,12 +53,13 @@
         let end = tokio::select! {
             result = &mut stream => result,
             _ = address.changed() => {
-                let _ = tokio::time::timeout(FINAL_READ_TIMEOUT, &mut stream).await;
+                read_rest(&router, stream.as_mut()).await;
                 Err(StreamEnd::AddressChanged)
             }
         };
         drop(stream);
         router.borrow_mut().discovery.close();
+        router.borrow_mut().release_backlog();
         let Err(reason) = end;
         let last_event = router.borrow().discovery.last_event;
         tracing::info!(address = %current, last_event, %reason, "subscribing to discovery again");
@@ -68,6 +75,19 @@
     }
 }
 
+/// Reads what a stream has already sent before it is replaced.
+async fn read_rest(
+    router: &SharedRouter,
+    mut stream: Pin<&mut impl Future<Output = Result<Infallible, StreamEnd>>>,
+) {
+    for _ in 0..MAX_FINAL_READS {
+        let has_ended = tokio::time::timeout(FINAL_READ_TIMEOUT, &mut stream).await.is_ok();
+        if has_ended || router.borrow_mut().peek_discovery() {
+            return;
+        }
+    }
+}
+
 /// Connects and reads one stream until it ends.
 async fn follow_stream(router: &SharedRouter, address: SocketAddr) -> Result<Infallible, StreamEnd> {
     let sockets = router.borrow().sockets.clone();
@@ -101,9 +121,27 @@
 /// for them was interrupted by the signal.
 fn end_if_silent(router: &SharedRouter) -> Result<(), StreamEnd> {
     let mut router = router.borrow_mut();
-    router.read_discovery();
-    let is_silent = router.discovery.last_line_at + SILENCE_TIMEOUT <= Instant::now();
-    if is_silent { Err(StreamEnd::Silent) } else { Ok(()) }
+    for _ in 0..MAX_READS_FOR_LINE {
+        router.read_discovery();
+        if router.discovery.last_line_at + SILENCE_TIMEOUT > Instant::now() {
+            return Ok(());
+        }
+        if router.peek_discovery() {
+            break;
+        }
+    }
+    Err(StreamEnd::Silent)
+}
+
+/// Applies received bytes. Returns whether nothing more is unread.
+fn apply_events(router: &SharedRouter, bytes: &[u8]) -> Result<bool, StreamEnd> {
+    let mut router = router.borrow_mut();
+    let received = router.receive_from_discovery(bytes);
+    let is_drained = router.peek_discovery();
+    router.run_actions();
+    router.release_backlog();
+    received?;
+    router.discovery.take_end().map_or(Ok(is_drained), Err)
 }
 
 /// Subscribes to the events after the last known one and applies them until the stream ends.
@@ -136,13 +174,9 @@
             }
             () = read_outside_task.notified() => {}
         }
-        let mut router = router.borrow_mut();
-        let received = router.receive_from_discovery(&bytes);
-        router.peek_discovery();
-        router.run_actions();
-        received?;
-        if let Some(end) = router.discovery.take_end() {
-            return Err(end);
+        if !apply_events(router, &bytes)? {
+            // Other sockets are looked at before more events are read.
+            tokio::task::yield_now().await;
         }
     }
 }
--- a/crates/platform-router/src/discovery_watch/receive.rs
+++ b/crates/platform-router/src/discovery_watch/receive.rs
@@ -17,18 +17,24 @@
 /// Seconds for which a check of the socket is considered valid before something is sent. Short compared with any
 /// grace period.
 const PEEK_VALID_SECONDS: f64 = 0.02;
-/// Maximum number of reads before something is sent; the rest is left for the next check.
-const MAX_READS: usize = 16;
+/// Maximum number of bytes of events that are applied before something is sent. The rest is left for later turns, so
+/// that other sockets are served meanwhile.
+const MAX_BYTES_BEFORE_SEND: usize = 32 << 10;
+/// Fraction of the connect timeout for which work is held back until unread events have been applied. It is then
+/// reported as not sent, before the timeout counts against the worker.
+const MAX_HOLD_BACK_FRACTION: f64 = 0.5;
 
 impl PlatformRouter {
-    /// Appends received bytes and applies all complete lines.
-    pub(super) fn receive_from_discovery(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
-        self.discovery.partial_line.extend_from_slice(bytes);
-        while let Some(end) = self.discovery.partial_line.iter().position(|&byte| byte == b'\n') {
-            let line: Vec<u8> = self.discovery.partial_line.drain(..=end).collect();
+    /// Applies all lines that the received bytes complete, and keeps the rest.
+    pub(super) fn receive_from_discovery(&mut self, mut bytes: &[u8]) -> Result<(), StreamEnd> {
+        while let Some(end) = bytes.iter().position(|&byte| byte == b'\n') {
+            let mut line = std::mem::take(&mut self.discovery.partial_line);
+            line.extend_from_slice(&bytes[..end]);
+            bytes = &bytes[end + 1..];
             self.discovery.last_line_at = Instant::now();
             self.apply_discovery_line(line.trim_ascii())?;
         }
+        self.discovery.partial_line.extend_from_slice(bytes);
         if self.discovery.partial_line.len() > events::MAX_LINE {
             return Err(StreamEnd::LineTooLong);
         }
@@ -70,26 +76,63 @@
     }
 
     /// Whether everything that discovery has sent was read, so that new work may be sent to a worker. If not, call
-    /// [`read_discovery`](Self::read_discovery) first.
+    /// [`catch_up_with_discovery`](Self::catch_up_with_discovery) first.
     pub(crate) fn is_discovery_drained(&mut self, now: f64) -> bool {
-        now - self.discovery.emptied_at < PEEK_VALID_SECONDS || self.peek_discovery()
+        let recently_empty =
+            self.discovery.backlog.is_none() && now - self.discovery.emptied_at < PEEK_VALID_SECONDS;
+        recently_empty || self.peek_discovery()
+    }
+
+    /// Reads and applies unread lines before work is sent on a worker connection. Returns false if there are more of
+    /// them than one turn may take: the connection's queue is then held back until the stream's task has read them.
+    /// The caller runs the resulting dispatcher actions.
+    pub(crate) fn catch_up_with_discovery(&mut self, worker_connection: usize) -> bool {
+        if self.discovery.backlog.is_none() {
+            self.read_discovery();
+        }
+        let now = self.now();
+        if self.is_discovery_drained(now) {
+            return true;
+        }
+        self.discovery.hold_back(now, worker_connection);
+        false
     }
 
-    /// Reads and applies unread lines. The caller runs the resulting dispatcher actions.
-    pub(crate) fn read_discovery(&mut self) {
+    /// Sends what was held back once all events have been applied. Where that takes too long, it is reported as not
+    /// sent instead, and the dispatcher decides anew.
+    pub(super) fn release_backlog(&mut self) {
+        let Some(since) = self.discovery.backlog.as_ref().map(|backlog| backlog.since) else { return };
+        let is_drained = self.peek_discovery();
+        let is_overdue = self.now() - since >= self.connect_timeout * MAX_HOLD_BACK_FRACTION;
+        if !is_drained && !is_overdue {
+            return;
+        }
+        let backlog = self.discovery.backlog.take();
+        for slot in backlog.into_iter().flat_map(|backlog| backlog.worker_connections) {
+            if is_drained {
+                self.flush_worker(slot);
+            } else {
+                self.fail_queued_as_unsent(slot);
+            }
+        }
+        self.run_actions();
+    }
+
+    /// Reads and applies a bounded number of unread lines. The caller runs the resulting dispatcher actions.
+    pub(super) fn read_discovery(&mut self) {
         let Some(socket) = self.discovery.socket.clone() else { return };
         let now = self.now();
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
-        for _ in 0..MAX_READS {
-            // The stream's task detects the end of the stream and read errors itself.
-            let Ok(length @ 1..) = (&*SockRef::from(&*socket)).read(&mut read_buffer) else { break };
-            if let Err(end) = self.receive_from_discovery(&read_buffer[..length]) {
-                self.discovery.end = Some(end);
-                break;
-            }
+        // The stream's task detects the end of the stream and read errors itself.
+        let length =
+            (&*SockRef::from(&*socket)).read(&mut read_buffer[..MAX_BYTES_BEFORE_SEND]).unwrap_or_default();
+        if let Err(end) = self.receive_from_discovery(&read_buffer[..length]) {
+            self.discovery.end = Some(end);
         }
         self.read_buffer = read_buffer;
-        self.discovery.emptied_at = now;
+        if length < MAX_BYTES_BEFORE_SEND {
+            self.discovery.emptied_at = now;
+        }
         self.discovery.read_outside_task.notify_one();
     }
 }
--- a/crates/platform-router/src/discovery_watch/tests.rs
+++ b/crates/platform-router/src/discovery_watch/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
-use crate::platform_router::tests::{router_with_workers, run_local};
+use crate::platform_router::WorkerConnection;
+use crate::platform_router::tests::{router_with_workers, run_local, submit_request};
 use crate::socket_errors::Operation;
 use crate::sockets::tests::{
     CONNECT_ERRORS, FaultDuration, FaultySockets, LONG_FAULT, SHORT_FAULT, TRANSFER_ERRORS,
@@ -80,6 +81,54 @@
     });
 }
 
+/// More events are unread than one turn applies, and the last one concerns the worker of a call. The call waits until all
+/// of them were applied, and is then sent only if its worker still takes work. Guards against a turn that applies all
+/// unread events while no other socket is served, and against sending by a list that is known to be old.
+#[test_case("active", true; "the worker stays")]
+#[test_case("leaving", false; "the worker drains")]
+fn work_waits_for_unread_events_that_are_applied_in_several_turns(phase: &'static str, is_sent: bool) {
+    /// Several times the bytes that one turn applies, and less than a socket holds.
+    const EVENTS: u64 = 2000;
+    run_local(async move {
+        let discovery = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let worker = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = worker.local_addr().unwrap();
+        let router = router_with_workers(&[address]);
+        let (_address_sender, followed) = watch::channel(discovery.local_addr().unwrap());
+        spawn_local(watch_discovery(router.clone(), followed));
+        let (mut stream, _) = discovery.accept().await.unwrap();
+        stream.read_exact(&mut [0; 8]).await.unwrap();
+        let other = |number| event(number, "left").replace("w0", "w9");
+        let events: String = (2..EVENTS).map(other).collect();
+        let to_worker = tokio::net::TcpStream::connect(address).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let slot = {
+            let mut state = router.borrow_mut();
+            let process = state.dispatcher.worker_process(0).process;
+            let mut connection = WorkerConnection::new(0, process, state.memory_budget.reserve(0), 0.0, 0.25);
+            connection.stream = Some(Rc::new(to_worker));
+            let slot = state.worker_connections.insert(connection);
+            state.connections_by_worker.entry(0).or_default().push(slot);
+            slot
+        };
+        stream.writable().await.unwrap();
+        let last = event(EVENTS, phase).replace("127.0.0.1:1", &address.to_string());
+        let bytes = [events, last].concat().into_bytes();
+        // There is no await from here on, so the router finds all events unread as it is about to send the attempt.
+        assert_eq!(stream.try_write(&bytes).unwrap(), bytes.len());
+        std::thread::sleep(Duration::from_millis(30));
+        submit_request(&mut router.borrow_mut(), 5);
+        router.borrow_mut().run_actions();
+        assert!(router.borrow().discovery.last_event < EVENTS, "one turn applied all events");
+        assert_eq!(router.borrow().worker_connections[slot].bytes_encoded, 0, "sent by an old list");
+        while router.borrow().discovery.last_event < EVENTS {
+            tokio::task::yield_now().await;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(router.borrow().worker_connections[slot].bytes_encoded > 0, is_sent);
+    });
+}
+
 /// A worker that joins after ten heartbeats without it counts as no older than its event, even if its start time was
 /// read from a stepped clock. A clock that was an hour behind used to disable slow start, and one an hour ahead
 /// extended it by an hour.
--- a/crates/platform-router/src/worker_connections/write.rs
+++ b/crates/platform-router/src/worker_connections/write.rs
@@ -88,7 +88,7 @@
 
     /// Ends the queued frames of a connection as not sent when a local fault delays them for too long. Frames that
     /// await no response stay queued.
-    pub(super) fn fail_queued_as_unsent(&mut self, slot: usize) {
+    pub(crate) fn fail_queued_as_unsent(&mut self, slot: usize) {
         let Some(connection) = self.worker_connections.get_mut(slot) else { return };
         let worker = connection.worker;
         let awaited: Vec<_> = connection.queue.iter().filter_map(QueuedFrame::awaited_response).collect();
--- a/crates/policy/src/attempt_result.rs
+++ b/crates/policy/src/attempt_result.rs
@@ -89,7 +89,6 @@
                 * ((completion.latency / self.latency.max(1e-3)).min(MAX_RATIO) - state.relative_latency);
         }
         state.has_succeeded |= completion.outcome == Outcome::Succeeded;
-        state.placement(attempt.worker).in_flight -= 1.0;
         state.attempt_ended(now, attempt, completion, self.load_latency, self.keep_alive);
         if completion.outcome == Outcome::Succeeded {
             self.record_latency(now, function, attempt, completion);
@@ -135,7 +134,8 @@
         load_latency: f64,
         keep_alive: f64,
     ) {
-        let placement = self.placement(attempt.worker);
+        let Some(placement) = self.placement(attempt.worker) else { return };
+        placement.in_flight -= 1.0;
         let outlasted = !attempt.warm && completion.latency > load_latency;
         match completion.outcome {
             Outcome::NotLoaded => {
--- a/crates/policy/src/candidate_search.rs
+++ b/crates/policy/src/candidate_search.rs
@@ -138,10 +138,10 @@
         /// Capacity that an instance reserves for unobserved traffic, in squared standard deviations.
         const VARIANCE_HEADROOM: f64 = 1.0;
         self.slow_start.rate(now, &self.workers, &self.staleness, &mut self.throughput);
-        let n = function.ring_order.len().max(1) as f64;
+        let n = function.ring_order.workers().len().max(1) as f64;
         // A single pass: with thousands of workers this is most of the cost of a request.
         let (mut reports, mut other_routers_load, mut sizes, mut in_flight) = (0, 0.0, 0.0, 0.0);
-        for worker in function.ring_order.iter().map(|&worker| &self.workers[worker]) {
+        for worker in function.ring_order.workers().iter().map(|&worker| &self.workers[worker]) {
             if let Some(reported) = worker.recent_other_routers_load(now) {
                 reports += 1;
                 other_routers_load += reported;
@@ -182,7 +182,7 @@
     pub(crate) fn search(&mut self, now: f64, comparison: &Comparison) -> Search {
         let Comparison { query, function, fleet, .. } = comparison;
         let mut search = Search::default();
-        for &worker in &function.ring_order {
+        for &worker in function.ring_order.workers() {
             let member = search.is_member(query, function);
             if search.is_complete(fleet, member) {
                 break;
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -96,9 +96,9 @@
             return;
         }
         let Some(request) = self.requests.get_mut(id) else { return };
-        let Some(function) = self.functions.get_mut(request.function) else { return };
+        let Some(function) = self.functions.get(request.function) else { return };
         let warm = function.instances(now, worker).count > 0.0;
-        let placement = function.placement(worker);
+        let Some(placement) = self.functions.placement(request.function, worker) else { return };
         placement.in_flight += 1.0;
         if !warm {
             placement.loading_until =
--- a/crates/policy/src/function_state.rs
+++ b/crates/policy/src/function_state.rs
@@ -3,6 +3,7 @@
 use crate::decay::{DecayingSum, RATE_HALF_LIFE};
 use crate::effects::Effects;
 use crate::events::Arrival;
+use crate::hash_ring::RingOrder;
 use std::collections::BTreeMap;
 
 /// Half lives in seconds of the arrival counts. The long one is for functions that a single one of many routers
@@ -84,9 +85,8 @@
     pub(crate) has_succeeded: bool,
     /// Requests that are not released yet.
     pub(crate) open_requests: usize,
-    /// Workers in ring order from the function's key on, and the ring revision that the order was computed from.
-    pub(crate) ring_order: Vec<usize>,
-    pub(crate) ring_revision: u64,
+    /// Workers in ring order from the function's key on.
+    pub(crate) ring_order: RingOrder,
     pub(crate) placements: Vec<FunctionPlacement>,
 }
 
@@ -103,18 +103,9 @@
         }
     }
 
-    /// The function's state on a worker; created if there is none.
-    pub(crate) fn placement(&mut self, worker: usize) -> &mut FunctionPlacement {
-        let index =
-            self.placements.iter().position(|placement| placement.worker == worker).unwrap_or_else(|| {
-                self.placements.push(FunctionPlacement {
-                    worker,
-                    missing_at: f64::NEG_INFINITY,
-                    ..FunctionPlacement::default()
-                });
-                self.placements.len() - 1
-            });
-        &mut self.placements[index]
+    /// The function's state on a worker, if there is any.
+    pub(crate) fn placement(&mut self, worker: usize) -> Option<&mut FunctionPlacement> {
+        self.placements.iter_mut().find(|placement| placement.worker == worker)
     }
 
     /// The function's instances on a worker now.
@@ -127,12 +118,6 @@
         })
     }
 
-    /// A worker's process was replaced: the new process has no instances.
-    pub(crate) fn worker_restarted(&mut self, worker: usize) {
-        let placements = self.placements.iter_mut().filter(|placement| placement.worker == worker);
-        placements.for_each(|placement| (placement.instances, placement.loading_until) = (0.0, 0.0));
-    }
-
     /// Arrivals per second, by the larger of the two counts.
     pub(crate) fn arrival_rate(&self, now: f64) -> f64 {
         self.arrivals.max_rate(|count, half_life| count.rate(now, half_life, now - self.first_arrival_at))
@@ -159,6 +144,8 @@
 #[derive(Default)]
 pub(crate) struct Functions {
     functions: Vec<Option<Function>>,
+    /// The functions with a placement on each worker, by worker index.
+    functions_on_worker: Vec<Vec<usize>>,
     /// Position of the incremental search for unused functions.
     sweep_position: usize,
 }
@@ -184,12 +171,44 @@
         for _ in 0..FUNCTIONS_PER_ARRIVAL.min(self.functions.len()) {
             self.sweep_position = (self.sweep_position + 1) % self.functions.len();
             if self.functions[self.sweep_position].as_ref().is_some_and(|f| f.is_unused(now)) {
-                self.functions[self.sweep_position] = None;
+                self.release(self.sweep_position);
                 host.release_function(self.sweep_position);
             }
         }
     }
 
+    fn release(&mut self, index: usize) {
+        for placement in self.functions[index].take().into_iter().flat_map(|function| function.placements) {
+            self.functions_on_worker[placement.worker].retain(|&other| other != index);
+        }
+    }
+
+    /// A function's state on a worker; created if there is none. `None` if the function is unknown.
+    pub(crate) fn placement(&mut self, function: usize, worker: usize) -> Option<&mut FunctionPlacement> {
+        let state = self.functions.get_mut(function)?.as_mut()?;
+        if state.placement(worker).is_none() {
+            state.placements.push(FunctionPlacement {
+                worker,
+                missing_at: f64::NEG_INFINITY,
+                ..FunctionPlacement::default()
+            });
+            let workers = self.functions_on_worker.len().max(worker + 1);
+            self.functions_on_worker.resize_with(workers, Vec::new);
+            self.functions_on_worker[worker].push(function);
+        }
+        state.placement(worker)
+    }
+
+    /// A worker's process was replaced: the new process has no instances.
+    pub(crate) fn worker_restarted(&mut self, worker: usize) {
+        for &function in self.functions_on_worker.get(worker).into_iter().flatten() {
+            let state = self.functions[function].as_mut();
+            if let Some(placement) = state.and_then(|function| function.placement(worker)) {
+                (placement.instances, placement.loading_until) = (0.0, 0.0);
+            }
+        }
+    }
+
     pub(crate) fn get(&self, function: usize) -> Option<&Function> {
         self.functions.get(function)?.as_ref()
     }
--- a/crates/policy/src/load_requests.rs
+++ b/crates/policy/src/load_requests.rs
@@ -116,8 +116,8 @@
         host: &mut dyn Effects,
     ) {
         self.limit.iter_mut().for_each(|limit| limit.action_done(now));
-        if let Some(f) = functions.get_mut(request.function) {
-            f.placement(request.worker).loading_until = now + self.timeout;
+        if let Some(placement) = functions.placement(request.function, request.worker) {
+            placement.loading_until = now + self.timeout;
         }
         self.pending += 1.0;
         host.request_load(request.worker, request.function, request.instances);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -98,10 +98,8 @@
 
     /// Updates a function's ring order to the current ring.
     fn update_ring_order(&mut self, function_index: usize) {
-        let Some(f) = self.functions.get_mut(function_index) else { return };
-        if f.ring_revision != self.ring.revision() {
-            f.ring_revision = self.ring.revision();
-            self.ring.successors(f.name, self.workers.len(), &mut f.ring_order);
+        if let Some(function) = self.functions.get_mut(function_index) {
+            self.ring.update_order(function.name, &mut function.ring_order);
         }
     }
 
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -20,6 +20,10 @@
 use crate::router_state::RouterState;
 use std::collections::BTreeMap;
 
+/// Seconds between checks of open requests: short compared with latency objectives, long compared with the cost of a
+/// check.
+const CHECK_INTERVAL: f64 = 0.005;
+
 /// The decisions of one router, without I/O, clock or threads. Times are in seconds of one monotonic clock of the
 /// host.
 pub struct Router {
@@ -34,6 +38,8 @@
     wake_at: f64,
     /// When to request the endpoint list again after its watch failed.
     next_watch_at: f64,
+    /// When a change of the endpoint list last had the queued requests placed again.
+    retried_for_list_at: f64,
 }
 
 impl Router {
@@ -49,6 +55,7 @@
             arrivals: 0,
             wake_at: f64::INFINITY,
             next_watch_at: f64::INFINITY,
+            retried_for_list_at: f64::NEG_INFINITY,
         }
     }
 
@@ -92,7 +99,7 @@
     pub fn update_endpoint(&mut self, endpoint: EndpointUpdate) {
         let memory = self.state.worker_memory.get(endpoint.kind).copied().unwrap_or(f64::INFINITY);
         if self.state.workers.update(&endpoint, memory) {
-            self.state.functions.iter_mut().for_each(|f| f.worker_restarted(endpoint.worker));
+            self.state.functions.worker_restarted(endpoint.worker);
         }
     }
 
@@ -103,10 +110,27 @@
 
     /// Ends a list, or a change of it, after all its endpoints were passed.
     pub fn end_list(&mut self, now: f64, host: &mut dyn Effects) {
-        let workers = &self.state.workers;
-        let ready = (0..workers.len()).filter(|&w| workers[w].is_ready());
-        self.state.ring.build(ready, |w| workers[w].name);
-        self.retry_queued(now, host);
+        let state = &mut self.state;
+        for index in state.workers.take_updated() {
+            let worker = &state.workers[index];
+            if worker.is_ready() {
+                state.ring.insert(index, worker.name);
+            } else {
+                state.ring.remove(index);
+            }
+        }
+        self.retry_after_list_change(now, host);
+    }
+
+    /// Places queued requests again after a change of the endpoint list. Where changes follow each other closely, as
+    /// in a release, most of them leave this to the next check of the open requests.
+    fn retry_after_list_change(&mut self, now: f64, host: &mut dyn Effects) {
+        if now - self.retried_for_list_at >= CHECK_INTERVAL {
+            self.retried_for_list_at = now;
+            self.retry_queued(now, host);
+        } else if !self.state.requests.is_empty() {
+            self.wake_by(now, now + CHECK_INTERVAL, host);
+        }
     }
 
     /// The registry did not answer or ended the watch of the endpoint list: the list is requested again after a
@@ -346,8 +370,7 @@
         host: &mut dyn Effects,
     ) {
         let state = &mut self.state;
-        if let Some(f) = state.functions.get_mut(function) {
-            let placement = f.placement(worker);
+        if let Some(placement) = state.functions.placement(function, worker) {
             placement.loading_until = 0.0;
             state.load_requests.load_request_ended();
             if instances > 0 {
@@ -395,9 +418,6 @@
 
     /// The time requested by [`Effects::wake_after`] has come.
     pub fn timer_fired(&mut self, now: f64, host: &mut dyn Effects) {
-        /// Seconds between checks of open requests: short compared with latency objectives, long compared with the
-        /// cost of a check.
-        const INTERVAL: f64 = 0.005;
         if now < self.wake_at - 1e-6 {
             return;
         }
@@ -412,7 +432,7 @@
         }
         self.retry_queued(now, host);
         if !self.state.requests.is_empty() {
-            self.wake_by(now, now + INTERVAL, host);
+            self.wake_by(now, now + CHECK_INTERVAL, host);
         } else if self.next_watch_at.is_finite() {
             self.wake_by(now, self.next_watch_at, host);
         }
--- a/crates/policy/src/worker_state.rs
+++ b/crates/policy/src/worker_state.rs
@@ -128,6 +128,8 @@
 #[derive(Default)]
 pub(crate) struct WorkerTable {
     workers: Vec<Worker>,
+    /// Workers that were updated since [`take_updated`](Self::take_updated) was last called.
+    updated: Vec<usize>,
 }
 
 impl WorkerTable {
@@ -136,12 +138,19 @@
         if endpoint.worker >= self.workers.len() {
             self.workers.resize(endpoint.worker + 1, Worker::UNKNOWN);
         }
+        self.updated.push(endpoint.worker);
         self.workers[endpoint.worker].update(endpoint, memory)
     }
 
+    /// Returns the workers that were updated since the last call, with repetitions.
+    pub(crate) fn take_updated(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.updated)
+    }
+
     /// Begins a complete list: endpoints that are not in it are gone.
     pub(crate) fn begin_full_list(&mut self) {
         self.workers.iter_mut().for_each(|w| w.state = EndpointState::Gone);
+        self.updated = (0..self.workers.len()).collect();
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/crates/policy/tests/many_requests.rs
+++ b/crates/policy/tests/costs.rs
@@ -1,8 +1,9 @@
-//! The cost of ending many requests at once.
+//! What many requests, and changes in a large fleet, cost.
 
 mod common;
 
-use common::{TestRouter, config, idempotent};
+use common::{TestRouter, config, endpoint, idempotent};
+use milletpath_policy::EndpointState;
 use nix::sys::resource::{UsageWho, getrusage};
 use nix::sys::time::TimeVal;
 use std::time::Duration;
@@ -41,3 +42,34 @@
         "{ROUNDS} rounds of {REQUESTS} requests: {in_rounds:?}, all at once: {at_once:?}"
     );
 }
+
+/// Thread time in which workers of a fleet of this size drain and return one by one, each by an event of its own, while
+/// some functions are known.
+fn time_to_change(workers: usize, changes: usize) -> Duration {
+    const FUNCTIONS: usize = 100;
+    let mut router = TestRouter::new(config(idempotent()), workers);
+    for function in 0..FUNCTIONS {
+        router.arrive(function, 2.0);
+    }
+    let began = thread_time();
+    for change in 0..changes {
+        let state = if change % 2 == 0 { EndpointState::Draining } else { EndpointState::Ready };
+        router.router.update_endpoint(endpoint(change / 2 * 7 % workers, state, None));
+        router.router.end_list(router.host.now, &mut router.host);
+    }
+    thread_time() - began
+}
+
+/// A change of one worker costs about the same in a fleet of the largest size as in a small one. Guards against a ring
+/// that is built anew for each change: in a release it stopped the router for many seconds.
+#[test]
+fn a_change_of_one_worker_costs_the_same_in_a_fleet_of_any_size() {
+    const SMALL: usize = 100;
+    const LARGE: usize = 3200;
+    const CHANGES: usize = 4000;
+    /// Far below the growth of the fleet, 32.
+    const MAX_GROWTH: u32 = 4;
+    let in_small = time_to_change(SMALL, CHANGES).max(Duration::from_millis(10));
+    let in_large = time_to_change(LARGE, CHANGES);
+    assert!(in_large < in_small * MAX_GROWTH, "{SMALL} workers: {in_small:?}, {LARGE} workers: {in_large:?}");
+}
