Platform router: a client that reads gets its responses; memory is decided on before a request is sent

Cause: MAX_UNWRITTEN (128 KiB; 4 KiB with the memory full) asked how much was unwritten, not whether the client reads. 32 such responses are 700 KB. A line over 4 KiB with the memory full was taken for an invalid one, which failed all open requests of its connection; a worker in the middle of a response over 4 KiB was closed.

Change: no connection is closed for an amount; one without progress for 2 s and without open requests is, as before. Before a request is sent, room for its response is reserved; the rule (policy, response_memory.rs) keeps half of the buffers for the first response of each client and gives a client of the other half as much as is left for the others. What finds no room is rejected, with a log line at a limited rate. With the memory full 4 KiB of a line are read and the rest waits in the socket, its time counted. A client that leaves more unread than its open requests can owe it is not read meanwhile. Buffers of responses grow without spare capacity and drop what was written.

--- a/crates/milletpath/tests/platform/main.rs
+++ b/crates/milletpath/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod fleet_release;
 mod idle_router;
 mod killed_processes;
+mod large_responses;
 mod misbehaving_clients;
 mod pause;
 mod persistent_client;
--- a/crates/platform-protocol/src/frames.rs
+++ b/crates/platform-protocol/src/frames.rs
@@ -6,5 +6,5 @@
 mod read;
 mod write;
 
-pub use read::{Frame, MAX_FIELDS, MAX_RESPONSE_BODY, WorkerResponse, read};
+pub use read::{Frame, MAX_FIELDS, MAX_RESPONSE_BODY, MAX_SPECIFIED_RESPONSE, WorkerResponse, read};
 pub use write::{Attempt, write_attempt, write_cancel, write_load_request, write_probe, write_unload};
--- a/crates/platform-protocol/src/frames/read.rs
+++ b/crates/platform-protocol/src/frames/read.rs
@@ -1,6 +1,7 @@
 //! Decodes frames from workers: responses to attempts, load requests and health checks.
 
 use super::layout::{CHECKSUM_BYTES, FROM_WORKER, HEADER_BYTES};
+use crate::lines::MAX_REQUEST_BODY;
 use milletpath_platform_settings::set_report_value;
 use milletpath_policy::{LoadReport, Outcome};
 use milletpath_protocol::InputError;
@@ -10,6 +11,8 @@
 pub const MAX_FIELDS: usize = 4 << 10;
 /// Maximum length of a response body in bytes.
 pub const MAX_RESPONSE_BODY: usize = 256 << 10;
+/// Maximum length in bytes of a response with the longest body that the platform specifies.
+pub const MAX_SPECIFIED_RESPONSE: usize = HEADER_BYTES + MAX_FIELDS + MAX_REQUEST_BODY + CHECKSUM_BYTES;
 /// Range of numbers that a worker of any size could report; values outside it are ignored.
 const PLAUSIBLE_NUMBERS: RangeInclusive<f64> = 0.0..=1e9;
 
--- a/crates/platform-protocol/src/lines.rs
+++ b/crates/platform-protocol/src/lines.rs
@@ -7,4 +7,7 @@
 
 pub use call::{Call, MAX_REQUEST_BODY};
 pub use message::{ClientMessage, InvalidLine, MAX_LINE, read, read_for_rejection};
-pub use write::{write_failed, write_health, write_invalid, write_rejected, write_success};
+pub use write::{
+    MAX_SHORT_LENGTH, max_success_length, write_failed, write_health, write_invalid, write_rejected,
+    write_success,
+};
--- a/crates/platform-protocol/src/lines/write.rs
+++ b/crates/platform-protocol/src/lines/write.rs
@@ -11,6 +11,17 @@
 /// The platform's error code for a request that failed.
 const FAILED: i64 = -32069;
 
+/// Maximum length in bytes of a response without a body, but for the reason given with [`write_invalid`].
+pub const MAX_SHORT_LENGTH: usize = 192;
+/// Length of the line that [`write_success`] writes, beside the body in base64: at most this.
+const MAX_SUCCESS_FRAME: usize = 80;
+
+/// Maximum length in bytes of the response to a successful request with a body of `body` bytes.
+#[must_use]
+pub const fn max_success_length(body: usize) -> usize {
+    MAX_SUCCESS_FRAME + body.div_ceil(3) * 4
+}
+
 /// Writes the response to a successful request, with the worker's response body unchanged.
 pub fn write_success(out: &mut Vec<u8>, number: u64, body: &[u8]) {
     let head = format!("{{\"jsonrpc\":\"2.0\",\"id\":{number},\"result\":{{\"content\":\"");
--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -42,10 +42,12 @@
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject { request, retry_after } => {
                 self.send_final_response(request, |out, number| {
-                    lines::write_rejected(out, number, retry_after);
+                    out.append(lines::MAX_SHORT_LENGTH, |line| {
+                        lines::write_rejected(line, number, retry_after);
+                    });
                 });
             }
-            Action::Fail { request, .. } => self.send_final_response(request, lines::write_failed),
+            Action::Fail { request, .. } => self.send_failure(request),
             Action::LoadFunction { load_request, worker, function, instances } => {
                 self.send_load_request(load_request, worker, function, instances);
             }
--- a/crates/platform-router/src/client_connections.rs
+++ b/crates/platform-router/src/client_connections.rs
@@ -4,13 +4,14 @@
 //!
 //! `accept` accepts connections and `task` waits for socket readiness. `read` splits the bytes into lines, `validate`
 //! checks them, `requests` submits calls to the dispatcher and returns final responses, and `write` flushes the write
-//! buffer. `close` closes a single connection, `graceful_shutdown` closes all of them after SIGTERM.
+//! buffer; `response_memory` decides whether there is room for a response. `close` closes a single connection, `graceful_shutdown` closes all of them after SIGTERM.
 
 mod accept;
 mod close;
 mod graceful_shutdown;
 mod read;
 mod requests;
+mod response_memory;
 mod task;
 mod validate;
 mod write;
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -27,9 +27,9 @@
     /// No valid line was received in time, or a line was not completed in time.
     #[error("the client was silent for too long")]
     Silent,
-    /// Too many unwritten bytes are buffered for the client.
-    #[error("the client reads its responses too slowly")]
-    ReadsTooSlowly,
+    /// The client has read none of its responses for a time.
+    #[error("the client does not read its responses")]
+    ReadsNothing,
     /// The client was sent an error for an invalid line.
     #[error("the client sent an invalid line")]
     InvalidLine,
@@ -84,7 +84,9 @@
     /// Closes connections that have been silent for too long or have not completed a line in time.
     pub fn close_stale_clients(&mut self, now: f64) {
         for slot in self.clients_where(|router, client| router.is_stale(client, now)) {
-            self.close_client(slot, &CloseReason::Silent);
+            let reads_nothing = self.clients[slot].write_buffer.remaining() > 0;
+            let reason = if reads_nothing { CloseReason::ReadsNothing } else { CloseReason::Silent };
+            self.close_client(slot, &reason);
         }
         self.shut_down_idle(now, |client| client.overflow);
         self.close_lingering(now);
@@ -103,8 +105,10 @@
                 client.has_sent_message,
             )
         };
-        // Nothing is read after an invalid line, so unread bytes don't keep the connection open then.
-        late && client.open_calls.is_empty() && (client.closing || client.has_no_unread_bytes())
+        // Nothing is read after an invalid line, or from a client that owes reading, so unread bytes don't keep the
+        // connection open then.
+        let leaves_bytes_unread = client.closing || unwritten && client.reading_paused_since.is_some();
+        late && client.open_calls.is_empty() && (leaves_bytes_unread || client.has_no_unread_bytes())
     }
 
     /// Shuts down the write side of a connection that is idle and has no unread bytes, provided that it has sent a call
--- a/crates/platform-router/src/client_connections/graceful_shutdown.rs
+++ b/crates/platform-router/src/client_connections/graceful_shutdown.rs
@@ -2,8 +2,7 @@
 //! answered, and each connection is closed once it is idle.
 
 use super::accept::accept_connections;
-use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
-use milletpath_platform_protocol::lines;
+use crate::platform_router::{PlatformRouter, SharedRouter};
 use socket2::SockRef;
 use std::net::Shutdown;
 use std::rc::Rc;
@@ -113,18 +112,8 @@
     /// Does the same for the calls of one client.
     fn answer_calls_of(&mut self, slot: usize, now: f64) {
         let open_calls = self.clients.get(slot).map_or_else(Vec::new, |client| client.open_calls.clone());
-        for OpenCall { number, request } in open_calls {
-            self.forget_request_id(request);
-            // Ending one request may end others, whose responses are then among the dispatcher's actions. Those find
-            // their calls answered.
-            let may_have_run = self.dispatcher.client_gone(now, request);
-            let Some(client) = self.clients.get_mut(slot) else { return };
-            client.take_open_call(number);
-            if may_have_run {
-                lines::write_failed(&mut client.write_buffer.bytes, number);
-            } else {
-                lines::write_rejected(&mut client.write_buffer.bytes, number, self.retry_after);
-            }
+        for call in open_calls {
+            self.end_call(slot, call, now);
         }
         self.flush_client(slot);
     }
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -1,7 +1,7 @@
 //! Reads client sockets and splits the received bytes into lines.
 
 use super::close::CloseReason;
-use crate::platform_router::{DeferredFlush, PlatformRouter, READ_SIZE, UnreadSocket};
+use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
 use crate::sockets::{DirectSockets, SocketState, Sockets, peek_socket};
 use crate::write_buffer::RETAINED_CAPACITY;
 use milletpath_dispatcher::dispatcher::RequestId;
@@ -27,6 +27,8 @@
     Received,
     /// Nothing.
     Empty,
+    /// There is no memory for what the socket may hold.
+    Paused,
     /// No more will follow: the connection was closed, or is about to be.
     Closed,
 }
@@ -56,7 +58,7 @@
             match self.read_client_by(slot, now, |stream, buffer| DirectSockets.read(stream, buffer)) {
                 ReadResult::Empty => return true,
                 ReadResult::Received => {}
-                ReadResult::Closed => return false,
+                ReadResult::Paused | ReadResult::Closed => return false,
             }
         }
         false
@@ -78,15 +80,20 @@
         };
         let stream = client.stream.clone();
         let write_closed = client.write_closed_at.is_some();
+        let max_length = self.max_read_length(client);
+        if max_length == 0 {
+            return ReadResult::Paused;
+        }
         // Taken from the router while the bytes in it are handled, and restored on every path.
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
-        let result = match read(&stream, &mut read_buffer) {
+        let result = match read(&stream, &mut read_buffer[..max_length]) {
             Ok(0) => self.end_of_client(slot, &CloseReason::ClosedByClient),
             Ok(_) if write_closed => ReadResult::Received,
             Ok(length) => {
                 self.receive_bytes(slot, &read_buffer[..length]);
-                if let Some(client) = self.clients.get_mut(slot).filter(|_| length < READ_SIZE) {
+                if let Some(client) = self.clients.get_mut(slot).filter(|_| length < max_length) {
                     client.emptied_at = now;
+                    client.reading_paused_since = None;
                 }
                 ReadResult::Received
             }
@@ -188,10 +195,6 @@
         if length > lines::MAX_LINE {
             return Err(InvalidLine { number: None, fault: InputError::new("line", "is too long") });
         }
-        if length > RETAINED_CAPACITY && self.memory_budget.is_full() {
-            let fault = InputError::new("line", "finds no memory, too many are open");
-            return Err(InvalidLine { number: None, fault });
-        }
         partial_line.extend_from_slice(bytes);
         Ok(())
     }
@@ -204,7 +207,9 @@
             ClientMessage::Probe { number } => {
                 let is_healthy = self.dispatcher.has_endpoints() && !self.shutdown.begun();
                 if let Some(client) = self.clients.get_mut(slot) {
-                    lines::write_health(&mut client.write_buffer.bytes, number, is_healthy);
+                    client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| {
+                        lines::write_health(line, number, is_healthy);
+                    });
                 }
             }
         }
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -1,6 +1,7 @@
 //! Submits the calls of clients to the dispatcher and returns its final responses to the clients.
 
 use crate::platform_router::{ClientKey, OpenCall, PlatformRouter, RequestContext};
+use crate::write_buffer::WriteBuffer;
 use milletpath_dispatcher::dispatcher::{FunctionResources, IncomingRequest, RequestId};
 use milletpath_platform_protocol::lines::{self, Call};
 
@@ -27,11 +28,13 @@
         let now = self.now();
         let Some(connection) = self.clients.get(slot) else { return };
         let client = ClientKey { slot, serial: connection.serial };
-        let arrived_at = self.liveness.earliest_arrival(now, connection.emptied_at);
+        let unread_since = connection.reading_paused_since.unwrap_or(now);
+        let arrived_at = self.liveness.earliest_arrival(now, connection.emptied_at).min(unread_since);
         let unread_seconds = (now - arrived_at - UNREAD_SLACK).max(0.0);
         let time_left = (call.timeout - unread_seconds - RESPONSE_MARGIN).max(0.0);
         let reservation = self.memory_budget.reserve(call.body.capacity() + call.idempotency_key.capacity());
         if self.memory_budget.is_full() {
+            self.memory_rejections.record();
             return self.reject_call(slot, call.number);
         }
         let profile = index_of(&self.profiles, &call.profile);
@@ -55,6 +58,7 @@
             idempotency_key: call.idempotency_key,
             body: call.body,
             _reservation: reservation,
+            response_reservation: None,
             received_at: now,
             last_attempt_at: now,
             worker_connections: Vec::new(),
@@ -93,7 +97,10 @@
     /// Rejects a call that was not admitted. The caller flushes the write buffer.
     fn reject_call(&mut self, slot: usize, number: u64) {
         if let Some(client) = self.clients.get_mut(slot) {
-            lines::write_rejected(&mut client.write_buffer.bytes, number, self.retry_after);
+            let retry_after = self.retry_after;
+            client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| {
+                lines::write_rejected(line, number, retry_after);
+            });
         }
     }
 
@@ -138,9 +145,9 @@
         id.is_some()
     }
 
-    /// Gives a client the final response to its call; `write` appends the response with the call's number to the
-    /// write buffer, which is written by the next [`run_actions`](Self::run_actions). Does nothing if the client has disconnected or already has a final response to this call.
-    pub fn send_final_response(&mut self, request: RequestId, write: impl FnOnce(&mut Vec<u8>, u64)) {
+    /// Gives a client the final response to its call, if it is still connected and has none. `write` appends the response
+    /// with the call's number to the write buffer, which is written by the next [`run_actions`](Self::run_actions).
+    pub fn send_final_response(&mut self, request: RequestId, write: impl FnOnce(&mut WriteBuffer, u64)) {
         let Some(context) = self.dispatcher.context(request) else { return };
         let (key, number, id) = (context.client, context.number, context.id);
         self.open_request_ids.remove(&id);
@@ -148,12 +155,55 @@
         if !client.take_open_call(number) {
             return;
         }
-        write(&mut client.write_buffer.bytes, number);
+        write(&mut client.write_buffer, number);
+        self.flush_later(key);
+    }
+
+    /// Ends an open call at once: failed if it may have run, rejected if it has not started. The caller flushes the write
+    /// buffer.
+    pub(super) fn end_call(&mut self, slot: usize, call: OpenCall, now: f64) {
+        let OpenCall { number, request } = call;
+        self.forget_request_id(request);
+        // Ending one request may end others, whose responses are then among the dispatcher's actions. Those find their
+        // calls answered.
+        let may_have_run = self.dispatcher.client_gone(now, request);
+        let Some(client) = self.clients.get_mut(slot) else { return };
+        client.take_open_call(number);
+        if may_have_run {
+            client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| lines::write_failed(line, number));
+        } else {
+            self.reject_call(slot, number);
+        }
+    }
+
+    /// Ends a request for whose response there is no memory before it is sent.
+    pub fn reject_without_memory(&mut self, request: RequestId) {
+        let now = self.now();
+        let Some(context) = self.dispatcher.context(request) else { return };
+        let (key, number) = (context.client, context.number);
+        if self.client_by_key(key).is_none() {
+            return;
+        }
+        self.memory_rejections.record();
+        self.end_call(key.slot, OpenCall { number, request }, now);
+        self.flush_later(key);
+    }
+
+    /// Has the client's write buffer flushed by the next [`run_actions`](Self::run_actions).
+    fn flush_later(&mut self, key: ClientKey) {
+        let Some(client) = self.client_by_key(key) else { return };
         if !std::mem::replace(&mut client.flush_pending, true) {
             self.answered_clients.push(key);
         }
     }
 
+    /// Tells a client that its request has failed, as [`send_final_response`](Self::send_final_response) does.
+    pub fn send_failure(&mut self, request: RequestId) {
+        self.send_final_response(request, |out, number| {
+            out.append(lines::MAX_SHORT_LENGTH, |line| lines::write_failed(line, number));
+        });
+    }
+
     /// Writes the final responses of the events handled since the last call: several responses to one client go in one
     /// write. Returns whether there were any.
     pub fn flush_answered_clients(&mut self) -> bool {
--- a/crates/platform-router/src/client_connections/task.rs
+++ b/crates/platform-router/src/client_connections/task.rs
@@ -9,11 +9,17 @@
 pub(super) async fn serve_client(router: SharedRouter, slot: usize, stream: Rc<TcpStream>, wake: Rc<Notify>) {
     loop {
         let (reads, writes) = {
-            let router = router.borrow();
-            match router.clients.get(slot).filter(|client| Rc::ptr_eq(&client.stream, &stream)) {
-                Some(client) => (!client.closing, client.write_buffer.remaining() > 0),
-                None => return,
+            let mut router = router.borrow_mut();
+            let client = router.clients.get(slot).filter(|client| Rc::ptr_eq(&client.stream, &stream));
+            let Some(client) = client else { return };
+            let paused = router.pauses_reading(client);
+            let conditions = (!client.closing && !paused, client.write_buffer.remaining() > 0);
+            if paused {
+                router.pause_reading(slot);
+            } else {
+                router.resume_reading(slot);
             }
+            conditions
         };
         tokio::select! {
             _ = stream.readable(), if reads => router.borrow_mut().on_client_readable(slot),
--- a/crates/platform-router/src/client_connections/validate.rs
+++ b/crates/platform-router/src/client_connections/validate.rs
@@ -5,7 +5,7 @@
 use milletpath_protocol::InputError;
 
 /// Maximum number of open calls on one connection.
-const MAX_OPEN_CALLS: usize = 32;
+pub(super) const MAX_OPEN_CALLS: usize = 32;
 
 impl PlatformRouter {
     /// Parses and validates one line and appends it to the messages received with it. Empty lines are ignored. A
--- a/crates/platform-router/src/client_connections/write.rs
+++ b/crates/platform-router/src/client_connections/write.rs
@@ -1,16 +1,13 @@
-//! Writes responses to clients.
+//! Writes responses to clients. A client that reads slowly gets all of its responses, however many bytes they are: one
+//! that reads nothing is closed after a time (`close.rs`), and a request is sent to a worker only if there is memory for
+//! its response (`response_memory.rs`).
 
 use super::close::CloseReason;
 use crate::platform_router::PlatformRouter;
 use crate::sockets::{DirectSockets, Sockets, SystemSockets};
-use crate::write_buffer::RETAINED_CAPACITY;
-
-/// Maximum number of response bytes buffered for a slow reader: several responses of the usual size, and small
-/// compared with the smallest memory that a router is granted.
-const MAX_UNWRITTEN: usize = 128 << 10;
 
 impl PlatformRouter {
-    /// Writes buffered responses as far as the socket accepts them, and closes a client that reads too slowly.
+    /// Writes buffered responses as far as the socket accepts them.
     pub fn flush_client(&mut self, slot: usize) {
         let now = self.now();
         // The process may exit before the runtime looks at the socket again.
@@ -22,15 +19,11 @@
             Ok(_) => client.last_progress = now,
             Err(error) => return self.close_client(slot, &CloseReason::Io(error)),
         }
+        client.write_buffer.drop_written();
         client.update_reservation();
-        let (remaining, closing) = (client.write_buffer.remaining(), client.closing);
-        if remaining > 0 {
+        if client.write_buffer.remaining() > 0 {
             client.wake.notify_one();
-            let limit = if self.memory_budget.is_full() { RETAINED_CAPACITY } else { MAX_UNWRITTEN };
-            if remaining > limit {
-                self.close_client(slot, &CloseReason::ReadsTooSlowly);
-            }
-        } else if closing {
+        } else if client.closing {
             self.close_client(slot, &CloseReason::InvalidLine);
         }
     }
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -4,9 +4,8 @@
 //!
 //! The modules, from those without I/O to those that wait for sockets:
 //!
-//! - `backoff`, `connection_limits`, `memory_budget`, `request_ids_seen`, `shutdown`, `socket_errors`, `turn`,
-//!   `unread_rejections`: rules without
-//!   I/O. They take times and sizes as arguments and are tested without sockets.
+//! - `backoff`, `connection_limits`, `memory_budget`, `rejection_count`, `request_ids_seen`, `shutdown`,
+//!   `socket_errors`, `turn`: rules without I/O. They take times and sizes as arguments and are tested without sockets.
 //! - `sockets`, `write_buffer`: system calls on a connection, and buffered output.
 //! - `platform_router`: the shared state, `PlatformRouter`, with types for a client connection, a worker connection
 //!   and the data kept for a request.
@@ -37,13 +36,13 @@
 mod list_report;
 mod memory_budget;
 mod platform_router;
+mod rejection_count;
 mod request_ids_seen;
 mod run;
 mod shutdown;
 mod socket_errors;
 mod sockets;
 mod turn;
-mod unread_rejections;
 mod worker_connections;
 mod write_buffer;
 
--- a/crates/platform-router/src/memory_budget.rs
+++ b/crates/platform-router/src/memory_budget.rs
@@ -2,6 +2,7 @@
 //! of a buffer reserves its bytes; whether input is refused for lack of memory is decided where the input is
 //! received.
 
+use milletpath_policy::BufferMemory;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -27,6 +28,11 @@
         self.reserved.get() >= self.limit
     }
 
+    /// What there is and what is free of it.
+    pub fn available(&self) -> BufferMemory {
+        BufferMemory { limit: self.limit, free: self.limit.saturating_sub(self.reserved.get()) }
+    }
+
     /// Reserves bytes for the lifetime of the reservation.
     #[must_use = "the bytes are released when the reservation is dropped"]
     pub fn reserve(self: &Rc<Self>, bytes: usize) -> MemoryReservation {
@@ -43,6 +49,11 @@
 }
 
 impl MemoryReservation {
+    /// Number of reserved bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Changes the number of reserved bytes.
     pub fn resize(&mut self, bytes: usize) {
         let reserved = self.memory_budget.reserved.get() - self.bytes + bytes;
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -13,10 +13,10 @@
 use crate::discovery_feed::DiscoveryFeed;
 use crate::list_report::ListReport;
 use crate::memory_budget::MemoryBudget;
+use crate::rejection_count::RejectionCount;
 use crate::shutdown::{Liveness, Shutdown};
 use crate::sockets::{Sockets, SystemSockets};
 use crate::turn::Turn;
-use crate::unread_rejections::UnreadRejections;
 use milletpath_dispatcher::dispatcher::Dispatcher;
 use milletpath_platform_protocol::bootstrap::{Bootstrap, WorkerList};
 use milletpath_policy::ReadDelayLimits;
@@ -90,7 +90,9 @@
     /// How far the router is behind its sockets.
     pub turn: Turn,
     /// Calls that were rejected unread, to be logged.
-    pub unread_rejections: UnreadRejections,
+    pub unread_rejections: RejectionCount,
+    /// Calls for which there was not enough memory, to be logged.
+    pub memory_rejections: RejectionCount,
     /// How long a turn may have taken before calls are rejected unread.
     pub read_delay_limits: ReadDelayLimits,
     /// Connect timeout for workers, in seconds.
@@ -155,7 +157,8 @@
                 shutdown: Shutdown::new(longest_deadline),
                 liveness: Liveness::default(),
                 turn: Turn::default(),
-                unread_rejections: UnreadRejections::new(),
+                unread_rejections: RejectionCount::new(),
+                memory_rejections: RejectionCount::new(),
                 read_delay_limits: ReadDelayLimits::new(shortest_objective, longest_deadline),
                 connect_timeout: config.limits.connect_timeout,
                 load_reports: bootstrap.load_reports,
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -3,7 +3,7 @@
 use crate::memory_budget::MemoryReservation;
 use crate::request_ids_seen::RequestIdsSeen;
 use crate::sockets::{SocketState, peek_socket};
-use crate::write_buffer::WriteBuffer;
+use crate::write_buffer::{RETAINED_CAPACITY, WriteBuffer};
 use milletpath_dispatcher::dispatcher::RequestId;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -49,6 +49,9 @@
     pub emptied_at: f64,
     /// Reads since `checked_at` that were made before an attempt to empty the socket.
     pub reads_before_check: usize,
+    /// Time since which the socket is not read, because there is no memory for what it holds or the client leaves its
+    /// responses unread.
+    pub reading_paused_since: Option<f64>,
     /// Whether an invalid line was received: the write buffer is flushed and the connection is closed.
     pub closing: bool,
     /// Whether the connection was accepted beyond the limit, while all others waited for responses. Its calls are
@@ -77,15 +80,18 @@
             checked_at: f64::NEG_INFINITY,
             emptied_at: f64::NEG_INFINITY,
             reads_before_check: 0,
+            reading_paused_since: None,
             closing: false,
             overflow: false,
             write_closed_at: None,
         }
     }
 
-    /// Updates the reserved bytes to the current size of the buffers.
+    /// Updates the reserved bytes to the current size of the buffers. The bytes that a connection always may hold are not
+    /// counted, so that rejections take nothing from the memory for responses.
     pub fn update_reservation(&mut self) {
-        self.reservation.resize(self.partial_line.capacity() + self.write_buffer.bytes.capacity());
+        let held = self.partial_line.capacity() + self.write_buffer.bytes.capacity();
+        self.reservation.resize(held.saturating_sub(RETAINED_CAPACITY));
     }
 
     /// Time at which the connection was last used. Until a complete valid line was received, parts of a line don't
--- a/crates/platform-router/src/platform_router/request_context.rs
+++ b/crates/platform-router/src/platform_router/request_context.rs
@@ -27,6 +27,8 @@
     pub body: Vec<u8>,
     /// Reserves the bytes of the key and the body in the memory budget.
     pub _reservation: MemoryReservation,
+    /// Reserves the bytes of the response beyond those of the body, once an attempt was sent.
+    pub response_reservation: Option<MemoryReservation>,
     /// Time at which the request was read.
     pub received_at: f64,
     /// Time at which the last attempt began.
--- a/crates/platform-router/src/platform_router/tests.rs
+++ b/crates/platform-router/src/platform_router/tests.rs
@@ -74,6 +74,7 @@
         idempotency_key,
         body,
         _reservation: reservation,
+        response_reservation: None,
         received_at: now,
         last_attempt_at: now,
         worker_connections: Vec::new(),
--- a/crates/platform-router/src/rejection_count.rs
+++ b/crates/platform-router/src/rejection_count.rs
@@ -1,17 +1,17 @@
-//! Counts the calls that are rejected unread because the router is behind its sockets, for a log line at a limited rate.
-//! Performs no I/O. Times are in seconds on the router's clock.
+//! Counts the calls that are rejected for one reason, for a log line at a limited rate. Performs no I/O. Times are in
+//! seconds on the router's clock.
 
 /// Minimum interval in seconds between two log lines.
 const LOG_INTERVAL: f64 = 10.0;
 
-/// The calls rejected unread since the last log line.
+/// The calls rejected since the last log line.
 #[derive(Debug)]
-pub(crate) struct UnreadRejections {
+pub(crate) struct RejectionCount {
     count: u64,
     logged_at: f64,
 }
 
-impl UnreadRejections {
+impl RejectionCount {
     /// Creates a count that is logged as soon as there is one.
     pub fn new() -> Self {
         Self { count: 0, logged_at: f64::NEG_INFINITY }
--- a/crates/platform-router/src/rejection_count/tests.rs
+++ b/crates/platform-router/src/rejection_count/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn rejections_are_logged_at_a_limited_rate() {
-    let mut rejections = UnreadRejections::new();
+    let mut rejections = RejectionCount::new();
     assert_eq!(rejections.take_due(1.0), None);
     rejections.record();
     assert_eq!(rejections.take_due(1.0), Some(1));
--- a/crates/platform-router/src/run/timer.rs
+++ b/crates/platform-router/src/run/timer.rs
@@ -23,6 +23,10 @@
         if let Some(rejected) = self.unread_rejections.take_due(now) {
             tracing::warn!(rejected, "too little processor time: calls that were read late were rejected");
         }
+        if let Some(rejected) = self.memory_rejections.take_due(now) {
+            tracing::warn!(rejected, "too little memory: calls were not sent to a worker");
+        }
+        self.wake_paused_clients();
         self.close_stale_clients(now);
         self.close_idle_worker_connections(now);
         self.run_actions();
--- a/crates/platform-router/src/worker_connections/frame.rs
+++ b/crates/platform-router/src/worker_connections/frame.rs
@@ -49,6 +49,12 @@
             self.worker_connections[slot].queue.push_front(frame);
             return FrameStatus::Deferred;
         }
+        if let QueuedFrame::Attempt { request, .. } = frame
+            && !self.reserve_response(request)
+        {
+            self.reject_without_memory(request);
+            return FrameStatus::Done;
+        }
         let mut out = std::mem::take(&mut self.worker_connections[slot].write_buffer.bytes);
         let awaited = self.encode_frame(slot, &frame, &mut out, now);
         let Some(connection) = self.worker_connections.get_mut(slot) else { return FrameStatus::Deferred };
--- a/crates/platform-router/src/worker_connections/read.rs
+++ b/crates/platform-router/src/worker_connections/read.rs
@@ -3,7 +3,6 @@
 use super::error::WorkerConnectionError;
 use crate::platform_router::{AwaitedResponse, PlatformRouter};
 use crate::socket_errors::{self, Operation, Recovery};
-use crate::write_buffer::RETAINED_CAPACITY;
 use milletpath_dispatcher::dispatcher::{AttemptResult, RequestId};
 use milletpath_platform_protocol::frames::{self, Frame, WorkerResponse};
 use milletpath_platform_protocol::lines;
@@ -61,7 +60,7 @@
         connection.read_backoff.succeeded();
         connection.partial_frame = partial_frame;
         connection.reservation.resize(connection.partial_frame.capacity());
-        if connection.partial_frame.len() > RETAINED_CAPACITY && self.memory_budget.is_full() {
+        if connection.partial_frame.len() > frames::MAX_SPECIFIED_RESPONSE && self.memory_budget.is_full() {
             self.on_connection_lost(slot, &WorkerConnectionError::NoMemory);
         }
     }
@@ -129,11 +128,16 @@
             report: response.report,
             answers_client: false,
         };
-        if self.dispatcher.attempt_ended(now, request, attempt, result) {
-            self.send_final_response(request, |out, number| {
-                lines::write_success(out, number, response.body);
-            });
+        if !self.dispatcher.attempt_ended(now, request, attempt, result) {
+            return;
+        }
+        if !self.has_room_for_response(response.body.len()) {
+            return self.send_failure(request);
         }
+        self.send_final_response(request, |out, number| {
+            let max_length = lines::max_success_length(response.body.len());
+            out.append(max_length, |line| lines::write_success(line, number, response.body));
+        });
     }
 
     /// Logs how long a request has spent at the router and at the worker.
--- a/crates/platform-router/src/write_buffer.rs
+++ b/crates/platform-router/src/write_buffer.rs
@@ -21,6 +21,34 @@
         self.bytes.len() - self.written
     }
 
+    /// Appends what `write` writes, at most `max_length` bytes.
+    pub fn append(&mut self, max_length: usize, write: impl FnOnce(&mut Vec<u8>)) {
+        self.reserve(max_length);
+        write(&mut self.bytes);
+    }
+
+    /// Makes room for more bytes, without the spare capacity that a growing vector reserves: a large buffer may have to
+    /// wait for a long time.
+    fn reserve(&mut self, more: usize) {
+        /// Part of the buffer's length by which it grows at least, so that it is not copied for each small addition.
+        const GROWTH_DIVISOR: usize = 8;
+        let free = self.bytes.capacity() - self.bytes.len();
+        if more > free {
+            self.bytes.reserve_exact(more.max(self.bytes.len() / GROWTH_DIVISOR));
+        }
+    }
+
+    /// Drops what the socket has accepted, once that is more than what it has not: a client that is never quite up to
+    /// date would otherwise keep all that it has read. [`is_partially_written`](Self::is_partially_written) holds no
+    /// longer then.
+    pub fn drop_written(&mut self) {
+        if self.written > RETAINED_CAPACITY && self.written >= self.remaining() {
+            self.bytes.drain(..self.written);
+            self.written = 0;
+            self.bytes.shrink_to(2 * self.bytes.len());
+        }
+    }
+
     /// Whether the socket has accepted some but not all of the bytes.
     pub fn is_partially_written(&self) -> bool {
         self.written > 0
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 mod rate_limiter;
 mod request_queue;
 mod request_state;
+mod response_memory;
 mod retry;
 mod router;
 mod router_state;
@@ -55,4 +56,5 @@
     Arrival, AttemptCompletion, EndpointState, EndpointUpdate, InstanceState, LoadReport, Outcome,
 };
 pub use rate_limiter::RateLimiter;
+pub use response_memory::{BufferMemory, may_await_response};
 pub use router::Router;
