Test support: a process counts as paused once all of its threads are stopped

Cause: Process::pause waited until the first thread was stopped. Others may run on for a moment, so a core could close a connection as idle after the test had found it open; the call was then written to a closed connection.

Change: the pause begins once every thread of the process is stopped. No assertion changes.

--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -43,13 +43,21 @@
         kill(Pid::from_raw(self.child.id() as i32), signal).expect("the process runs");
     }
 
-    /// Sends SIGSTOP and waits until the process is stopped.
+    /// Sends SIGSTOP and waits until all threads of the process are stopped: its first one may be while others still run.
     pub fn pause(&self) {
         self.signal(Signal::SIGSTOP);
-        let is_stopped = || self.state().is_some_and(|state| state == 'T').then_some(());
+        let is_stopped = || self.are_all_threads_stopped().then_some(());
         wait_at_most(TIMEOUT, PAUSE_POLL_INTERVAL, is_stopped).expect("the process stops on SIGSTOP");
     }
 
+    fn are_all_threads_stopped(&self) -> bool {
+        let Ok(mut threads) = std::fs::read_dir(format!("/proc/{}/task", self.id())) else { return false };
+        threads.all(|thread| {
+            let stat = thread.and_then(|thread| std::fs::read_to_string(thread.path().join("stat")));
+            stat.is_ok_and(|stat| state_code(&stat) == Some('T'))
+        })
+    }
+
     /// Resumes a paused process by SIGCONT.
     pub fn resume(&self) {
         self.signal(Signal::SIGCONT);
@@ -71,7 +79,7 @@
     /// Returns the state code from `/proc/PID/stat`, for example `T` for a stopped process.
     fn state(&self) -> Option<char> {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
-        stat.rsplit(") ").next()?.chars().next()
+        state_code(&stat)
     }
 
     /// Returns the exit status; `None` while the process runs.
@@ -110,6 +118,11 @@
     }
 }
 
+/// The state code in the content of a `stat` file of a process or thread.
+fn state_code(stat: &str) -> Option<char> {
+    stat.rsplit(") ").next()?.chars().next()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         self.kill();
