Policy: every change of the list has the queue placed again, as before

Cause: left the queue to the next check of the open requests where the list had changed less than 5 ms before.

Change: that limit is taken out. The ring, the worker table and the functions take changes alone, as they did.

--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -38,8 +38,6 @@
     wake_at: f64,
     /// When to request the endpoint list again after its watch failed.
     next_watch_at: f64,
-    /// When a change of the endpoint list last had the queued requests placed again.
-    retried_for_list_at: f64,
 }
 
 impl Router {
@@ -55,7 +53,6 @@
             arrivals: 0,
             wake_at: f64::INFINITY,
             next_watch_at: f64::INFINITY,
-            retried_for_list_at: f64::NEG_INFINITY,
         }
     }
 
@@ -119,18 +116,7 @@
                 state.ring.remove(index);
             }
         }
-        self.retry_after_list_change(now, host);
-    }
-
-    /// Places queued requests again after a change of the endpoint list. Where changes follow each other closely, as
-    /// in a release, most of them leave this to the next check of the open requests.
-    fn retry_after_list_change(&mut self, now: f64, host: &mut dyn Effects) {
-        if now - self.retried_for_list_at >= CHECK_INTERVAL {
-            self.retried_for_list_at = now;
-            self.retry_queued(now, host);
-        } else if !self.state.requests.is_empty() {
-            self.wake_by(now, now + CHECK_INTERVAL, host);
-        }
+        self.retry_queued(now, host);
     }
 
     /// The registry did not answer or ended the watch of the endpoint list: the list is requested again after a
