Platform router: the events of one read place the queue again once

Suspected cause: a router that is behind has requests queued, and each event of the release then costs a placement over all workers, so that it falls further behind; not traced.

Change: the dispatcher has apply_endpoints and end_endpoints; the platform router applies all lines of one read in order and ends the list once. Between two lines no decision is taken: it is one synchronous loop, and a heartbeat in it only dates the list. update_endpoints is the two in one, so `serve` and the simulator decide as before.

--- a/crates/dispatcher/src/dispatcher/endpoints.rs
+++ b/crates/dispatcher/src/dispatcher/endpoints.rs
@@ -14,6 +14,14 @@
 impl<T> Dispatcher<T> {
     /// Applies one update of the endpoint list: the `complete` list, or only the entries that changed.
     pub fn update_endpoints(&mut self, now: f64, complete: bool, entries: &[EndpointEntry]) {
+        self.apply_endpoints(now, complete, entries);
+        self.end_endpoints(now);
+    }
+
+    /// Applies one of several updates that are known at the same time. Nothing is placed by them before
+    /// [`end_endpoints`](Self::end_endpoints), which must be called before any other event is reported but that the list
+    /// is current.
+    pub fn apply_endpoints(&mut self, now: f64, complete: bool, entries: &[EndpointEntry]) {
         self.state.now = now;
         if complete {
             self.router.begin_full_list();
@@ -22,6 +30,11 @@
             .worker_table
             .update(now, complete, entries, |endpoint_update| self.router.update_endpoint(endpoint_update));
         self.apply_worker_adjustments(entries);
+    }
+
+    /// Ends the updates that were applied by [`apply_endpoints`](Self::apply_endpoints): queued requests are placed again.
+    pub fn end_endpoints(&mut self, now: f64) {
+        self.state.now = now;
         self.router.end_list(now, &mut self.state);
         self.report_cancelled_attempts();
     }
--- a/crates/platform-router/src/discovery_watch/receive.rs
+++ b/crates/platform-router/src/discovery_watch/receive.rs
@@ -25,8 +25,19 @@
 const MAX_HOLD_BACK_FRACTION: f64 = 0.5;
 
 impl PlatformRouter {
-    /// Applies all lines that the received bytes complete, and keeps the rest.
-    pub(super) fn receive_from_discovery(&mut self, mut bytes: &[u8]) -> Result<(), StreamEnd> {
+    /// Applies all lines that the received bytes complete, and keeps the rest. Queued requests are placed again once after
+    /// all of them: no decision is taken between two lines of one read.
+    pub(super) fn receive_from_discovery(&mut self, bytes: &[u8]) -> Result<(), StreamEnd> {
+        let last = self.discovery.last_event;
+        let result = self.apply_discovery_lines(bytes);
+        if self.discovery.last_event != last {
+            let now = self.now();
+            self.dispatcher.end_endpoints(now);
+        }
+        result
+    }
+
+    fn apply_discovery_lines(&mut self, mut bytes: &[u8]) -> Result<(), StreamEnd> {
         while let Some(end) = bytes.iter().position(|&byte| byte == b'\n') {
             let mut line = std::mem::take(&mut self.discovery.partial_line);
             line.extend_from_slice(&bytes[..end]);
@@ -51,7 +62,7 @@
             DiscoveryLine::Event { number, complete, entries } if complete || number == last + 1 => {
                 self.discovery.last_event = number;
                 self.dispatcher.wall_clock_read(now, unix_time());
-                self.dispatcher.update_endpoints(now, complete, &entries);
+                self.dispatcher.apply_endpoints(now, complete, &entries);
             }
             DiscoveryLine::Heartbeat(number) if number == last => {
                 self.dispatcher.endpoint_list_confirmed(now, self.discovery.emptied_at);
