Platform router: short responses are appended, and reading is paused, in one place each

The bounded append of a response without a body stood at five places and was gone around by the two that answer an invalid line: WriteBuffer::append_short. Whether the memory limits reading was asked twice, and a pause of reading took three methods of which the task chose: limits_reading and update_reading, which reads the clock in a pause alone. The entry of the dispatcher's two benches stands once. Two comments are said plainly. Behaviour as before.

--- a/crates/dispatcher/benches/dispatcher.rs
+++ b/crates/dispatcher/benches/dispatcher.rs
@@ -5,15 +5,17 @@
 //! `cargo bench -p milletpath-dispatcher --bench dispatcher` prints microseconds per request, for all its events
 //! together.
 
+mod worker_entry;
+
 use milletpath_dispatcher::dispatcher::{Action, AttemptResult, Dispatcher, IncomingRequest, RequestId};
 use milletpath_policy::{LoadReport, Outcome};
-use milletpath_protocol::registry::{EndpointEntry, EndpointStatus};
+use milletpath_protocol::registry::EndpointStatus;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp, Zipf};
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Instant;
+use worker_entry::entry;
 
 /// Simulated duration in seconds, including the warm-up. The warm-up, in which the dispatcher learns of the
 /// instances, is not measured.
@@ -70,7 +72,11 @@
         // The list is never confirmed here, so it must not become stale.
         config.policy.list_valid_for = f64::INFINITY;
         let mut dispatcher = Dispatcher::new(&config, 0.0);
-        dispatcher.update_endpoints(0.0, true, &(0..workers).map(entry).collect::<Vec<_>>());
+        dispatcher.update_endpoints(
+            0.0,
+            true,
+            &(0..workers).map(|number| entry(number, EndpointStatus::Ready)).collect::<Vec<_>>(),
+        );
         let mut simulation = Self {
             dispatcher,
             random: ChaCha8Rng::seed_from_u64(1),
@@ -191,19 +197,6 @@
     }
 }
 
-fn entry(number: usize) -> EndpointEntry {
-    EndpointEntry {
-        name: format!("w{number}"),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1 + number as u16)),
-        started: None,
-        size: 1.0,
-        kind: String::new(),
-        zone: "z".into(),
-        cell: String::new(),
-        state: EndpointStatus::Ready,
-    }
-}
-
 fn main() {
     for (workers, functions, requests_per_second, gateways) in [
         (30, 60, 760.0, 1),
--- a/crates/dispatcher/benches/list_changes.rs
+++ b/crates/dispatcher/benches/list_changes.rs
@@ -4,10 +4,12 @@
 //! `cargo bench -p milletpath-dispatcher --bench list_changes` prints microseconds per change, the ratio to the smallest
 //! fleet, and what 640 changes a second take of a core.
 
+mod worker_entry;
+
 use milletpath_dispatcher::dispatcher::{Action, Dispatcher, IncomingRequest, RequestId};
-use milletpath_protocol::registry::{EndpointEntry, EndpointStatus};
-use std::net::{Ipv4Addr, SocketAddr};
+use milletpath_protocol::registry::EndpointStatus;
 use std::time::Instant;
+use worker_entry::entry;
 
 const FLEETS: [usize; 4] = [120, 1200, 3200, 9100];
 const KNOWN_FUNCTIONS: usize = 1000;
@@ -17,19 +19,6 @@
 /// Long enough for no request to end during the measurement.
 const TIMEOUT: f64 = 3600.0;
 
-fn entry(number: usize, state: EndpointStatus) -> EndpointEntry {
-    EndpointEntry {
-        name: format!("w{number}"),
-        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1 + number as u16)),
-        started: None,
-        size: 1.0,
-        kind: String::new(),
-        zone: "z".into(),
-        cell: String::new(),
-        state,
-    }
-}
-
 /// The requests that are queued while the list changes.
 #[derive(Clone, Copy)]
 enum Queued {
--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -42,7 +42,7 @@
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject { request, retry_after } => {
                 self.send_final_response(request, |out, number| {
-                    out.append(lines::MAX_SHORT_LENGTH, |line| {
+                    out.append_short(|line| {
                         lines::write_rejected(line, number, retry_after);
                     });
                 });
--- a/crates/platform-router/src/client_connections.rs
+++ b/crates/platform-router/src/client_connections.rs
@@ -4,7 +4,8 @@
 //!
 //! `accept` accepts connections and `task` waits for socket readiness. `read` splits the bytes into lines, `validate`
 //! checks them, `requests` submits calls to the dispatcher and returns final responses, and `write` flushes the write
-//! buffer; `response_memory` decides whether there is room for a response. `close` closes a single connection, `graceful_shutdown` closes all of them after SIGTERM.
+//! buffer; `response_memory` decides whether there is room for a response. `close` closes a single connection,
+//! `graceful_shutdown` closes all of them after SIGTERM.
 
 mod accept;
 mod close;
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -74,9 +74,9 @@
         client.closing = true;
         for number in numbers.filter(|number| Some(*number) != invalid.number) {
             let fault = InputError::new("connection", "is closed for another line");
-            lines::write_invalid(&mut client.write_buffer.bytes, Some(number), &fault);
+            client.write_buffer.append_short(|line| lines::write_invalid(line, Some(number), &fault));
         }
-        lines::write_invalid(&mut client.write_buffer.bytes, invalid.number, &invalid.fault);
+        client.write_buffer.append_short(|line| lines::write_invalid(line, invalid.number, &invalid.fault));
         self.cancel_requests(open_calls);
         self.flush_client(slot);
     }
@@ -105,8 +105,8 @@
                 client.has_sent_message,
             )
         };
-        // Nothing is read after an invalid line, or from a client that owes reading, so unread bytes don't keep the
-        // connection open then.
+        // Nothing is read after an invalid line, or from a client that leaves its responses unread, so unread bytes don't
+        // keep the connection open then.
         let leaves_bytes_unread = client.closing || unwritten && client.reading_paused_since.is_some();
         late && client.open_calls.is_empty() && (leaves_bytes_unread || client.has_no_unread_bytes())
     }
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -207,7 +207,7 @@
             ClientMessage::Probe { number } => {
                 let is_healthy = self.dispatcher.has_endpoints() && !self.shutdown.begun();
                 if let Some(client) = self.clients.get_mut(slot) {
-                    client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| {
+                    client.write_buffer.append_short(|line| {
                         lines::write_health(line, number, is_healthy);
                     });
                 }
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -98,7 +98,7 @@
     fn reject_call(&mut self, slot: usize, number: u64) {
         if let Some(client) = self.clients.get_mut(slot) {
             let retry_after = self.retry_after;
-            client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| {
+            client.write_buffer.append_short(|line| {
                 lines::write_rejected(line, number, retry_after);
             });
         }
@@ -170,7 +170,7 @@
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.take_open_call(number);
         if may_have_run {
-            client.write_buffer.append(lines::MAX_SHORT_LENGTH, |line| lines::write_failed(line, number));
+            client.write_buffer.append_short(|line| lines::write_failed(line, number));
         } else {
             self.reject_call(slot, number);
         }
@@ -200,7 +200,7 @@
     /// Tells a client that its request has failed, as [`send_final_response`](Self::send_final_response) does.
     pub fn send_failure(&mut self, request: RequestId) {
         self.send_final_response(request, |out, number| {
-            out.append(lines::MAX_SHORT_LENGTH, |line| lines::write_failed(line, number));
+            out.append_short(|line| lines::write_failed(line, number));
         });
     }
 
--- a/crates/platform-router/src/client_connections/response_memory.rs
+++ b/crates/platform-router/src/client_connections/response_memory.rs
@@ -54,37 +54,41 @@
 
     /// Whether a client's socket is left unread for now: the client has left too many responses unread, or the memory is
     /// full and the client has sent a large part of a line. Its responses are written meanwhile.
-    pub fn pauses_reading(&self, client: &ClientConnection) -> bool {
+    fn pauses_reading(&self, client: &ClientConnection) -> bool {
         let unwritten = client.write_buffer.remaining();
-        let is_full = self.memory_budget.is_full() && !self.shutdown.begun();
         unwritten > MAX_UNWRITTEN
-            || is_full && (unwritten > RETAINED_CAPACITY || client.partial_line.len() >= RETAINED_CAPACITY)
+            || self.limits_reading()
+                && (unwritten > RETAINED_CAPACITY || client.partial_line.len() >= RETAINED_CAPACITY)
+    }
+
+    /// Whether the memory is full. During a shutdown everything is read all the same, as it is rejected at once.
+    fn limits_reading(&self) -> bool {
+        self.memory_budget.is_full() && !self.shutdown.begun()
     }
 
     /// Maximum number of bytes to read from a client's socket at once. While the memory is full, an incomplete line
     /// stays small.
     pub fn max_read_length(&self, client: &ClientConnection) -> usize {
-        if self.memory_budget.is_full() && !self.shutdown.begun() {
+        if self.limits_reading() {
             RETAINED_CAPACITY.saturating_sub(client.partial_line.len())
         } else {
             self.read_buffer.len()
         }
     }
 
-    /// Records that a client's socket is not read from now on.
-    pub fn pause_reading(&mut self, slot: usize) {
-        let now = self.now();
-        if let Some(client) = self.clients.get_mut(slot) {
-            client.reading_paused_since.get_or_insert(now);
-        }
-    }
-
-    /// Records that a client's socket is read again. What it holds may have come when the pause began.
-    pub fn resume_reading(&mut self, slot: usize) {
-        let paused = self.clients.get_mut(slot).filter(|client| client.reading_paused_since.is_some());
-        if let Some(client) = paused.filter(|client| client.has_no_unread_bytes()) {
+    /// Whether a client's socket is read now, and records since when it is not. What it holds when it is read again may
+    /// have come at the beginning of the pause.
+    pub fn update_reading(&mut self, slot: usize) -> bool {
+        let paused = self.clients.get(slot).is_some_and(|client| self.pauses_reading(client));
+        // The clock is read in a pause alone, as a client's task comes here for each event.
+        let paused_at = paused.then(|| self.now());
+        let Some(client) = self.clients.get_mut(slot) else { return false };
+        if paused {
+            client.reading_paused_since = client.reading_paused_since.or(paused_at);
+        } else if client.reading_paused_since.is_some() && client.has_no_unread_bytes() {
             client.reading_paused_since = None;
         }
+        !paused
     }
 
     /// Wakes the tasks of clients that are not read, to look whether they are read again.
--- a/crates/platform-router/src/client_connections/task.rs
+++ b/crates/platform-router/src/client_connections/task.rs
@@ -12,14 +12,8 @@
             let mut router = router.borrow_mut();
             let client = router.clients.get(slot).filter(|client| Rc::ptr_eq(&client.stream, &stream));
             let Some(client) = client else { return };
-            let paused = router.pauses_reading(client);
-            let conditions = (!client.closing && !paused, client.write_buffer.remaining() > 0);
-            if paused {
-                router.pause_reading(slot);
-            } else {
-                router.resume_reading(slot);
-            }
-            conditions
+            let (closing, writes) = (client.closing, client.write_buffer.remaining() > 0);
+            (router.update_reading(slot) && !closing, writes)
         };
         tokio::select! {
             _ = stream.readable(), if reads => router.borrow_mut().on_client_readable(slot),
--- a/crates/platform-router/src/write_buffer.rs
+++ b/crates/platform-router/src/write_buffer.rs
@@ -1,6 +1,7 @@
 //! Buffers output to a socket, for client and worker connections.
 
 use crate::sockets::Sockets;
+use milletpath_platform_protocol::lines;
 use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
 
@@ -27,6 +28,11 @@
         write(&mut self.bytes);
     }
 
+    /// Appends a response without a body.
+    pub fn append_short(&mut self, write: impl FnOnce(&mut Vec<u8>)) {
+        self.append(lines::MAX_SHORT_LENGTH, write);
+    }
+
     /// Makes room for more bytes, without the spare capacity that a growing vector reserves: a large buffer may have to
     /// wait for a long time.
     fn reserve(&mut self, more: usize) {
