Platform router: a test that the events of one read place waiting calls once

Test: a call waits; one read brings its only worker as available, draining, and left or available again.

--- a/crates/platform-router/src/discovery_watch/tests.rs
+++ b/crates/platform-router/src/discovery_watch/tests.rs
@@ -129,6 +129,21 @@
     });
 }
 
+/// Within the events of one read a worker becomes available and leaves again, while a call waits for one: nothing is decided
+/// by the list in between, and the call is placed by the last event. Guards against placing the queue again for each event,
+/// which holds up a router during a release of thousands of workers.
+#[test_case("left", 0; "the worker has left by the last event")]
+#[test_case("active", 1; "the worker is available by the last event")]
+fn events_of_one_read_place_waiting_calls_once(last_phase: &str, attempts: u64) {
+    let router = router_with_workers(&[]);
+    let mut state = router.borrow_mut();
+    submit_request(&mut state, 7);
+    let events = [event(2, "active"), event(3, "leaving"), event(4, last_phase)].concat();
+    state.receive_from_discovery(events.as_bytes()).unwrap();
+    assert_eq!(state.discovery.last_event, 4);
+    assert_eq!(state.dispatcher.counters().attempts, attempts);
+}
+
 /// A worker that joins after ten heartbeats without it counts as no older than its event, even if its start time was
 /// read from a stepped clock. A clock that was an hour behind used to disable slow start, and one an hour ahead
 /// extended it by an hour.
