--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -2,7 +2,7 @@
 use crate::platform_router::tests::{router_with_workers, run_local};
 use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use socket2::SockRef;
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::time::Duration;
 use test_case::test_case;
 use tokio::net::TcpListener;
@@ -307,3 +307,54 @@
         }
     });
 }
+
+/// The memory is full while a client with an open call sends a long line: a part of the line is read, the rest waits in the
+/// socket, the open call is answered, and the line is accepted once there is memory again. Guards against taking the part
+/// for an invalid line, which failed the connection's open calls.
+#[test]
+fn long_line_that_finds_no_memory_waits_beside_an_open_call() {
+    /// Characters of the second call's body, in base64. The line fits into the buffers of the sockets.
+    const BODY_LENGTH: usize = 16 << 10;
+    run_local(async {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        let mut client = connect_client(&router).await;
+        client.0.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        let mut responses = BufReader::new(client.0.try_clone().unwrap());
+        tokio::time::advance(Duration::from_millis(10)).await;
+        send_and_wait_until_read(&router, &mut client, format!("{CALL}\n").as_bytes()).await;
+        let memory_budget = router.borrow().memory_budget.clone();
+        let everything = memory_budget.reserve(memory_budget.available().free);
+        let body = format!(",\"content\":\"{}\"}}}}\n", "A".repeat(BODY_LENGTH));
+        let long_call = CALL
+            .replace("\"id\":2", "\"id\":3")
+            .replace("2d41", "2d42")
+            .replace("1500", "2900")
+            .replace("}}", &body);
+        tokio::time::advance(Duration::from_millis(10)).await;
+        let (first_half, second_half) = long_call.as_bytes().split_at(BODY_LENGTH / 2);
+        send_and_wait_until_read(&router, &mut client, first_half).await;
+        client.0.write_all(second_half).unwrap();
+        let open_numbers = || -> Vec<_> {
+            let state = router.borrow();
+            state.clients[client.1].open_calls.iter().map(|call| call.number).collect()
+        };
+        assert_eq!(open_numbers(), [2]);
+        // Past the time of the open call, and past the time for which a client may be silent.
+        tokio::time::advance(Duration::from_millis(2100)).await;
+        let now = router.borrow().now();
+        router.borrow_mut().dispatcher.advance(now);
+        router.borrow_mut().run_actions();
+        router.borrow_mut().close_stale_clients(now);
+        let mut line = String::new();
+        responses.read_line(&mut line).unwrap();
+        assert!(line.contains("\"id\":2,"), "{line}");
+        assert!(open_numbers().is_empty());
+        drop(everything);
+        router.borrow_mut().wake_paused_clients();
+        while open_numbers().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(open_numbers(), [3]);
+    });
+}
