Tests: calls in attempt, departures and thread time stand once

Clean-up, no check changed: attempt_deadlines had the same set-up and ending twice (CallInAttempt), serve_departed_clients the same two assertions six and three times, costs the same reading of the thread's clock twice.

--- a/crates/milletpath/tests/platform/attempt_deadlines.rs
+++ b/crates/milletpath/tests/platform/attempt_deadlines.rs
@@ -3,7 +3,8 @@
 
 use crate::unread_call::UnreadCall;
 use milletpath_test_support::platform_rig::{
-    Client, DONE, Discovery, MAX_SOCKETS, Router, RouterConfiguration, ScriptedWorker, call_line,
+    Client, DONE, Discovery, MAX_SOCKETS, Router, RouterConfiguration, ScriptedWorker, WorkerConnection,
+    call_line,
 };
 use milletpath_test_support::worker_frames::{Frame, request, response};
 use std::net::SocketAddr;
@@ -53,28 +54,48 @@
     );
 }
 
+/// A call whose first attempt is at one of two workers.
+struct CallInAttempt {
+    router: Router,
+    workers: [ScriptedWorker; 2],
+    client: Client,
+    first: WorkerConnection,
+    sent_at: Instant,
+}
+
+impl CallInAttempt {
+    /// Starts a router and sends it the call.
+    fn start() -> Self {
+        let workers = [(); 2].map(|()| ScriptedWorker::start());
+        let addresses = workers.each_ref().map(|worker| worker.address);
+        let router = start_router(&addresses, 250);
+        let mut client = Client::connect(&router);
+        client.send(&call_line(1, 1));
+        let sent_at = Instant::now();
+        let mut first = ScriptedWorker::accept_at_any(&workers);
+        assert_eq!(first.next_frame(request::ATTEMPT).expect("the first attempt arrives").id, 1);
+        Self { router, workers, client, first, sent_at }
+    }
+
+    /// Asserts that the retry states what is left of the client's time, and that the client gets its response. The router
+    /// has known since `failed_at` at the earliest that the first attempt failed.
+    fn assert_retry_states_time_left(mut self, failed_at: Instant) {
+        let mut other = ScriptedWorker::accept_at_any(&self.workers);
+        let retry = other.next_frame(request::ATTEMPT).expect("the retry arrives");
+        assert_within_time_left(&retry, self.sent_at, failed_at);
+        other.respond(response::DONE, 1);
+        assert!(self.client.receive().contains(DONE));
+    }
+}
+
 /// The first attempt fails after 0.8 s: the time limit of the second is what remains by then.
 #[test]
 fn a_retry_states_the_remaining_time() {
-    let workers = [(); 2].map(|()| ScriptedWorker::start());
-    let addresses = workers.each_ref().map(|worker| worker.address);
-    let router = start_router(&addresses, 250);
-    let mut client = Client::connect(&router);
-    client.send(&call_line(1, 1));
-    let sent_at = Instant::now();
-    let mut first = ScriptedWorker::accept_at_any(&workers);
-    assert_eq!(first.next_frame(request::ATTEMPT).expect("the first attempt arrives").id, 1);
+    let mut call = CallInAttempt::start();
     std::thread::sleep(Duration::from_millis(800));
     let failed_at = Instant::now();
-    first.respond(response::ERROR, 1);
-    let mut other = ScriptedWorker::accept_at_any(&workers);
-    assert_within_time_left(
-        &other.next_frame(request::ATTEMPT).expect("the retry arrives"),
-        sent_at,
-        failed_at,
-    );
-    other.respond(response::DONE, 1);
-    assert!(client.receive().contains(DONE));
+    call.first.respond(response::ERROR, 1);
+    call.assert_retry_states_time_left(failed_at);
 }
 
 /// The attempt is scheduled at once, but its connection is established only a second later.
@@ -100,28 +121,14 @@
 /// The first attempt fails while the router is paused for half a second.
 #[test]
 fn a_retry_after_a_pause_states_the_remaining_time() {
-    let workers = [(); 2].map(|()| ScriptedWorker::start());
-    let addresses = workers.each_ref().map(|worker| worker.address);
-    let router = start_router(&addresses, 250);
-    let mut client = Client::connect(&router);
-    client.send(&call_line(1, 1));
-    let sent_at = Instant::now();
-    let mut first = ScriptedWorker::accept_at_any(&workers);
-    assert_eq!(first.next_frame(request::ATTEMPT).expect("the first attempt arrives").id, 1);
-    let mut resumed_at = sent_at;
-    router.process.while_paused(|| {
-        first.respond(response::ERROR, 1);
+    let mut call = CallInAttempt::start();
+    let mut resumed_at = call.sent_at;
+    call.router.process.while_paused(|| {
+        call.first.respond(response::ERROR, 1);
         std::thread::sleep(PAUSE);
         resumed_at = Instant::now();
     });
-    let mut other = ScriptedWorker::accept_at_any(&workers);
-    assert_within_time_left(
-        &other.next_frame(request::ATTEMPT).expect("the retry arrives"),
-        sent_at,
-        resumed_at,
-    );
-    other.respond(response::DONE, 1);
-    assert!(client.receive().contains(DONE));
+    call.assert_retry_states_time_left(resumed_at);
 }
 
 /// The router is paused for half a second with a call unread. The call's time counts from the beginning of the pause.
--- a/crates/milletpath/tests/serve_departed_clients/main.rs
+++ b/crates/milletpath/tests/serve_departed_clients/main.rs
@@ -55,6 +55,17 @@
     late.map(|arrival| arrival.body.clone()).collect()
 }
 
+/// Checks that no attempt reached the worker late.
+fn assert_no_late_attempt(arrivals: &Arrivals, departed: &Departed) {
+    assert_eq!(late_attempts(arrivals, departed), Vec::<String>::new());
+}
+
+/// Checks that the worker received an attempt at all, so that the gateway had something to give up.
+fn assert_received_an_attempt(worker: &Worker) {
+    let arrivals = worker.arrivals.lock().expect("no test thread panicked");
+    assert!(!arrivals.is_empty(), "the worker received no attempt");
+}
+
 /// The clients connect, call and leave while the gateway is paused.
 #[test]
 fn clients_that_disconnect_before_the_first_attempt() {
@@ -65,7 +76,7 @@
     std::thread::sleep(2 * DEPARTURE_GRACE);
     gateway.process.resume();
     std::thread::sleep(5 * DEPARTURE_GRACE);
-    assert_eq!(late_attempts(&worker.arrivals, &departed), Vec::<String>::new());
+    assert_no_late_attempt(&worker.arrivals, &departed);
 }
 
 /// The clients leave between attempts, each of which a worker without capacity rejects.
@@ -77,11 +88,8 @@
     std::thread::sleep(2 * DEPARTURE_GRACE);
     let departed = depart(callers);
     std::thread::sleep(10 * DEPARTURE_GRACE);
-    assert!(
-        !worker.arrivals.lock().expect("no test thread panicked").is_empty(),
-        "the worker received no attempt"
-    );
-    assert_eq!(late_attempts(&worker.arrivals, &departed), Vec::<String>::new());
+    assert_received_an_attempt(&worker);
+    assert_no_late_attempt(&worker.arrivals, &departed);
 }
 
 /// The clients leave between attempts while the gateway is paused. When it resumes, it must detect that before it
@@ -97,11 +105,8 @@
     std::thread::sleep(4 * DEPARTURE_GRACE);
     gateway.process.resume();
     std::thread::sleep(10 * DEPARTURE_GRACE);
-    assert!(
-        !worker.arrivals.lock().expect("no test thread panicked").is_empty(),
-        "the worker received no attempt"
-    );
-    assert_eq!(late_attempts(&worker.arrivals, &departed), Vec::<String>::new());
+    assert_received_an_attempt(&worker);
+    assert_no_late_attempt(&worker.arrivals, &departed);
 }
 
 /// The clients leave during an attempt that is rejected later.
@@ -113,11 +118,8 @@
     std::thread::sleep(2 * DEPARTURE_GRACE);
     let departed = depart(callers);
     std::thread::sleep(8 * DEPARTURE_GRACE);
-    assert!(
-        !worker.arrivals.lock().expect("no test thread panicked").is_empty(),
-        "the worker received no attempt"
-    );
-    assert_eq!(late_attempts(&worker.arrivals, &departed), Vec::<String>::new());
+    assert_received_an_attempt(&worker);
+    assert_no_late_attempt(&worker.arrivals, &departed);
 }
 
 /// Only one connection to the worker is allowed. It is in use when the clients call and becomes free after they have
@@ -134,7 +136,7 @@
     let departed = depart(callers);
     assert_eq!(first.response().expect("the call is answered").status(), 200);
     std::thread::sleep(10 * DEPARTURE_GRACE);
-    assert_eq!(late_attempts(&worker.arrivals, &departed), Vec::<String>::new());
+    assert_no_late_attempt(&worker.arrivals, &departed);
 }
 
 /// The clients leave while the gateway connects to the worker, whose host accepts connections only after that.
@@ -150,5 +152,5 @@
     let recorded = arrivals.clone();
     let _filler = worker.accept(move |stream| serve_connection(stream, OK, Duration::ZERO, &recorded));
     std::thread::sleep(15 * DEPARTURE_GRACE);
-    assert_eq!(late_attempts(&arrivals, &departed), Vec::<String>::new());
+    assert_no_late_attempt(&arrivals, &departed);
 }
--- a/crates/policy/tests/costs.rs
+++ b/crates/policy/tests/costs.rs
@@ -15,18 +15,25 @@
     Duration::from_secs_f64(seconds(usage.user_time()) + seconds(usage.system_time()))
 }
 
-/// Thread time in which this many requests arrive and then end, `rounds` times in a row.
-fn time_to_end(rounds: usize, requests: usize) -> Duration {
+/// Thread time that an action takes.
+fn thread_time_of(action: impl FnOnce()) -> Duration {
     let began = thread_time();
-    for _ in 0..rounds {
-        let mut router = TestRouter::new(config(idempotent()), 0);
-        let ids: Vec<_> = (0..requests).map(|_| router.arrive(0, 2.0)).collect();
-        ids.iter().for_each(|&id| router.router.close_request(id, None, &mut router.host));
-        assert_eq!(router.host.released_requests, ids);
-    }
+    action();
     thread_time() - began
 }
 
+/// Thread time in which this many requests arrive and then end, `rounds` times in a row.
+fn time_to_end(rounds: usize, requests: usize) -> Duration {
+    thread_time_of(|| {
+        for _ in 0..rounds {
+            let mut router = TestRouter::new(config(idempotent()), 0);
+            let ids: Vec<_> = (0..requests).map(|_| router.arrive(0, 2.0)).collect();
+            ids.iter().for_each(|&id| router.router.close_request(id, None, &mut router.host));
+            assert_eq!(router.host.released_requests, ids);
+        }
+    })
+}
+
 /// The time to end requests is proportional to their number. Guards against a pass over all open requests for each one
 /// that ends, which held up a router that was behind for seconds.
 #[test]
@@ -51,13 +58,13 @@
     for function in 0..FUNCTIONS {
         router.arrive(function, 2.0);
     }
-    let began = thread_time();
-    for change in 0..changes {
-        let state = if change % 2 == 0 { EndpointState::Draining } else { EndpointState::Ready };
-        router.router.update_endpoint(endpoint(change / 2 * 7 % workers, state, None));
-        router.router.end_list(router.host.now, &mut router.host);
-    }
-    thread_time() - began
+    thread_time_of(|| {
+        for change in 0..changes {
+            let state = if change % 2 == 0 { EndpointState::Draining } else { EndpointState::Ready };
+            router.router.update_endpoint(endpoint(change / 2 * 7 % workers, state, None));
+            router.router.end_list(router.host.now, &mut router.host);
+        }
+    })
 }
 
 /// A change of one worker costs about the same in a fleet of the largest size as in a small one. Guards against a ring
