Platform router: stalls, held-back work and refusals show in the log

Work that was held back for discovery events is logged when it is released, with how long, for how many connections, and whether it is sent or placed again. At level DEBUG each request that ends without a worker's response says why, and each attempt that ends without one its outcome.

The fault itself is not mended here.

--- a/crates/milletpath/tests/platform/large_events.rs
+++ b/crates/milletpath/tests/platform/large_events.rs
@@ -58,7 +58,9 @@
         connection.respond(response::DONE, 1);
         std::thread::sleep(PAUSE);
     });
-    let attempt = connection.next_frame(request::ATTEMPT).expect("the second call is sent");
+    let attempt = connection
+        .next_frame(request::ATTEMPT)
+        .unwrap_or_else(|| panic!("the second call is not sent; {}", router.log()));
     connection.respond(response::DONE, attempt.id);
     let answers = [client.receive(), client.receive()];
     assert!(answers.iter().all(|answer| answer.contains(DONE)), "{answers:?}");
--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -1,7 +1,7 @@
 //! Executes the actions that the dispatcher returns.
 
 use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
-use milletpath_dispatcher::dispatcher::Action;
+use milletpath_dispatcher::dispatcher::{Action, RequestId};
 use milletpath_platform_protocol::lines;
 
 impl PlatformRouter {
@@ -30,6 +30,22 @@
         }
     }
 
+    /// Logs why a request ends without the response of a worker.
+    fn log_refusal(&mut self, request: RequestId, reason: &'static str) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        let now = self.now();
+        let Some(context) = self.dispatcher.context(request) else { return };
+        tracing::debug!(
+            id = context.id,
+            reason,
+            seconds = now - context.received_at,
+            attempts = context.worker_connections.len(),
+            "a request ends without a response of a worker"
+        );
+    }
+
     fn run_queued_actions(&mut self) {
         while let Some(action) = self.dispatcher.next_action() {
             self.run_action(action);
@@ -41,13 +57,17 @@
             Action::SendAttempt { request, attempt, worker } => self.send_attempt(request, attempt, worker),
             Action::CancelAttempt { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject { request, retry_after } => {
+                self.log_refusal(request, "rejected by the policy");
                 self.send_final_response(request, |out, number| {
                     out.append_short(|line| {
                         lines::write_rejected(line, number, retry_after);
                     });
                 });
             }
-            Action::Fail { request, .. } => self.send_failure(request),
+            Action::Fail { request, .. } => {
+                self.log_refusal(request, "failed");
+                self.send_failure(request);
+            }
             Action::LoadFunction { load_request, worker, function, instances } => {
                 self.send_load_request(load_request, worker, function, instances);
             }
--- a/crates/platform-router/src/discovery_watch/receive.rs
+++ b/crates/platform-router/src/discovery_watch/receive.rs
@@ -5,7 +5,7 @@
 //! A heartbeat states that the list was current when the heartbeat was written. That time is not known, only that the
 //! socket was empty at the last check before, so the list counts as confirmed at the time of that check.
 
-use crate::discovery_feed::StreamEnd;
+use crate::discovery_feed::{Backlog, StreamEnd};
 use crate::platform_router::PlatformRouter;
 use crate::sockets::{SocketState, peek_socket};
 use milletpath_platform_protocol::events::{self, DiscoveryLine};
@@ -106,6 +106,7 @@
             return true;
         }
         self.discovery.hold_back(now, worker_connection);
+        self.heartbeat.set_holds_work_back(true);
         false
     }
 
@@ -119,6 +120,8 @@
             return;
         }
         let backlog = self.discovery.backlog.take();
+        self.heartbeat.set_holds_work_back(false);
+        self.report_released(backlog.as_ref(), is_drained);
         for slot in backlog.into_iter().flat_map(|backlog| backlog.worker_connections) {
             if is_drained {
                 self.flush_worker(slot);
@@ -129,6 +132,24 @@
         self.run_actions();
     }
 
+    /// Logs how long work was held back, and whether it is sent.
+    fn report_released(&self, backlog: Option<&Backlog>, is_sent: bool) {
+        let Some(Backlog { since, worker_connections }) = backlog else { return };
+        let held_seconds = self.now() - since;
+        let connections = worker_connections.len();
+        let last_event = self.discovery.last_event;
+        if is_sent {
+            tracing::info!(held_seconds, connections, last_event, "sending what waited for discovery events");
+        } else {
+            tracing::warn!(
+                held_seconds,
+                connections,
+                last_event,
+                "discovery events are not applied in time: what waited for them is placed again"
+            );
+        }
+    }
+
     /// Reads and applies a bounded number of unread lines. The caller runs the resulting dispatcher actions.
     pub(super) fn read_discovery(&mut self) {
         let Some(socket) = self.discovery.socket.clone() else { return };
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `client_connections`, `worker_connections`: opening, reading, writing and closing the two kinds of connections.
 //! - `actions`: executes the dispatcher's actions.
 //! - `discovery_feed`, `discovery_watch`: watch the list of workers.
+//! - `event_loop_watch`: a thread that logs when the event loop does not get round.
 //! - `list_report`: tracks what was logged about the state of that list.
 //! - `run`: starts the router and shuts it down on SIGTERM.
 //!
@@ -33,6 +34,7 @@
 mod connection_limits;
 mod discovery_feed;
 mod discovery_watch;
+mod event_loop_watch;
 mod list_report;
 mod memory_budget;
 mod platform_router;
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -11,6 +11,7 @@
 
 use crate::connection_limits::{ConnectionLimits, ConnectionSettings};
 use crate::discovery_feed::DiscoveryFeed;
+use crate::event_loop_watch::Heartbeat;
 use crate::list_report::ListReport;
 use crate::memory_budget::MemoryBudget;
 use crate::rejection_count::RejectionCount;
@@ -25,6 +26,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -117,6 +119,8 @@
     pub timer_set_for: f64,
     /// Wakes the timer task when a deadline is earlier than `timer_set_for`.
     pub timer_changed: Rc<Notify>,
+    /// Shows another thread that the event loop gets round.
+    pub heartbeat: Arc<Heartbeat>,
 }
 
 impl PlatformRouter {
@@ -171,6 +175,7 @@
                 started_at,
                 timer_set_for: f64::INFINITY,
                 timer_changed: Rc::new(Notify::new()),
+                heartbeat: Arc::default(),
             })
         })
     }
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -6,6 +6,7 @@
 
 use crate::client_connections::Acceptor;
 use crate::discovery_watch::watch_discovery;
+use crate::event_loop_watch;
 use crate::platform_router::{PlatformRouter, SharedRouter};
 use crate::shutdown::STEP_SECONDS;
 use milletpath_platform_protocol::bootstrap::{self, Bootstrap};
@@ -104,6 +105,7 @@
         last_event = bootstrap.last_event,
         "listening for clients"
     );
+    event_loop_watch::start(router.borrow().heartbeat.clone());
     let (discovery_address, followed_address) = watch::channel(bootstrap.discovery);
     spawn_local(watch_discovery(router.clone(), followed_address));
     spawn_local(timer::run_timer(router.clone()));
--- a/crates/platform-router/src/run/timer.rs
+++ b/crates/platform-router/src/run/timer.rs
@@ -17,6 +17,7 @@
     /// Closes connections that have been idle or silent for too long, and updates other time-dependent state.
     fn clean_up(&mut self) {
         let now = self.now();
+        self.heartbeat.beat();
         // Frequent checks of the socket let a heartbeat confirm the list for about the time at which it was written.
         self.peek_discovery();
         self.report_list_state(now);
--- a/crates/platform-router/src/worker_connections/close.rs
+++ b/crates/platform-router/src/worker_connections/close.rs
@@ -70,6 +70,7 @@
         let now = self.now();
         match awaited {
             AwaitedResponse::Attempt { request, attempt } => {
+                tracing::debug!(worker, ?request, attempt, ?outcome, "an attempt ends without a response");
                 self.dispatcher.attempt_ended(now, request, attempt, AttemptResult::from_outcome(outcome));
             }
             AwaitedResponse::LoadRequest { load_request } => {
