--- a/crates/platform-router/src/discovery_feed.rs
+++ b/crates/platform-router/src/discovery_feed.rs
@@ -103,6 +103,18 @@
         backlog.worker_connections.insert(worker_connection);
     }
 
+    /// Whether the queue of this worker connection is held back. Its socket's readiness does not change that.
+    pub fn holds_back(&self, worker_connection: usize) -> bool {
+        self.backlog.as_ref().is_some_and(|backlog| backlog.worker_connections.contains(&worker_connection))
+    }
+
+    /// Forgets a worker connection that was removed, as another one may get its slot.
+    pub fn forget(&mut self, worker_connection: usize) {
+        if let Some(backlog) = &mut self.backlog {
+            backlog.worker_connections.remove(&worker_connection);
+        }
+    }
+
     /// Why the stream has to be replaced, if this was found outside its task.
     pub fn take_end(&mut self) -> Option<StreamEnd> {
         self.end.take()
--- a/crates/platform-router/src/discovery_watch/receive.rs
+++ b/crates/platform-router/src/discovery_watch/receive.rs
@@ -128,6 +128,10 @@
             } else {
                 self.fail_queued_as_unsent(slot);
             }
+            // The connection's task waits again until its socket is writable, if anything is left to write.
+            if let Some(connection) = self.worker_connections.get(slot) {
+                connection.wake.notify_one();
+            }
         }
         self.run_actions();
     }
--- a/crates/platform-router/src/platform_router/tests.rs
+++ b/crates/platform-router/src/platform_router/tests.rs
@@ -5,6 +5,7 @@
 };
 use milletpath_platform_protocol::bootstrap;
 use milletpath_policy::Outcome;
+use milletpath_test_support::wait::TIMEOUT;
 use std::net::SocketAddr;
 use test_case::test_case;
 
@@ -17,6 +18,23 @@
     runtime.block_on(tokio::task::LocalSet::new().run_until(scenario));
 }
 
+/// Runs a scenario as [`run_local`] does, and returns whether it ends. A task that never gives way keeps it from ending.
+pub fn ends<F: Future<Output = ()>>(scenario: impl FnOnce() -> F + Send + 'static) -> bool {
+    let (sender, ended) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        run_local(scenario());
+        let _ = sender.send(());
+    });
+    ended.recv_timeout(TIMEOUT).is_ok()
+}
+
+/// Lets all other tasks run this many times.
+pub async fn let_others_run(times: usize) {
+    for _ in 0..times {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// Creates a router without tasks that knows these workers, none of which is in slow start.
 pub fn router_with_workers(workers: &[SocketAddr]) -> SharedRouter {
     router_with_effect("free", 250_000, workers)
--- a/crates/platform-router/src/worker_connections/close.rs
+++ b/crates/platform-router/src/worker_connections/close.rs
@@ -11,6 +11,7 @@
     pub(super) fn remove_worker_connection(&mut self, slot: usize) -> Option<WorkerConnection> {
         let connection = self.worker_connections.try_remove(slot)?;
         connection.wake.notify_one();
+        self.discovery.forget(slot);
         if let Some(slots) = self.connections_by_worker.get_mut(&connection.worker) {
             slots.retain(|&other| other != slot);
             if slots.is_empty() {
--- a/crates/platform-router/src/worker_connections/tests.rs
+++ b/crates/platform-router/src/worker_connections/tests.rs
@@ -1,9 +1,11 @@
 use crate::memory_budget::MemoryBudget;
-use crate::platform_router::tests::{router_with_effect, router_with_workers, run_local, submit_request};
+use crate::platform_router::tests::{
+    ends, let_others_run, router_with_effect, router_with_workers, run_local, submit_request,
+};
 use crate::platform_router::{AwaitedResponse, OutstandingFrame, RECENT_IDS, WorkerConnection};
 use crate::socket_errors::{self, FaultOrigin, Operation};
 use nix::errno::Errno;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::rc::Rc;
 use test_case::test_case;
 use tokio::net::TcpStream;
@@ -149,3 +151,32 @@
         }
     });
 }
+
+/// Guards against a connection's task that waited for its socket, always writable, while its queue waited for discovery.
+#[test]
+fn a_connection_whose_queue_is_held_back_lets_other_tasks_run() {
+    /// More than is read before something is sent. There is no task that reads the rest.
+    const UNREAD: usize = 64 << 10;
+    let ended = ends(|| async {
+        let worker = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let router = router_with_effect("free", 60_000_000, &[worker.local_addr().unwrap()]);
+        let stream = Rc::new(TcpStream::connect(discovery.local_addr().unwrap()).await.unwrap());
+        let (mut theirs, _) = discovery.accept().unwrap();
+        theirs.write_all(&[b' '; UNREAD]).unwrap();
+        router.borrow_mut().discovery.attach(stream);
+        // The socket counts as empty for a short time after the start.
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        submit_request(&mut router.borrow_mut(), 7);
+        router.borrow_mut().run_actions();
+        while router.borrow().discovery.backlog.is_none() {
+            let_others_run(1).await;
+        }
+        let_others_run(100).await;
+        let state = router.borrow();
+        let queued =
+            state.worker_connections.iter().map(|(_, connection)| connection.queue.len()).sum::<usize>();
+        assert!(queued > 0, "nothing is held back");
+    });
+    assert!(ended);
+}
