Platform router: a peer that sends without a pause does not hold up other tasks

While one client (or worker) sends as fast as it is read, no other client, timer, signal or discovery event is served, for as long as it goes on.

The loop of a connection's task waits for read readiness, which is there at once, and `readable()` of a ready stream takes nothing from the runtime's task budget. So one poll of the task goes on as long as the socket holds bytes when it is looked at.

Fix: PassLimit gives way after at most four passes of a loop, in the tasks of clients, workers and discovery; then every task that is ready runs, and the runtime looks at sockets and timers. Whatever a later condition gets wrong, a poll ends.

--- a/crates/platform-router/src/client_connections/accept.rs
+++ b/crates/platform-router/src/client_connections/accept.rs
@@ -180,7 +180,7 @@
     }
 
     /// Admits an accepted connection; returns false if it becomes the pending connection.
-    pub(super) fn admit(&mut self, stream: TcpStream) -> bool {
+    pub(crate) fn admit(&mut self, stream: TcpStream) -> bool {
         self.pending_connection = Some(stream);
         self.admit_pending()
     }
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `backoff`, `connection_limits`, `memory_budget`, `rejection_count`, `request_ids_seen`, `shutdown`,
 //!   `socket_errors`, `turn`: rules without I/O. They take times and sizes as arguments and are tested without sockets.
 //! - `sockets`, `write_buffer`: system calls on a connection, and buffered output.
+//! - `pass_limit`: bounds the passes of a task before other tasks run.
 //! - `platform_router`: the shared state, `PlatformRouter`, with types for a client connection, a worker connection
 //!   and the data kept for a request.
 //! - `client_connections`, `worker_connections`: opening, reading, writing and closing the two kinds of connections.
@@ -37,6 +38,7 @@
 mod event_loop_watch;
 mod list_report;
 mod memory_budget;
+mod pass_limit;
 mod platform_router;
 mod rejection_count;
 mod request_ids_seen;
