Platform router: a write that accepts nothing is not repeated for ever

Where a write returns 0 the router repeats it in the same poll without end, so that nobody is served.

Cause: WriteBuffer::write counts a write of 0 bytes as progress. Linux returns 0 for no write of at least one byte to a TCP socket, but a library that stands between process and kernel may.

Fix: it ends with WriteZero, which closes the connection like EIO. Test: a_write_that_accepts_nothing_ends_with_an_error, red before (1 of 1, not ended after 10 s), green.

--- a/crates/platform-router/src/write_buffer.rs
+++ b/crates/platform-router/src/write_buffer.rs
@@ -64,11 +64,13 @@
     ///
     /// # Errors
     ///
-    /// Returns the error of the system call. Bytes accepted before it count as written.
+    /// Returns the error of the system call, or [`ErrorKind::WriteZero`] where it accepts nothing without an error. Bytes
+    /// accepted before it count as written.
     pub fn write(&mut self, sockets: &dyn Sockets, stream: &TcpStream) -> io::Result<usize> {
         let before = self.written;
         while self.remaining() > 0 {
             match sockets.write(stream, &self.bytes[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => self.written += n,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(self.written - before),
                 Err(e) => return Err(e),
@@ -83,3 +85,6 @@
         Ok(wrote)
     }
 }
+
+#[cfg(test)]
+mod tests;
