Gateway: a connection that lingers gives way while its client sends

After the last response of a connection (a body that is too large, a shutdown) the core discards what the client still sends, for one second at most. While bytes were unread it did so within one poll: the core served nobody else, and the limit of one second could not fire.

Cause: the loop waits for read readiness of a ready socket, which takes nothing from the runtime's task budget.

Fix: each read takes one unit of the budget, so that a poll ends after 1 MiB. The other waits of the gateway were gone through: reads and writes of requests, the listener and the registry's stream take from the budget by themselves.

Evidence: a_connection_that_lingers_gives_way_while_bytes_are_unread, red before (one poll discarded all of 8.3 MB; 1 of 1), green in 3 of 3.

--- a/crates/gateway/src/response_channel.rs
+++ b/crates/gateway/src/response_channel.rs
@@ -126,6 +126,8 @@
                     Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                     Ok(0) | Err(_) => return,
                 }
+                // A socket that is ready takes nothing from the budget by itself.
+                tokio::task::consume_budget().await;
             }
         };
         let _ = tokio::time::timeout(MAX_LINGER, drained).await;
@@ -275,3 +277,6 @@
         self.write(cx, |stream| stream.try_write_vectored(bufs))
     }
 }
+
+#[cfg(test)]
+mod tests;
