Platform router: signals in quick succession do not put off a shutdown

A router that gets SIGHUP more often than every 20 ms after SIGTERM makes no step of its shutdown: it accepts calls until the SIGKILL, and what is open then has no answer.

Cause: the wait for the next step was begun anew after each signal, so that what ends the wait was put off by an event that does not concern it.

Fix: the time of the next step is kept across signals.

--- a/crates/milletpath/tests/platform/shutdown.rs
+++ b/crates/milletpath/tests/platform/shutdown.rs
@@ -201,3 +201,25 @@
     }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
+
+/// Guards against signals that put off the steps of a shutdown: the process did not exit, and its calls had no answer.
+#[test]
+fn signals_in_quick_succession_do_not_put_off_a_shutdown() {
+    const DEADLINE_MS: u64 = 500;
+    const SIGNAL_INTERVAL: Duration = Duration::from_millis(5);
+    let worker = Worker::start(never_answers);
+    let configuration = RouterConfiguration::new(&[worker.address], Discovery::steady().address, 256);
+    let mut router = Router::with_configuration(&configuration.with("HardLimit", DEADLINE_MS * 1000));
+    let mut client = Client::connect(&router);
+    router.wait_for_current_list();
+    router.process.signal(Signal::SIGTERM);
+    let kill_at = Instant::now() + earliest_sigkill(DEADLINE_MS);
+    client.send(&call_line(1, 1));
+    let mut exited = None;
+    while Instant::now() < kill_at && exited.is_none() {
+        router.process.signal(Signal::SIGHUP);
+        exited = router.process.exit_before(Instant::now() + SIGNAL_INTERVAL);
+    }
+    assert!(exited.is_some(), "{}", process_statistics(router.process.id()));
+    assert!(!client.receive().is_empty());
+}
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -22,6 +22,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Why the router could not start.
 #[derive(Debug, thiserror::Error)]
@@ -132,6 +133,8 @@
     reload_context: &ReloadContext,
 ) {
     let mut acceptor = Some(Acceptor::open(router.clone(), listener));
+    // Signals that arrive in between do not put it off.
+    let mut next_step = Instant::now();
     loop {
         let shutting_down = router.borrow().shutdown.begun();
         tokio::select! {
@@ -140,7 +143,8 @@
                 spawn_local(reload_bootstrap(file.clone(), text.clone(), discovery_address.clone()));
             }
             () = signals.terminate.next() => begin_shutdown(&router),
-            () = tokio::time::sleep(Duration::from_secs_f64(STEP_SECONDS)), if shutting_down => {
+            () = tokio::time::sleep_until(next_step), if shutting_down => {
+                next_step = Instant::now() + Duration::from_secs_f64(STEP_SECONDS);
                 if router.borrow_mut().step_shutdown(&mut acceptor) {
                     tracing::info!("shutdown complete");
                     return;
