Platform router: a cancel that the runtime has not noticed is read before an attempt

Cause: before an attempt its client's socket is checked, and read if bytes are there. The check asks the kernel, the read asked the runtime, which learns of bytes only between tasks: it read nothing, 16 times, and the attempt began all the same. What the loop waited for could not come about in it.

Fix: that read asks the kernel as well.

--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -18,7 +18,7 @@
                 break;
             };
             match unread {
-                UnreadSocket::Client(client) => self.read_client(client),
+                UnreadSocket::Client(client) => self.read_client_directly(client),
                 UnreadSocket::Discovery if !self.catch_up_with_discovery(worker_connection) => continue,
                 UnreadSocket::Discovery => {}
             }
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -2,7 +2,7 @@
 
 use super::close::CloseReason;
 use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
-use crate::sockets::{DirectSockets, SocketState, Sockets, peek_socket};
+use crate::sockets::{DirectSockets, SocketState, Sockets, SystemSockets, peek_socket};
 use crate::write_buffer::RETAINED_CAPACITY;
 use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
@@ -42,8 +42,17 @@
 
     /// Reads from a client's socket once. The caller runs the resulting dispatcher actions.
     pub fn read_client(&mut self, slot: usize) {
+        self.read_client_once(slot, &SystemSockets);
+    }
+
+    /// Does the same for a socket of which the runtime may not know yet that it is readable.
+    pub fn read_client_directly(&mut self, slot: usize) {
+        self.read_client_once(slot, &DirectSockets);
+    }
+
+    fn read_client_once(&mut self, slot: usize, sockets: &dyn Sockets) {
         let now = self.now();
-        self.read_client_by(slot, now, |stream, buffer| stream.try_read(buffer));
+        self.read_client_by(slot, now, |stream, buffer| sockets.read(stream, buffer));
         // At once, as a client that goes on sending has unread bytes again soon.
         if self.shutdown.admission_closed() || self.clients.get(slot).is_some_and(|client| client.overflow) {
             self.shut_down_if_idle(slot, now);
--- a/crates/platform-router/src/client_connections/tests.rs
+++ b/crates/platform-router/src/client_connections/tests.rs
@@ -1,11 +1,12 @@
 use super::Acceptor;
-use crate::platform_router::tests::{router_with_workers, run_local};
+use crate::platform_router::tests::{router_with_effect, router_with_workers, run_local};
 use crate::platform_router::{OpenCall, PlatformRouter, SharedRouter};
 use socket2::SockRef;
 use std::io::{BufRead, BufReader, Read, Write};
+use std::rc::Rc;
 use std::time::Duration;
 use test_case::test_case;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Connects a client and returns it with its slot.
 async fn connect_client(router: &SharedRouter) -> (std::net::TcpStream, usize) {
@@ -358,3 +359,31 @@
         assert_eq!(open_numbers(), [3]);
     });
 }
+
+/// Guards against an attempt for a client whose cancel the runtime has not noticed yet, as after a pause of the process.
+#[test]
+fn no_attempt_begins_while_the_runtime_has_not_noticed_a_cancel() {
+    const ARRIVAL: Duration = Duration::from_millis(50);
+    run_local(async {
+        let worker = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let router = router_with_effect("free", 60_000_000, &[worker.local_addr().unwrap()]);
+        let to_worker = TcpStream::connect(worker.local_addr().unwrap()).await.unwrap();
+        to_worker.writable().await.unwrap();
+        let (mut client, slot) = connect_client(&router).await;
+        client.write_all(format!("{CALL}\n").as_bytes()).unwrap();
+        std::thread::sleep(ARRIVAL);
+        // The runtime looks at no socket from here on.
+        let mut state = router.borrow_mut();
+        assert!(state.read_client_until_empty(slot));
+        state.run_actions();
+        assert_eq!(state.clients[slot].open_calls.len(), 1);
+        let connection = state.worker_connections.iter().next().expect("a connection is being established").0;
+        client.write_all(b"{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{\"id\":2}}\n").unwrap();
+        std::thread::sleep(ARRIVAL);
+        state.worker_connections[connection].stream = Some(Rc::new(to_worker));
+        state.flush_worker(connection);
+        state.run_actions();
+        assert_eq!(state.worker_connections[connection].bytes_encoded, 0, "an attempt began");
+        assert!(state.clients[slot].open_calls.is_empty());
+    });
+}
