Platform router: held-back work has a timer, and its reads of discovery a bound

Work that is held back for discovery events was looked at only when the task of discovery had read more. Its time (half of the connect timeout) could pass unnoticed, and where each read of the socket was followed by new bytes and a pause of the process, one execution of actions read on without a bound.

Change: the time at which held-back work is overdue is a deadline of the router's timer; holding back wakes discovery's task; one execution of actions reads discovery four times at most and then holds the rest back.

The bound on reads rests on reading alone.

--- a/crates/platform-router/src/actions.rs
+++ b/crates/platform-router/src/actions.rs
@@ -4,10 +4,15 @@
 use milletpath_dispatcher::dispatcher::{Action, RequestId};
 use milletpath_platform_protocol::lines;
 
+/// Maximum number of reads of the discovery socket in one execution. A source that never pauses has unread events again
+/// after each of them.
+const MAX_DISCOVERY_READS: usize = 4;
+
 impl PlatformRouter {
     /// Executes queued dispatcher actions until none are left and writes the responses to clients, then wakes the timer task if the next deadline has
     /// moved forward. Called after every event reported to the dispatcher.
     pub fn run_actions(&mut self) {
+        let mut discovery_reads = 0;
         loop {
             self.run_queued_actions();
             if self.flush_answered_clients() {
@@ -19,17 +24,28 @@
             };
             match unread {
                 UnreadSocket::Client(client) => self.read_client_directly(client),
-                UnreadSocket::Discovery if !self.catch_up_with_discovery(worker_connection) => continue,
-                UnreadSocket::Discovery => {}
+                UnreadSocket::Discovery => {
+                    discovery_reads += 1;
+                    let may_read = discovery_reads <= MAX_DISCOVERY_READS;
+                    if !self.catch_up_with_discovery(worker_connection, may_read) {
+                        continue;
+                    }
+                }
             }
             self.run_queued_actions();
             self.flush_worker(worker_connection);
         }
-        if self.dispatcher.next_deadline().is_some_and(|at| at < self.timer_set_for) {
+        if self.next_deadline().is_some_and(|at| at < self.timer_set_for) {
             self.timer_changed.notify_one();
         }
     }
 
+    /// The next time at which the dispatcher has to be advanced, or work that is held back is overdue.
+    pub fn next_deadline(&self) -> Option<f64> {
+        let deadlines = self.dispatcher.next_deadline().into_iter().chain(self.discovery.overdue_at());
+        deadlines.min_by(f64::total_cmp)
+    }
+
     /// Logs why a request ends without the response of a worker.
     fn log_refusal(&mut self, request: RequestId, reason: &'static str) {
         if !tracing::enabled!(tracing::Level::DEBUG) {
--- a/crates/platform-router/src/discovery_feed.rs
+++ b/crates/platform-router/src/discovery_feed.rs
@@ -39,6 +39,8 @@
 pub(crate) struct Backlog {
     /// Time at which there were first more unread events than one turn applies.
     pub since: f64,
+    /// Time at which it is reported as not sent if events are still unread.
+    pub overdue_at: f64,
     /// Slots of the worker connections whose queues wait, bounded by the number of connections.
     pub worker_connections: BTreeSet<usize>,
 }
@@ -59,7 +61,7 @@
     pub emptied_at: f64,
     /// Why the stream has to be replaced, if this was found outside its task.
     pub end: Option<StreamEnd>,
-    /// Wakes the stream's task after lines were read outside it.
+    /// Wakes the stream's task after lines were read outside it, or when work waits for lines that are unread.
     pub read_outside_task: Rc<Notify>,
 }
 
@@ -96,11 +98,16 @@
         self.socket = None;
     }
 
-    /// Holds back the queue of a worker connection until the unread events have been applied.
-    pub fn hold_back(&mut self, now: f64, worker_connection: usize) {
-        let backlog =
-            self.backlog.get_or_insert_with(|| Backlog { since: now, worker_connections: BTreeSet::new() });
-        backlog.worker_connections.insert(worker_connection);
+    /// Holds back the queue of a worker connection until the unread events have been applied, at most until `overdue_at`.
+    pub fn hold_back(&mut self, now: f64, overdue_at: f64, worker_connection: usize) {
+        let new = || Backlog { since: now, overdue_at, worker_connections: BTreeSet::new() };
+        self.backlog.get_or_insert_with(new).worker_connections.insert(worker_connection);
+        self.read_outside_task.notify_one();
+    }
+
+    /// Time at which work that is held back is reported as not sent, if there is any.
+    pub fn overdue_at(&self) -> Option<f64> {
+        self.backlog.as_ref().map(|backlog| backlog.overdue_at)
     }
 
     /// Whether the queue of this worker connection is held back. Its socket's readiness does not change that.
--- a/crates/platform-router/src/discovery_watch/receive.rs
+++ b/crates/platform-router/src/discovery_watch/receive.rs
@@ -96,26 +96,27 @@
 
     /// Reads and applies unread lines before work is sent on a worker connection. Returns false if there are more of
     /// them than one turn may take: the connection's queue is then held back until the stream's task has read them.
-    /// The caller runs the resulting dispatcher actions.
-    pub(crate) fn catch_up_with_discovery(&mut self, worker_connection: usize) -> bool {
-        if self.discovery.backlog.is_none() {
+    /// Reads nothing if `may_read` is false. The caller runs the resulting dispatcher actions.
+    pub(crate) fn catch_up_with_discovery(&mut self, worker_connection: usize, may_read: bool) -> bool {
+        if may_read && self.discovery.backlog.is_none() {
             self.read_discovery();
         }
         let now = self.now();
         if self.is_discovery_drained(now) {
             return true;
         }
-        self.discovery.hold_back(now, worker_connection);
+        let overdue_at = now + self.connect_timeout * MAX_HOLD_BACK_FRACTION;
+        self.discovery.hold_back(now, overdue_at, worker_connection);
         self.heartbeat.set_holds_work_back(true);
         false
     }
 
     /// Sends what was held back once all events have been applied. Where that takes too long, it is reported as not
     /// sent instead, and the dispatcher decides anew.
-    pub(super) fn release_backlog(&mut self) {
-        let Some(since) = self.discovery.backlog.as_ref().map(|backlog| backlog.since) else { return };
+    pub(crate) fn release_backlog(&mut self) {
+        let Some(overdue_at) = self.discovery.overdue_at() else { return };
         let is_drained = self.peek_discovery();
-        let is_overdue = self.now() - since >= self.connect_timeout * MAX_HOLD_BACK_FRACTION;
+        let is_overdue = self.now() >= overdue_at;
         if !is_drained && !is_overdue {
             return;
         }
@@ -138,7 +139,7 @@
 
     /// Logs how long work was held back, and whether it is sent.
     fn report_released(&self, backlog: Option<&Backlog>, is_sent: bool) {
-        let Some(Backlog { since, worker_connections }) = backlog else { return };
+        let Some(Backlog { since, worker_connections, .. }) = backlog else { return };
         let held_seconds = self.now() - since;
         let connections = worker_connections.len();
         let last_event = self.discovery.last_event;
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -24,6 +24,9 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
+#[cfg(test)]
+pub(crate) use timer::run_timer;
+
 /// Why the router could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
--- a/crates/platform-router/src/run/timer.rs
+++ b/crates/platform-router/src/run/timer.rs
@@ -7,11 +7,12 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(200);
 
 impl PlatformRouter {
-    /// Advances the dispatcher's clock.
+    /// Advances the dispatcher's clock, and ends the wait of work that was held back for too long.
     fn on_timer(&mut self) {
         let now = self.now();
         self.dispatcher.advance(now);
         self.run_actions();
+        self.release_backlog();
     }
 
     /// Closes connections that have been idle or silent for too long, and updates other time-dependent state.
@@ -35,12 +36,12 @@
 }
 
 /// Advances the dispatcher whenever a deadline is due.
-pub(super) async fn run_timer(router: SharedRouter) {
+pub(crate) async fn run_timer(router: SharedRouter) {
     loop {
         let (next, timer_changed) = {
             let mut router = router.borrow_mut();
             router.on_timer();
-            let next = router.dispatcher.next_deadline();
+            let next = router.next_deadline();
             router.timer_set_for = next.unwrap_or(f64::INFINITY);
             let next = next.map(|at| router.started_at + Duration::from_secs_f64(at.max(0.0)));
             (next, router.timer_changed.clone())
--- a/crates/platform-router/src/worker_connections/tests.rs
+++ b/crates/platform-router/src/worker_connections/tests.rs
@@ -180,3 +180,33 @@
     });
     assert!(ended);
 }
+
+/// Guards against work that is held back until the next event, though its time is over.
+#[test]
+fn held_back_work_is_placed_again_when_it_is_overdue() {
+    const UNREAD: usize = 64 << 10;
+    run_local(async {
+        let worker = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let router = router_with_effect("free", 250_000, &[worker.local_addr().unwrap()]);
+        let stream = Rc::new(TcpStream::connect(discovery.local_addr().unwrap()).await.unwrap());
+        let (mut theirs, _) = discovery.accept().unwrap();
+        theirs.write_all(&[b' '; UNREAD]).unwrap();
+        router.borrow_mut().discovery.attach(stream);
+        tokio::task::spawn_local(crate::run::run_timer(router.clone()));
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        submit_request(&mut router.borrow_mut(), 7);
+        router.borrow_mut().run_actions();
+        while router.borrow().discovery.backlog.is_none() {
+            let_others_run(1).await;
+        }
+        // Half of the connect timeout, and as much again.
+        tokio::time::sleep(std::time::Duration::from_millis(250)).await;
+        let backlog = router.borrow().discovery.backlog.as_ref().map(|backlog| backlog.since);
+        let now = router.borrow().now();
+        assert!(
+            backlog.is_none_or(|since| now - since < 0.2),
+            "held back since {backlog:?}, now it is {now}"
+        );
+    });
+}
