--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod program;
 #[cfg(feature = "process-rigs")]
 pub mod serve_rig;
+#[cfg(feature = "process-rigs")]
+pub mod shared_processor;
 pub mod simulated_network;
 pub mod wait;
 pub mod worker_frames;
--- a/crates/test-support/src/platform_rig/live_discovery.rs
+++ b/crates/test-support/src/platform_rig/live_discovery.rs
@@ -31,6 +31,15 @@
     pub const ALL: [Self; 5] = [Self::Refused, Self::Silent, Self::Closed, Self::CutLine, Self::EndlessLine];
 }
 
+/// How fast a stream is written.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Bytes per write.
+    pub bytes: usize,
+    /// Time between two writes.
+    pub pause: Duration,
+}
+
 /// State that the server's threads share with the test.
 struct State {
     /// Number of the last event that the routers' configuration includes.
@@ -40,6 +49,8 @@
     outage: Option<Outage>,
     /// Number of outages so far. A stream that was open during an outage receives no more events.
     outages: u64,
+    /// `None` writes everything at once.
+    pace: Option<Pace>,
     stopped: bool,
 }
 
@@ -60,8 +71,8 @@
     pub fn with_events(base_number: u64, events: Vec<String>) -> Self {
         let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("a loopback port is free");
         let address = listener.local_addr().expect("the socket is bound");
-        let state =
-            Arc::new(Mutex::new(State { base_number, events, outage: None, outages: 0, stopped: false }));
+        let state = State { base_number, events, outage: None, outages: 0, pace: None, stopped: false };
+        let state = Arc::new(Mutex::new(state));
         let shared = state.clone();
         std::thread::spawn(move || accept_streams(listener, address, &shared));
         Self { address, state }
@@ -75,6 +86,11 @@
         state.events.push(line);
     }
 
+    /// Has all streams written in pieces from now on.
+    pub fn set_pace(&self, pace: Pace) {
+        self.state.lock().expect("no test thread panicked").pace = Some(pace);
+    }
+
     /// Returns the events published so far, as lines.
     pub fn events(&self) -> Vec<String> {
         self.state.lock().expect("no test thread panicked").events.clone()
@@ -180,6 +196,16 @@
     }
 }
 
+fn write_at_pace(stream: &mut TcpStream, bytes: &[u8], state: &Mutex<State>) -> Option<()> {
+    let pace = state.lock().expect("no test thread panicked").pace;
+    let Some(Pace { bytes: length, pause }) = pace else { return stream.write_all(bytes).ok() };
+    for piece in bytes.chunks(length) {
+        stream.write_all(piece).ok()?;
+        std::thread::sleep(pause);
+    }
+    Some(())
+}
+
 /// Serves one stream: sends the events after the requested number, then each new event when it is published.
 fn serve_stream(mut stream: TcpStream, state: &Mutex<State>) -> Option<()> {
     stream.set_nonblocking(false).ok()?;
@@ -194,7 +220,7 @@
     loop {
         let step = progress.next_step(&state.lock().expect("no test thread panicked"));
         match step {
-            Step::Write(text) => stream.write_all(text.as_bytes()).ok()?,
+            Step::Write(text) => write_at_pace(&mut stream, text.as_bytes(), state)?,
             Step::Wait => std::thread::sleep(POLL_INTERVAL),
             Step::WriteAndEnd(text) => {
                 stream.write_all(text.as_bytes()).ok()?;
