--- a/crates/milletpath/tests/platform/process_lifecycle.rs
+++ b/crates/milletpath/tests/platform/process_lifecycle.rs
@@ -43,6 +43,26 @@
     assert!(client.call(2, 2).contains(DONE));
 }
 
+/// Guards against reloads that pile up: each SIGHUP for a file that stays invalid added one that read it for a minute.
+#[test]
+fn only_the_last_of_many_reloads_reads_an_invalid_file_again() {
+    const SIGNALS: usize = 40;
+    const OBSERVED_FOR: Duration = Duration::from_millis(500);
+    /// Twice the reads of one reload in that time.
+    const MAX_READS: usize = 20;
+    let router = Router::start(&[], Discovery::steady().address, MAX_SOCKETS);
+    std::fs::write(&router.configuration_file, "{").unwrap();
+    for _ in 0..SIGNALS {
+        router.process.signal(Signal::SIGHUP);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let reads = || router.log_lines_containing("could not reload the platform's file").len();
+    let before = reads();
+    std::thread::sleep(OBSERVED_FOR);
+    let more = reads() - before;
+    assert!((1..=MAX_READS).contains(&more), "read {more} times");
+}
+
 fn answers_the_first_attempt_late(earlier_attempts: usize, id: u64, connection: &mut TcpStream) {
     std::thread::sleep(Duration::from_millis(if earlier_attempts == 0 { 1500 } else { 1 }));
     answers(earlier_attempts, id, connection);
--- a/crates/platform-router/src/run.rs
+++ b/crates/platform-router/src/run.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 
 #[cfg(test)]
@@ -136,6 +136,7 @@
     reload_context: &ReloadContext,
 ) {
     let mut acceptor = Some(Acceptor::open(router.clone(), listener));
+    let mut reload: Option<JoinHandle<()>> = None;
     // Signals that arrive in between do not put it off.
     let mut next_step = Instant::now();
     loop {
@@ -143,7 +144,11 @@
         tokio::select! {
             () = signals.hangup.next() => {
                 let ReloadContext { file, text, discovery_address } = reload_context;
-                spawn_local(reload_bootstrap(file.clone(), text.clone(), discovery_address.clone()));
+                let next = spawn_local(reload_bootstrap(file.clone(), text.clone(), discovery_address.clone()));
+                // The next reload reads the file that a previous one may still wait for.
+                if let Some(previous) = reload.replace(next) {
+                    previous.abort();
+                }
             }
             () = signals.terminate.next() => begin_shutdown(&router),
             () = tokio::time::sleep_until(next_step), if shutting_down => {
