--- a/crates/milletpath/tests/outage_soak/main.rs
+++ b/crates/milletpath/tests/outage_soak/main.rs
@@ -22,20 +22,12 @@
 
 use day::Day;
 use fleet::run_day;
+use milletpath_test_support::soak_seeds::seeds_from_environment;
 use rules::SoakResult;
 
 /// Seeds of the small days that CI runs. Together they have every kind of fault.
 const CI_SEEDS: [u64; 4] = [1, 2, 3, 4];
 
-/// The seeds in `OUTAGE_SOAK_SEEDS`: a range such as `1..50`, both ends included, or a single number.
-fn seeds_from_environment() -> Vec<u64> {
-    let text = std::env::var("OUTAGE_SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
-    let (first, last) = text.split_once("..").unwrap_or((&text, &text));
-    let number =
-        |text: &str| text.trim().parse::<u64>().expect("OUTAGE_SOAK_SEEDS is FIRST..LAST or one seed");
-    (number(first)..=number(last)).collect()
-}
-
 /// Reduces the faults of a day: each is removed in turn, and stays removed if the day still violates a rule.
 fn shrink(day: &Day) -> Day {
     let mut smallest = day.clone();
@@ -78,7 +70,7 @@
 #[ignore = "takes minutes to hours; run by hand with OUTAGE_SOAK_SEEDS"]
 fn many_days_violate_no_rule() {
     let mut failing = Vec::new();
-    for seed in seeds_from_environment() {
+    for seed in seeds_from_environment("OUTAGE_SOAK_SEEDS") {
         let day = Day::drawn(seed);
         let result = run_day(&day);
         print_result(&day, &result);
--- a/crates/milletpath/tests/release_soak/main.rs
+++ b/crates/milletpath/tests/release_soak/main.rs
@@ -14,20 +14,12 @@
 mod persistent_client;
 mod release;
 
+use milletpath_test_support::soak_seeds::seeds_from_environment;
 use release::Release;
 
 /// Seeds of the releases that CI plays.
 const CI_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
 
-/// The seeds in `RELEASE_SOAK_SEEDS`: a range such as `1..50`, both ends included, or a single number.
-fn seeds_from_environment() -> std::ops::RangeInclusive<u64> {
-    let text = std::env::var("RELEASE_SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
-    let (first, last) = text.split_once("..").unwrap_or((&text, &text));
-    let number =
-        |text: &str| text.trim().parse::<u64>().expect("RELEASE_SOAK_SEEDS is FIRST..LAST or one seed");
-    number(first)..=number(last)
-}
-
 /// Plays releases and returns the seeds of those that violated a rule.
 fn play_all(seeds: impl Iterator<Item = u64>, draw: impl Fn(u64) -> Release) -> Vec<u64> {
     let violates = |&seed: &u64| {
@@ -57,7 +49,7 @@
 #[test]
 #[ignore = "takes minutes; run by hand with RELEASE_SOAK_SEEDS"]
 fn many_releases_violate_no_rule() {
-    let failing = play_all(seeds_from_environment(), Release::drawn);
+    let failing = play_all(seeds_from_environment("RELEASE_SOAK_SEEDS"), Release::drawn);
     for seed in &failing {
         println!(
             "play again: RELEASE_SOAK_SEEDS={seed} cargo test -p milletpath --test release_soak -- --ignored --nocapture"
--- a/crates/milletpath/tests/release_soak/release.rs
+++ b/crates/milletpath/tests/release_soak/release.rs
@@ -42,6 +42,17 @@
     InPieces(usize),
 }
 
+/// How long a worker takes for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// 5 ms.
+    Fast,
+    /// 50 ms.
+    Usual,
+    /// 600 ms.
+    Slow,
+}
+
 /// What happens beside the release.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Disturbance {
@@ -72,7 +83,7 @@
     delivery: Delivery,
     /// Processes that share the router's processor.
     busy_processes: usize,
-    service_ms: u64,
+    service: Service,
     deadline_ms: u64,
     clients: usize,
     /// Further clients, which connect at SIGTERM.
@@ -160,7 +171,7 @@
             entries: pick(rng, &[1, 30, 320, 960, 3200]).min(fleet),
             delivery,
             busy_processes: pick(rng, busy),
-            service_ms: pick(rng, &[5, 50, 600]),
+            service: pick(rng, &[Service::Fast, Service::Usual, Service::Slow]),
             deadline_ms: pick(rng, &[1165, 2500]),
             clients: pick(rng, &[2, 5]),
             crowd: pick(rng, &[0, 0, 20]),
@@ -171,10 +182,10 @@
     }
 
     fn behaviour(&self) -> WorkerBehaviour {
-        match self.service_ms {
-            ..=5 => |_, id, connection| answers_after(Duration::from_millis(5), id, connection),
-            ..=50 => |_, id, connection| answers_after(Duration::from_millis(50), id, connection),
-            _ => |_, id, connection| answers_after(Duration::from_millis(600), id, connection),
+        match self.service {
+            Service::Fast => |_, id, connection| answers_after(Duration::from_millis(5), id, connection),
+            Service::Usual => |_, id, connection| answers_after(Duration::from_millis(50), id, connection),
+            Service::Slow => |_, id, connection| answers_after(Duration::from_millis(600), id, connection),
         }
     }
 
@@ -205,7 +216,7 @@
 
     /// Whether nothing hinders the router in serving.
     fn has_floor(&self) -> bool {
-        self.busy_processes == 0 && self.service_ms <= 50 && self.disturbance == Disturbance::Nothing
+        self.busy_processes == 0 && self.service != Service::Slow && self.disturbance == Disturbance::Nothing
     }
 
     /// The release's time to SIGTERM.
@@ -315,7 +326,10 @@
         draining: &mut std::collections::VecDeque<(Instant, &[usize])>,
         drain: Duration,
     ) {
-        while let Some((_, step)) = draining.pop_front_if(|(since, _)| since.elapsed() >= drain) {
+        let has_drained = |(since, _): &(Instant, &[usize])| since.elapsed() >= drain;
+        while draining.front().is_some_and(has_drained)
+            && let Some((_, step)) = draining.pop_front()
+        {
             discovery.publish(|number| event(number, self.processes, step, "w", "left"));
             discovery.publish(|number| event(number, self.processes, step, "v", "active"));
         }
--- a/crates/milletpath/tests/restart_soak/main.rs
+++ b/crates/milletpath/tests/restart_soak/main.rs
@@ -15,20 +15,12 @@
 mod persistent_client;
 mod restart;
 
+use milletpath_test_support::soak_seeds::seeds_from_environment;
 use restart::{Restart, RestartResult};
 
 /// Seeds of the small restarts that CI runs.
 const CI_SEEDS: std::ops::RangeInclusive<u64> = 1..=32;
 
-/// The seeds in `RESTART_SOAK_SEEDS`: a range such as `1..50`, both ends included, or a single number.
-fn seeds_from_environment() -> std::ops::RangeInclusive<u64> {
-    let text = std::env::var("RESTART_SOAK_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
-    let (first, last) = text.split_once("..").unwrap_or((&text, &text));
-    let number =
-        |text: &str| text.trim().parse::<u64>().expect("RESTART_SOAK_SEEDS is FIRST..LAST or one seed");
-    number(first)..=number(last)
-}
-
 /// Runs restarts and returns the seeds of those that violated a rule.
 fn run_all(seeds: impl Iterator<Item = u64>, draw: impl Fn(u64) -> Restart) -> Vec<u64> {
     let violates = |&seed: &u64| {
@@ -55,7 +47,7 @@
 #[test]
 #[ignore = "takes minutes; run by hand with RESTART_SOAK_SEEDS"]
 fn many_restarts_violate_no_rule() {
-    let failing = run_all(seeds_from_environment(), Restart::drawn);
+    let failing = run_all(seeds_from_environment("RESTART_SOAK_SEEDS"), Restart::drawn);
     for seed in &failing {
         println!(
             "run again: RESTART_SOAK_SEEDS={seed} cargo test -p milletpath --test restart_soak -- --ignored --nocapture"
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -22,5 +22,7 @@
 #[cfg(feature = "process-rigs")]
 pub mod shared_processor;
 pub mod simulated_network;
+#[cfg(feature = "process-rigs")]
+pub mod soak_seeds;
 pub mod wait;
 pub mod worker_frames;
