--- a/crates/platform-router/src/client_connections/task.rs
+++ b/crates/platform-router/src/client_connections/task.rs
@@ -1,6 +1,6 @@
 //! The task of a client connection, which waits for socket readiness.
 
-use crate::pass_limit::PassLimit;
+use crate::pass_limit::end_pass;
 use crate::platform_router::SharedRouter;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -8,7 +8,6 @@
 
 /// Serves the connection in a slot until it is closed.
 pub(super) async fn serve_client(router: SharedRouter, slot: usize, stream: Rc<TcpStream>, wake: Rc<Notify>) {
-    let mut pass_limit = PassLimit::default();
     loop {
         let (reads, writes) = {
             let mut router = router.borrow_mut();
@@ -22,6 +21,6 @@
             _ = stream.writable(), if writes => router.borrow_mut().flush_client(slot),
             () = wake.notified() => {}
         }
-        pass_limit.end_pass().await;
+        end_pass().await;
     }
 }
--- a/crates/platform-router/src/discovery_watch.rs
+++ b/crates/platform-router/src/discovery_watch.rs
@@ -6,7 +6,7 @@
 mod shared_stream;
 
 use crate::discovery_feed::StreamEnd;
-use crate::pass_limit::PassLimit;
+use crate::pass_limit::end_pass;
 use crate::platform_router::SharedRouter;
 use milletpath_platform_protocol::events;
 use shared_stream::SharedStream;
@@ -161,7 +161,6 @@
             .await;
     written.map_err(|_| StreamEnd::SubscribeTimeout)?.map_err(StreamEnd::SubscribeFailed)?;
     let mut bytes = Vec::with_capacity(READ_SIZE);
-    let mut pass_limit = PassLimit::default();
     loop {
         let silent_at = router.borrow().discovery.last_line_at + SILENCE_TIMEOUT;
         bytes.clear();
@@ -180,7 +179,7 @@
             // Other sockets are looked at before more events are read.
             tokio::task::yield_now().await;
         }
-        pass_limit.end_pass().await;
+        end_pass().await;
     }
 }
 
--- a/crates/platform-router/src/event_loop_watch.rs
+++ b/crates/platform-router/src/event_loop_watch.rs
@@ -7,8 +7,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// Interval at which the heartbeats are looked at. The loop beats several times in it.
-const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the heartbeats are looked at. The loop beats several times in it. Each look wakes a thread.
+const WATCH_INTERVAL: Duration = Duration::from_secs(2);
 /// Seconds without a heartbeat after which the loop counts as stalled.
 const STALL_SECONDS: f64 = 1.0;
 /// By how much longer a stall has to be for each further log line.
--- a/crates/platform-router/src/worker_connections/task.rs
+++ b/crates/platform-router/src/worker_connections/task.rs
@@ -2,7 +2,7 @@
 
 use super::error::WorkerConnectionError;
 use crate::backoff::Backoff;
-use crate::pass_limit::PassLimit;
+use crate::pass_limit::end_pass;
 use crate::platform_router::{PlatformRouter, SharedRouter, WorkerConnection};
 use crate::socket_errors::{self, Operation, Recovery};
 use std::io;
@@ -53,7 +53,6 @@
     if !connected(&router, &handle, &stream) {
         return;
     }
-    let mut pass_limit = PassLimit::default();
     while let Some(conditions) = wait_conditions(&router, &handle) {
         tokio::select! {
             _ = stream.readable(), if conditions.reads => router.borrow_mut().on_worker_readable(slot),
@@ -65,7 +64,7 @@
             () = tokio::time::sleep(conditions.pause.unwrap_or_default()), if conditions.pause.is_some() => {}
             () = handle.wake.notified() => {}
         }
-        pass_limit.end_pass().await;
+        end_pass().await;
     }
 }
 
