Policy: a request that may have run is rejected only while its key is known

Cause: reject_or_fail held a key of that scope for harmless whatever its age. The policy asked for the age before it sent an attempt itself, not before it told the client that it may.

Fix: is_repeat_harmless: such a request is rejected only where the workers still know the key of each attempt that may have run after the time that the client is told to stay away, and fails otherwise. Requests without such a key are decided as before.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -75,6 +75,19 @@
         .any(|attempt| !attempt.in_flight && !attempt.never_ran && now - attempt.sent_at >= retention)
 }
 
+/// Whether a client that repeats its request at `repeated_at` does no harm: nothing has run, or running again has no effect,
+/// or whichever worker gets the repeat still knows the idempotency key of each attempt that may have run.
+pub(crate) fn is_repeat_harmless(repeated_at: f64, request: &Request, idempotency: Idempotency) -> bool {
+    let mut may_have_run = request.attempts.iter().filter(|attempt| !attempt.never_ran);
+    match idempotency {
+        Idempotency::Idempotent => true,
+        Idempotency::IdempotentWithKey { scope: KeyScope::All, retention } => {
+            may_have_run.all(|attempt| repeated_at - attempt.sent_at < retention)
+        }
+        Idempotency::IdempotentWithKey { .. } | Idempotency::NonIdempotent => may_have_run.next().is_none(),
+    }
+}
+
 /// Whether a request may have an attempt at a worker, given its earlier attempts: for each of them that may have run,
 /// the worker must know the idempotency key and must be another worker.
 pub(crate) fn may_run_on(request: &Request, idempotency: Idempotency, index: usize, worker: &Worker) -> bool {
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -8,7 +8,7 @@
 //! stages again.
 
 use crate::admission;
-use crate::config::{Idempotency, KeyScope, PolicyConfig};
+use crate::config::PolicyConfig;
 use crate::dispatch::SendRefusal;
 use crate::effects::{Budget, Effects};
 use crate::events::{Arrival, AttemptCompletion, EndpointUpdate, LoadReport, Outcome};
@@ -17,6 +17,7 @@
 use crate::placement::Decision;
 use crate::request_queue::{Deadlines, RequestQueue};
 use crate::request_state::Request;
+use crate::retry::is_repeat_harmless;
 use crate::router_state::RouterState;
 use std::collections::BTreeMap;
 
@@ -155,7 +156,7 @@
         state.functions.sweep(now, host);
         let response_margin = state.response_margin;
         if arrival.timeout <= response_margin {
-            return self.reject_or_fail(id, host);
+            return self.reject_or_fail(now, id, host);
         }
         self.wake_by(now, now + (arrival.timeout - response_margin).min(response_margin), host);
         self.advance(now, id, false, host);
@@ -166,7 +167,7 @@
         let decision = self.admit(now, id, blocked, host);
         match decision {
             Decision::Dispatch(worker) => self.state.send_attempt(now, id, worker, host),
-            Decision::GiveUp => self.reject_or_fail(id, host),
+            Decision::GiveUp => self.reject_or_fail(now, id, host),
             Decision::Queue => {
                 if let Some(request) = self.state.requests.get(id) {
                     self.queue.push(id, request);
@@ -313,15 +314,13 @@
 
     /// Sends the final response of a request that cannot be served: rejected if a repeat is harmless, otherwise
     /// failed.
-    fn reject_or_fail(&mut self, id: usize, host: &mut dyn Effects) {
+    fn reject_or_fail(&mut self, now: f64, id: usize, host: &mut dyn Effects) {
         let Some(request) = self.state.requests.get(id).filter(|request| request.is_open) else { return };
         let profile = self.state.profiles[request.profile];
-        let is_repeatable = matches!(
-            profile.idempotency,
-            Idempotency::Idempotent | Idempotency::IdempotentWithKey { scope: KeyScope::All, .. }
-        );
-        if is_repeatable || request.attempts.iter().all(|s| s.never_ran) {
-            host.reject(id, self.state.admission.retry_after(request, profile.latency_objective));
+        let retry_after = self.state.admission.retry_after(request, profile.latency_objective);
+        let repeated_at = now + retry_after.unwrap_or(0.0);
+        if is_repeat_harmless(repeated_at, request, profile.idempotency) {
+            host.reject(id, retry_after);
         } else {
             host.fail(id);
         }
@@ -414,7 +413,7 @@
         }
         let response_margin = self.state.response_margin;
         for id in self.deadlines.due(|deadline| now >= deadline - response_margin) {
-            self.reject_or_fail(id, host);
+            self.reject_or_fail(now, id, host);
         }
         self.retry_queued(now, host);
         if !self.state.requests.is_empty() {
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -38,6 +38,18 @@
     assert!(final_answers[0].0 < 2.0);
 }
 
+/// Guards against a rejection, which says that a repeat is harmless, after the workers have forgotten the key.
+#[test_case(1.0, false; "the key is forgotten before the answer")]
+#[test_case(2.5, true; "the key outlasts the answer")]
+fn a_request_that_may_have_run_is_rejected_only_while_its_key_is_known(retention: f64, rejected: bool) {
+    let idempotency = Idempotency::IdempotentWithKey { scope: KeyScope::All, retention };
+    let mut router = TestRouter::new(config(profile_with(idempotency)), 3);
+    let id = router.arrive(0, 2.0);
+    router.advance(2.0);
+    assert_eq!(router.has_called(&HostCall::Reject { id }), rejected);
+    assert_eq!(router.has_called(&HostCall::Fail { id }), !rejected);
+}
+
 #[test_case(0; "no worker at all")]
 #[test_case(3; "all draining")]
 fn without_a_ready_worker_a_request_is_rejected_early(workers: usize) {
