Clean-up: holding work back is a module of its own; a current order hashes nothing

discovery_watch/receive.rs had grown: what holds work back and releases it moves to held_back.rs, unchanged.

--- a/crates/platform-router/src/discovery_watch.rs
+++ b/crates/platform-router/src/discovery_watch.rs
@@ -2,6 +2,7 @@
 //! broken connection or a silence that exceeds the heartbeat interval leads to a new subscription after the last
 //! applied event.
 
+mod held_back;
 mod receive;
 mod shared_stream;
 
--- a/crates/policy/src/hash_ring.rs
+++ b/crates/policy/src/hash_ring.rs
@@ -116,11 +116,14 @@
     /// Brings an order up to date: the workers in the order in which they follow the hash of `key`. An order must always
     /// be passed with the same key.
     pub(crate) fn update_order(&self, key: u64, order: &mut RingOrder) {
-        let position = xxh3_64_with_seed(&key.to_le_bytes(), 0);
         let missed = usize::try_from(self.revision - order.revision).unwrap_or(usize::MAX);
+        if missed == 0 {
+            return;
+        }
+        let position = xxh3_64_with_seed(&key.to_le_bytes(), 0);
         if missed > self.changed.len() {
             self.compute_order(position, order);
-        } else if missed > 0 {
+        } else {
             self.apply_changes(position, missed, order);
         }
         order.revision = self.revision;
