--- a/crates/milletpath/tests/release_soak/main.rs
+++ b/crates/milletpath/tests/release_soak/main.rs
@@ -16,6 +16,7 @@
 
 use milletpath_test_support::soak_seeds::seeds_from_environment;
 use release::Release;
+use test_case::test_case;
 
 /// Seeds of the releases that CI plays.
 const CI_SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
@@ -45,6 +46,19 @@
     assert!(failing.is_empty(), "seeds of releases that violated a rule: {failing:?}");
 }
 
+/// Guards against a router that stops in a release whose events are larger than a turn applies.
+#[test_case(0; "with a whole processor")]
+#[test_case(1; "with half of one")]
+#[test_case(3; "with a quarter")]
+#[test_case(5; "with a sixth")]
+#[test_case(9; "with a tenth")]
+#[test_case(19; "with a twentieth")]
+#[ignore = "depends on the processor time of a release build; run by hand with MILLETPATH_PROGRAM"]
+fn a_release_in_large_steps_loses_no_call(busy_processes: usize) {
+    let result = Release::in_large_steps(busy_processes).play(busy_processes);
+    assert_eq!(result.violations(), Vec::<String>::new(), "{result:?}");
+}
+
 /// Takes some seconds per seed.
 #[test]
 #[ignore = "takes minutes; run by hand with RELEASE_SOAK_SEEDS"]
--- a/crates/milletpath/tests/release_soak/release.rs
+++ b/crates/milletpath/tests/release_soak/release.rs
@@ -153,6 +153,23 @@
         Self::with_sizes(seed, &[120, 1200], &[0, 3], Duration::from_millis(1200))
     }
 
+    /// A release like the one that stopped a router: six steps in which 320 of 3,200 workers are replaced by one event each.
+    pub fn in_large_steps(busy_processes: usize) -> Self {
+        Self {
+            fleet: 3200,
+            entries: 320,
+            delivery: Delivery::Whole,
+            busy_processes,
+            service: Service::Usual,
+            deadline_ms: 1165,
+            clients: 2,
+            crowd: 0,
+            disturbance: Disturbance::Nothing,
+            shutdown: Shutdown::AfterRelease,
+            lasts: Duration::from_secs(6),
+        }
+    }
+
     fn with_sizes(seed: u64, fleets: &[usize], busy: &[usize], lasts: Duration) -> Self {
         use Disturbance::{LostSubscription, ManyKnownEvents, Nothing, Reload};
         use Shutdown::{AfterRelease, DuringRelease, SignalsInARow};
