Show that a tenant that does not exist is served where there are none

Cause: the tenant of a request is checked only where the settings name some.

Nothing of the program is changed.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod give_up;
+mod tenant;
 
 use crate::record::Record;
 use crate::worker::{self, Runs};
@@ -12,6 +13,7 @@
 pub fn run(case: &str, with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     match case {
         "give-up" => give_up::run(with_trouble, record),
+        "tenant" => tenant::run(with_trouble, record),
         _ => Err(format!("there is no case {case}").into()),
     }
 }
