Show that requests with unusable figures are served

Cause: of the figures of a request, the expected work is not read at all, a figure without a value is passed over, and a copy may have no lanes.

Nothing of the program is changed.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod figures;
 mod give_up;
 mod tenant;
 
@@ -14,6 +15,7 @@
     match case {
         "give-up" => give_up::run(with_trouble, record),
         "tenant" => tenant::run(with_trouble, record),
+        "figures" => figures::run(with_trouble, record),
         _ => Err(format!("there is no case {case}").into()),
     }
 }
