Show that clients that send line feeds alone lock all others out

Cause: a client connection with unread bytes is neither closed as silent nor evicted, and empty lines are no error. Clients that send nothing but line feeds without a pause keep their places for good. Once they have all places, the router accepts no other client.

Nothing of the program is changed.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod blank_lines;
 mod figures;
 mod give_up;
 mod tenant;
@@ -13,6 +14,7 @@
 /// Runs a case.
 pub fn run(case: &str, with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     match case {
+        "blank-lines" => blank_lines::run(with_trouble, record),
         "give-up" => give_up::run(with_trouble, record),
         "tenant" => tenant::run(with_trouble, record),
         "figures" => figures::run(with_trouble, record),
