Show that live sizes let the router push returning workers over

Cause: the capacity of a cold worker is taken as its size times what warm workers answer for each unit of size, whatever the sizes mean. Where they are live, a worker that returns empty is listed with its full size and those that are busy with a fraction of theirs.

Nothing of the program is changed.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -3,11 +3,13 @@
 mod blank_lines;
 mod figures;
 mod give_up;
+mod live_sizes;
 mod tenant;
 
+use crate::bulletin::Bulletin;
 use crate::record::Record;
 use crate::worker::{self, Runs};
-use crate::{CaseError, Verdict, bulletin};
+use crate::{CaseError, Verdict};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +18,7 @@
     match case {
         "blank-lines" => blank_lines::run(with_trouble, record),
         "give-up" => give_up::run(with_trouble, record),
+        "live-sizes" => live_sizes::run(with_trouble, record),
         "tenant" => tenant::run(with_trouble, record),
         "figures" => figures::run(with_trouble, record),
         _ => Err(format!("there is no case {case}").into()),
@@ -25,7 +28,7 @@
 /// The stand-ins around a router.
 struct Platform {
     runs: Runs,
-    bulletin: SocketAddr,
+    bulletin: Bulletin,
     workers: Vec<SocketAddr>,
 }
 
@@ -35,6 +38,6 @@
         let runs = Runs::default();
         let workers: Result<Vec<_>, _> =
             (0..4).map(|n| worker::start(&format!("worker {n}"), work, &runs, record)).collect();
-        Ok(Self { runs, bulletin: bulletin::start()?, workers: workers? })
+        Ok(Self { runs, bulletin: Bulletin::start()?, workers: workers? })
     }
 }
--- a/review/standins-2/src/cases/blank_lines.rs
+++ b/review/standins-2/src/cases/blank_lines.rs
@@ -22,8 +22,8 @@
 /// Runs the case.
 pub fn run(with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     let platform = Platform::start(Duration::from_millis(50), record)?;
-    let settings = Settings { tenants: r#"[{"Name":"acme","QuotaPerS":200.0,"Share":1.0}]"# };
-    let mut router = Router::start(&settings, platform.bulletin, &platform.workers, record)?;
+    let settings = Settings::default();
+    let mut router = Router::start(&settings, platform.bulletin.address, &platform.workers, record)?;
     let (connected, ended) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
     if with_trouble {
         record.line(&format!("{FLOODS} bad clients connect and send line feeds"));
--- a/review/standins-2/src/cases/figures.rs
+++ b/review/standins-2/src/cases/figures.rs
@@ -21,8 +21,8 @@
 /// Runs the case.
 pub fn run(with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     let platform = Platform::start(Duration::from_millis(50), record)?;
-    let settings = Settings { tenants: r#"[{"Name":"acme","QuotaPerS":200.0,"Share":1.0}]"# };
-    let mut router = Router::start(&settings, platform.bulletin, &platform.workers, record)?;
+    let settings = Settings::default();
+    let mut router = Router::start(&settings, platform.bulletin.address, &platform.workers, record)?;
     let params =
         |info: &str| format!("\"d\":3000,\"t\":\"acme\",\"o\":\"00000000000000a1\",\"info\":\"{info}\"");
     let mut usual = Client::connect("usual client", router.address, record)?;
--- a/review/standins-2/src/cases/give_up.rs
+++ b/review/standins-2/src/cases/give_up.rs
@@ -16,8 +16,8 @@
 /// Runs the case.
 pub fn run(with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     let platform = Platform::start(Duration::from_millis(400), record)?;
-    let settings = Settings { tenants: r#"[{"Name":"acme","QuotaPerS":200.0,"Share":1.0}]"# };
-    let mut router = Router::start(&settings, platform.bulletin, &platform.workers, record)?;
+    let settings = Settings::default();
+    let mut router = Router::start(&settings, platform.bulletin.address, &platform.workers, record)?;
     let mut client = Client::connect("client", router.address, record)?;
     let new_request = |client: &mut Client, n: usize| {
         let function = n % 8 + 1;
--- a/review/standins-2/src/cases/tenant.rs
+++ b/review/standins-2/src/cases/tenant.rs
@@ -10,8 +10,8 @@
 /// Runs the case.
 pub fn run(with_trouble: bool, record: &Record) -> Result<Verdict, CaseError> {
     let platform = Platform::start(Duration::from_millis(50), record)?;
-    let settings = Settings { tenants: "[]" };
-    let mut router = Router::start(&settings, platform.bulletin, &platform.workers, record)?;
+    let settings = Settings { tenants: "[]", ..Settings::default() };
+    let mut router = Router::start(&settings, platform.bulletin.address, &platform.workers, record)?;
     let common = "\"d\":3000,\"o\":\"00000000000000a1\",\"info\":\"memory_mb:512;lanes:2;load_ms:640\"";
     let mut usual = Client::connect("usual client", router.address, record)?;
     let request = usual.request("refill-check", common);
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -44,19 +44,28 @@
     stream: TcpStream,
     received: Arc<Mutex<Received>>,
     next_number: u64,
-    record: Record,
+    record: Option<Record>,
 }
 
 impl Client {
-    /// Connects.
+    /// Connects, and records each line.
     pub fn connect(name: &str, router: SocketAddr, record: &Record) -> io::Result<Self> {
+        Self::open(name, router, Some(record.clone()))
+    }
+
+    /// Connects, and records nothing.
+    pub fn connect_quietly(router: SocketAddr) -> io::Result<Self> {
+        Self::open("", router, None)
+    }
+
+    fn open(name: &str, router: SocketAddr, record: Option<Record>) -> io::Result<Self> {
         let stream = TcpStream::connect(router)?;
         stream.set_nodelay(true)?;
         let received = Arc::<Mutex<Received>>::default();
         let (reader, shared) = (BufReader::new(stream.try_clone()?), received.clone());
         let (reader_name, reader_record) = (name.to_owned(), record.clone());
-        std::thread::spawn(move || read(reader, &shared, &reader_name, &reader_record));
-        let (name, record) = (name.to_owned(), record.clone());
+        std::thread::spawn(move || read(reader, &shared, &reader_name, reader_record.as_ref()));
+        let name = name.to_owned();
         Ok(Self { name, stream, received, next_number: 1, record })
     }
 
@@ -94,8 +103,10 @@
 
     /// Writes lines in one call.
     pub fn send(&mut self, lines: &str) -> io::Result<()> {
-        for line in lines.lines() {
-            self.record.line(&format!("{} sends {line}", self.name));
+        for (record, line) in
+            self.record.iter().flat_map(|record| lines.lines().map(move |line| (record, line)))
+        {
+            record.line(&format!("{} sends {line}", self.name));
         }
         self.stream.write_all(lines.as_bytes())
     }
@@ -112,15 +123,29 @@
         self.answers(request).first().cloned()
     }
 
+    /// Numbers of answers so far: served, refused, failed.
+    pub fn totals(&self) -> [usize; 3] {
+        let Ok(received) = self.received.lock() else { return [0; 3] };
+        received.answers.values().flatten().fold([0; 3], |mut totals, answer| {
+            totals[match answer {
+                Answer::Served => 0,
+                Answer::Refused => 1,
+                Answer::Failed(_) => 2,
+            }] += 1;
+            totals
+        })
+    }
+
     /// Whether the router has ended the connection.
     pub fn has_ended(&self) -> bool {
         self.received.lock().is_ok_and(|received| received.ended)
     }
 }
 
-fn read(reader: BufReader<TcpStream>, received: &Mutex<Received>, name: &str, record: &Record) {
+fn read(reader: BufReader<TcpStream>, received: &Mutex<Received>, name: &str, record: Option<&Record>) {
+    let note = |text: String| record.into_iter().for_each(|record| record.line(&text));
     for line in reader.lines().map_while(Result::ok) {
-        record.line(&format!("{name} gets {line}"));
+        note(format!("{name} gets {line}"));
         let number = line.split("\"id\":").nth(1).and_then(|rest| {
             rest.split(|c: char| !c.is_ascii_digit()).next().and_then(|digits| digits.parse().ok())
         });
@@ -137,7 +162,7 @@
         }
         received.lines.push(line);
     }
-    record.line(&format!("{name}: the router has ended the connection"));
+    note(format!("{name}: the router has ended the connection"));
     if let Ok(mut received) = received.lock() {
         received.ended = true;
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod bulletin;
 mod cases;
 mod client;
+mod cores;
 mod encoding;
 mod record;
 mod router;
--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -13,6 +13,28 @@
 pub struct Settings {
     /// The list of tenants, as JSON.
     pub tenants: &'static str,
+    /// What the sizes of workers mean.
+    pub weights: &'static str,
+    /// The size of each worker that a router knows at its start.
+    pub size: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { tenants: r#"[{"Name":"acme","QuotaPerS":2000.0,"Share":1.0}]"#, weights: "nominal", size: 4 }
+    }
+}
+
+/// A member of the list, as JSON. `started_ms` is the Unix millisecond of a late start, or else 0.
+pub fn member(name: &str, address: SocketAddr, phase: &str, size: f64, started_ms: u128) -> String {
+    format!(
+        r#"{{"id":"{name}","host_port":"{address}","locality":"room","flavor":"std","cell":0,"phase":"{phase}","size":{size:.3},"up_since_ms":{started_ms}}}"#
+    )
+}
+
+/// The id of a worker that a router knows at its start.
+pub fn member_name(n: usize) -> String {
+    format!("s-{n:04}")
 }
 
 /// A running router. It is killed, and its folder removed, when this is dropped.
@@ -86,14 +108,11 @@
     bulletin: SocketAddr,
     workers: &[SocketAddr],
 ) -> String {
-    let member = |(n, address): (usize, &SocketAddr)| {
-        format!(
-            r#"{{"id":"s-{n:04}","host_port":"{address}","locality":"room","flavor":"std","cell":0,"phase":"active","size":4,"up_since_ms":0}}"#
-        )
-    };
-    let members: Vec<_> = workers.iter().enumerate().map(member).collect();
+    let size = settings.size as f64;
+    let members: Vec<_> =
+        (0..).zip(workers).map(|(n, address)| member(&member_name(n), *address, "active", size, 0)).collect();
     let members = members.join(",");
-    let tenants = settings.tenants;
+    let Settings { tenants, weights, .. } = settings;
     format!(
         r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"bulletin":"{bulletin}",
@@ -109,6 +128,6 @@
 "OverShareWorth":0.05,"RegistryMode":"automatic",
 "Rules":{{"AnswerSlack":16000,"AskWithin":10000000,"DrainGrace":1000000,"OverloadFor":1000000,"StartCapacity":0.17,
 "TipMultiple":2.5,"WarmUp":16000000}},
-"Telemetry":{{"Names":["q","x1","x0"],"Via":"inline"}},"Tenants":{tenants},"Tick":4000,"Zone":0,"Zones":["room"]}}}}"#
+"Telemetry":{{"Names":["q","x1","x0"],"Via":"inline"}},"Tenants":{tenants},"Tick":4000,"Weights":"{weights}","Zone":0,"Zones":["room"]}}}}"#
     )
 }
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -1,10 +1,10 @@
 //! A sound worker: it runs each request for a fixed time and answers it with the request's body after the word `ran`.
 //! Orders to load are answered as standing, probes as ok.
 
-use crate::encoding::crc32;
+use crate::cores::write;
 use crate::record::Record;
 use std::collections::BTreeSet;
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -80,14 +80,3 @@
         }
     }
 }
-
-fn write(writer: &Mutex<TcpStream>, code: u8, id: u64, fields: &str, body: &[u8]) -> Option<()> {
-    let payload = [fields.as_bytes(), body].concat();
-    let mut frame = vec![127, code];
-    frame.extend_from_slice(&(fields.len() as u16).to_be_bytes());
-    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
-    frame.extend_from_slice(&id.to_be_bytes());
-    frame.extend_from_slice(&payload);
-    frame.extend_from_slice(&crc32(&payload).to_be_bytes());
-    writer.lock().ok()?.write_all(&frame).ok()
-}
