Number the cases by their gravity

Cause: the cases had their numbers in the order in which they were found.

Change: clients of line feeds are case 6, live sizes 7, requests behind a withdrawal 8, unknown tenants 9, unusable figures 10. The scripts and what they start are the same.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 standins=review/standins-2/target/release/review-standins-2
 [ -x "$standins" ] || { echo "$standins is missing: run review/build-2.sh"; exit 2; }
-exec timeout --kill-after=5 100 "$standins" live-sizes review/10
+exec timeout --kill-after=5 100 "$standins" figures review/10
