End the router of a case also where its stand-ins are stopped

Cause: the stand-ins end the router when they are done; stopped before that by the time limit, they left it running.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,10 @@
 cd "$(dirname "$0")/../.." || exit 2
 standins=review/standins-2/target/release/review-standins-2
 [ -x "$standins" ] || { echo "$standins is missing: run review/build-2.sh"; exit 2; }
-exec timeout --kill-after=5 100 "$standins" figures review/10
+timeout --kill-after=5 100 "$standins" figures review/10
+status=$?
+[ "$status" -le 2 ] && exit "$status"
+# The stand-ins were stopped before they could end the router.
+router=$(sed -n 's/.* the router is process \([0-9]*\)$/\1/p' review/10/record.txt)
+[ -n "$router" ] && kill -KILL "$router"
+exit 2
--- a/review/standins-2/src/router.rs
+++ b/review/standins-2/src/router.rs
@@ -79,6 +79,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        record.line(&format!("the router is process {}", process.id()));
         let router = Self { process, folder, address };
         let fit = || Client::connect("front", address, record).is_ok_and(|mut client| client.probe());
         if wait_until(Duration::from_secs(30), fit) {
