Take a size that shrinks with the load for a lower bound of the capacity

Cause: slow start takes size times the warm workers' requests per unit of size, whatever the sizes mean. Weights was read nowhere. Busy workers are listed with a sixth of their size, so an idle new one counts for six.

Change: the policy's configuration says what sizes mean. With live sizes a process counts with the largest size it was listed with, and the workers whose answers are measured with the largest of their kind; a measurement is scaled at once when a larger one shows up. Other sites decide as before.

--- a/crates/config/src/reader/policy.rs
+++ b/crates/config/src/reader/policy.rs
@@ -5,7 +5,7 @@
 use super::optional_section::OptionalSection;
 use crate::document::Section;
 use crate::model::WorkerSource;
-use milletpath_policy::{PolicyConfig, Profile, RequestBudget};
+use milletpath_policy::{PolicyConfig, Profile, RequestBudget, SizeMeaning};
 use milletpath_protocol::registry;
 
 /// Resolution of the gateway's timers, in seconds: the interval that an event loop sustains on a busy core.
@@ -73,6 +73,7 @@
             warm_up: seconds("warm_up", 0.0, 15.0),
             overload_multiple: workers.number("overload_multiple", "capacities", 0.0..=1000.0, 2.5),
             overload_window: seconds("overload_window", 0.0, 1.0),
+            size_meaning: SizeMeaning::Capacity,
             memory: self.memory,
             clock_resolution: CLOCK_RESOLUTION,
         }
--- a/crates/platform-settings/src/policy.rs
+++ b/crates/platform-settings/src/policy.rs
@@ -3,7 +3,7 @@
 use crate::error::SettingsError;
 use crate::lookup::{non_negative, optional_seconds, positive, seconds, value_at};
 use crate::service::drain_grace;
-use milletpath_policy::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget};
+use milletpath_policy::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget, SizeMeaning};
 use serde_json::Value;
 
 /// Builds the policy configuration; the error names a setting that is missing or out of range. `seed` makes otherwise
@@ -44,6 +44,7 @@
         warm_up: seconds(settings, "/Rules/WarmUp")?,
         overload_multiple: non_negative(settings, "/Rules/TipMultiple")?,
         overload_window: seconds(settings, "/Rules/OverloadFor")?,
+        size_meaning: size_meaning(settings),
         memory: value_at(settings, "/FamilyInfo/MemoryMbByKind").unwrap_or_default(),
         clock_resolution: seconds(settings, "/Tick")?,
     })
@@ -55,6 +56,14 @@
     tenants.iter().map(|tenant| value_at(tenant, "/QuotaPerS").unwrap_or(f64::INFINITY)).collect()
 }
 
+/// Reads what the sizes of workers state. Sizes that are all alike, or approximate, are capacities too.
+fn size_meaning(settings: &Value) -> SizeMeaning {
+    match value_at::<&str>(settings, "/Weights") {
+        Some("live") => SizeMeaning::FreeCapacity,
+        _ => SizeMeaning::Capacity,
+    }
+}
+
 /// Reads the budget for load requests; `None` if the settings do not limit them.
 fn load_budget(settings: &Value) -> Option<RequestBudget> {
     let window = optional_seconds(settings, "/FamilyInfo/LoadPeriod")?;
--- a/crates/platform-settings/tests/settings.rs
+++ b/crates/platform-settings/tests/settings.rs
@@ -2,7 +2,7 @@
 //! names its path.
 
 use milletpath_platform_settings::{self as platform_settings, ProfileSettings};
-use milletpath_policy::{Idempotency, KeyScope, LoadReport, RequestBudget};
+use milletpath_policy::{Idempotency, KeyScope, LoadReport, RequestBudget, SizeMeaning};
 use serde_json::Value;
 use test_case::test_case;
 
@@ -40,6 +40,17 @@
     settings
 }
 
+/// `Weights` tells what the sizes of workers state.
+#[test_case(None, SizeMeaning::Capacity; "not stated")]
+#[test_case(Some(r#""off""#), SizeMeaning::Capacity; "all alike")]
+#[test_case(Some(r#""nominal""#), SizeMeaning::Capacity; "as registered")]
+#[test_case(Some(r#""rough""#), SizeMeaning::Capacity; "approximate")]
+#[test_case(Some(r#""live""#), SizeMeaning::FreeCapacity; "what the load leaves")]
+fn the_meaning_of_sizes_is_read(weights: Option<&str>, expected: SizeMeaning) {
+    let config = platform_settings::policy_config(&changed("/Weights", weights), 9).expect("valid");
+    assert_eq!(config.size_meaning, expected);
+}
+
 #[test]
 fn valid_settings_yield_the_policy_configuration() {
     let config = platform_settings::policy_config(&valid(), 9).expect("valid");
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -1,5 +1,7 @@
 //! Configuration of a router, given at its start. Times are in seconds, memory is in MB.
 
+use crate::worker_size::SizeMeaning;
+
 /// Whether a request may be run more than once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Idempotency {
@@ -105,6 +107,8 @@
     pub overload_multiple: f64,
     /// Slow start: length in seconds of the window in which requests to a worker are counted.
     pub overload_window: f64,
+    /// What the sizes in the endpoint list state.
+    pub size_meaning: SizeMeaning,
     /// Memory of each kind of worker, in MB; empty if unknown.
     pub memory: Vec<f64>,
     /// Resolution of the host's timer, in seconds.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `slow_start`, `throughput`, `outlier_detection`, `health_check` | capacity and health of workers |
 //! | `list_staleness`, `acceptance` | which workers get new work while the endpoint list is stale |
 //! | `retry`, `load_requests`, `fleet_budgets`, `rate_limiter` | limits on retries and load requests, shared budgets |
+//! | `worker_size` | what the sizes in the list mean, and the capacity that they let the router assume |
 //! | `worker_state`, `function_state`, `request_state`, `request_queue`, `decay`, `random` | data |
 
 mod acceptance;
@@ -45,6 +46,7 @@
 mod slow_start;
 mod throughput;
 mod worker_set;
+mod worker_size;
 mod worker_state;
 
 pub use admission::ReadDelayLimits;
@@ -58,3 +60,4 @@
 pub use rate_limiter::RateLimiter;
 pub use response_memory::{BufferMemory, may_await_response};
 pub use router::Router;
+pub use worker_size::SizeMeaning;
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -96,7 +96,11 @@
     /// Adds or changes an endpoint of the list. Call [`end_list`](Self::end_list) after the last one.
     pub fn update_endpoint(&mut self, endpoint: EndpointUpdate) {
         let memory = self.state.worker_memory.get(endpoint.kind).copied().unwrap_or(f64::INFINITY);
-        if self.state.workers.update(&endpoint, memory) {
+        let change = self.state.workers.update(&endpoint, memory);
+        if change.capacity_growth > 1.0 {
+            self.state.throughput.capacity_grew(change.capacity_growth);
+        }
+        if change.is_new_process {
             self.state.functions.worker_restarted(endpoint.worker);
         }
     }
--- a/crates/policy/src/router_state.rs
+++ b/crates/policy/src/router_state.rs
@@ -105,7 +105,7 @@
                 overload_window: config.overload_window,
             },
             throughput: Throughput::default(),
-            workers: WorkerTable::default(),
+            workers: WorkerTable::new(config.size_meaning),
             staleness: ListStaleness::new(config.list_valid_for, config.acceptance_valid_for),
             ring: HashRing::default(),
             functions: Functions::default(),
--- a/crates/policy/src/throughput.rs
+++ b/crates/policy/src/throughput.rs
@@ -33,7 +33,8 @@
         if now - self.calculated_at < INTERVAL {
             return self.rate;
         }
-        let size: f64 = workers.iter().filter(|w| w.is_ready() && is_warm(w)).map(|w| w.size).sum();
+        let warm = workers.iter().filter(|worker| worker.is_ready() && is_warm(worker));
+        let size: f64 = warm.map(|worker| workers.max_size(worker)).sum();
         // Uses the size of the workers that gave the answers: if half of the workers are replaced, the rest have no
         // more capacity than before.
         let since = if self.calculated_at == 0.0 { MIN_AGE } else { now - self.calculated_at };
@@ -50,6 +51,13 @@
         rate
     }
 
+    /// The workers that gave the answers turn out to be up to `growth` times as large as assumed.
+    pub(crate) fn capacity_grew(&mut self, growth: f64) {
+        self.size_time.sum *= growth;
+        self.peak.sum /= growth;
+        self.rate /= growth;
+    }
+
     /// The decaying peak of the rate.
     pub(crate) fn peak(&self, now: f64) -> f64 {
         self.peak.value(now, PEAK_HALF_LIFE)
--- a/crates/policy/src/worker_state.rs
+++ b/crates/policy/src/worker_state.rs
@@ -3,6 +3,7 @@
 use crate::acceptance::Acceptance;
 use crate::decay::DecayingSum;
 use crate::events::{EndpointState, EndpointUpdate};
+use crate::worker_size::{LargestByKind, SizeMeaning};
 use std::ops::{Index, IndexMut};
 
 /// When a worker last rejected attempts, separately for those that needed a load and those to a loaded instance.
@@ -43,7 +44,10 @@
     pub(crate) state: EndpointState,
     /// When its process started; minus infinity means long ago.
     pub(crate) started_at: f64,
+    /// Its capacity in relation to other workers.
     pub(crate) size: f64,
+    /// Index of its kind.
+    pub(crate) kind: usize,
     /// In MB; infinite if unknown.
     pub(crate) memory: f64,
     pub(crate) zone: usize,
@@ -78,6 +82,7 @@
         state: EndpointState::Gone,
         started_at: f64::NEG_INFINITY,
         size: 1.0,
+        kind: usize::MAX,
         memory: f64::INFINITY,
         zone: 0,
         cell: 0,
@@ -101,7 +106,7 @@
 
     /// Updates the worker from an endpoint of the list and the memory of its kind; returns whether it is a new
     /// process.
-    fn update(&mut self, endpoint: &EndpointUpdate, memory: f64) -> bool {
+    fn update(&mut self, endpoint: &EndpointUpdate, memory: f64, size_meaning: SizeMeaning) -> bool {
         let started_at = endpoint.started_at.unwrap_or(f64::NEG_INFINITY);
         // The index belonged to another worker, whose state does not apply to this one.
         let is_other_worker = self.name != endpoint.name;
@@ -116,7 +121,10 @@
         }
         self.name = endpoint.name;
         self.state = endpoint.state;
-        self.size = if endpoint.size.is_finite() && endpoint.size > 0.0 { endpoint.size } else { 1.0 };
+        let listed_size = if endpoint.size.is_finite() && endpoint.size > 0.0 { endpoint.size } else { 1.0 };
+        let known_size = (!is_new_process).then_some(self.size);
+        self.size = size_meaning.capacity(listed_size, known_size);
+        self.kind = endpoint.kind;
         self.memory = memory;
         self.zone = endpoint.zone;
         self.cell = endpoint.cell;
@@ -124,22 +132,53 @@
     }
 }
 
+/// What an update of a worker has changed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WorkerChange {
+    /// Whether it is a new process.
+    pub(crate) is_new_process: bool,
+    /// Factor by which the capacity assumed for the workers of its kind has grown, at least 1.
+    pub(crate) capacity_growth: f64,
+}
+
 /// All workers, by the host's index.
 #[derive(Default)]
 pub(crate) struct WorkerTable {
     workers: Vec<Worker>,
+    size_meaning: SizeMeaning,
+    largest_by_kind: LargestByKind,
     /// Workers that were updated since [`take_updated`](Self::take_updated) was last called.
     updated: Vec<usize>,
 }
 
 impl WorkerTable {
-    /// Updates a worker from an endpoint of the list and the memory of its kind; returns whether it is a new process.
-    pub(crate) fn update(&mut self, endpoint: &EndpointUpdate, memory: f64) -> bool {
+    /// Creates an empty table.
+    pub(crate) fn new(size_meaning: SizeMeaning) -> Self {
+        Self { size_meaning, ..Self::default() }
+    }
+
+    /// Updates a worker from an endpoint of the list and the memory of its kind.
+    pub(crate) fn update(&mut self, endpoint: &EndpointUpdate, memory: f64) -> WorkerChange {
         if endpoint.worker >= self.workers.len() {
             self.workers.resize(endpoint.worker + 1, Worker::UNKNOWN);
         }
         self.updated.push(endpoint.worker);
-        self.workers[endpoint.worker].update(endpoint, memory)
+        let worker = &mut self.workers[endpoint.worker];
+        let is_new_process = worker.update(endpoint, memory, self.size_meaning);
+        let capacity_growth = match self.size_meaning {
+            SizeMeaning::Capacity => 1.0,
+            SizeMeaning::FreeCapacity => self.largest_by_kind.record(worker.kind, worker.size),
+        };
+        WorkerChange { is_new_process, capacity_growth }
+    }
+
+    /// An upper bound of a worker's capacity, as far as it is known. A busy worker whose size shrinks with its load may
+    /// have the capacity of the largest worker of its kind.
+    pub(crate) fn max_size(&self, worker: &Worker) -> f64 {
+        match self.size_meaning {
+            SizeMeaning::Capacity => worker.size,
+            SizeMeaning::FreeCapacity => self.largest_by_kind.at_least(worker.kind, worker.size),
+        }
     }
 
     /// Returns the workers that were updated since the last call, with repetitions.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -104,6 +104,7 @@
         warm_up: 15.0,
         overload_multiple: 2.5,
         overload_window: 2.0,
+        size_meaning: SizeMeaning::Capacity,
         memory: vec![],
         clock_resolution: 0.004,
     }
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -4,7 +4,8 @@
 
 use common::{HostCall, TestRouter, config, endpoint, idempotent};
 use milletpath_policy::{
-    EndpointState, Idempotency, KeyScope, Outcome, PolicyConfig, Profile, RequestBudget,
+    EndpointState, EndpointUpdate, Idempotency, KeyScope, Outcome, PolicyConfig, Profile, RequestBudget,
+    SizeMeaning,
 };
 use test_case::test_case;
 
@@ -159,6 +160,48 @@
     assert!(sent as f64 <= budget * rate * 1.4, "{sent} attempts for a limit of {}", budget * rate);
 }
 
+/// Regression test for workers that were pushed over when they returned: where listed sizes shrink with the load, a worker
+/// that has just started looks several times as large as warm ones, and is no larger.
+#[test_case(8.0; "a router that has seen the workers idle")]
+#[test_case(1.0; "a router that has only seen them busy")]
+fn a_worker_in_slow_start_is_not_sent_more_where_sizes_shrink_with_the_load(first_listed_size: f64) {
+    /// Requests per second of a warm worker, and of all of them.
+    const RATE: f64 = 100.0;
+    const WORKERS: usize = 4;
+    let settings = PolicyConfig {
+        can_request_loads: false,
+        warm_up: 1e4,
+        overload_window: 1.0,
+        size_meaning: SizeMeaning::FreeCapacity,
+        ..config(idempotent())
+    };
+    let allowed = settings.overload_multiple * settings.initial_capacity * settings.overload_window * RATE;
+    let listed =
+        |worker, size, started| EndpointUpdate { size, ..endpoint(worker, EndpointState::Ready, started) };
+    let mut router = TestRouter::new(settings, 0);
+    router.list((0..WORKERS).map(|worker| listed(worker, first_listed_size, None)).collect());
+    for n in 0..2000 {
+        router.serve(n % 60, 1.0 / (RATE * WORKERS as f64));
+        if n % 100 == 99 {
+            router.list((0..WORKERS).map(|worker| listed(worker, 1.0, None)).collect());
+        }
+    }
+    let started = router.host.now;
+    router.list(vec![endpoint(0, EndpointState::Gone, None), listed(9, 8.0, Some(started))]);
+    let mut sent = Vec::new();
+    for n in 0..1500 {
+        let sent_at = router.host.now;
+        if router.serve(n % 60, 0.002) == 9 {
+            sent.push(sent_at);
+        }
+    }
+    let in_window = |from: &f64| sent.iter().filter(|at| (*from..*from + 1.0).contains(*at)).count();
+    let most = sent.iter().map(in_window).max().unwrap_or(0) as f64;
+    let limit = allowed + 2.0 * allowed.sqrt() + 2.0;
+    assert!(most > 0.0, "the worker gets nothing");
+    assert!(most <= limit, "{most} in a window, above the limit of {limit:.1}");
+}
+
 /// If connections to a worker in slow start come up late and all at once, attempts that were decided on earlier must
 /// not begin together with those that are decided on then.
 #[test_case(0.25; "a quarter of the window")]
