Count calls that a read withdraws as closed when it validates what follows

Cause: all lines of a read are validated before the first is processed, and a withdrawal among them released only calls of the same read. Lines behind the supposedly invalid one were not looked at.

Change: the messages of a read are a type that knows which open calls they withdraw; those no longer count. Calls read behind an invalid line get an error before the close, as those before it do.

Evidence: calls_that_follow_withdrawals_in_one_write_are_served and calls_around_an_invalid_line_get_an_error failed before and pass now.

--- a/crates/milletpath/tests/platform/calls.rs
+++ b/crates/milletpath/tests/platform/calls.rs
@@ -2,12 +2,13 @@
 
 use milletpath_test_support::platform_rig::{
     Client, DONE, Discovery, MAX_SOCKETS, REJECTED, Router, RouterConfiguration, Worker, WorkerBehaviour,
-    answers, call_line, never_answers,
+    answers, answers_after, call_line, never_answers,
 };
 use milletpath_test_support::wait::{TIMEOUT, becomes_true};
 use milletpath_test_support::worker_frames::{HEADER_BYTES, frame, request, response};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 use test_case::test_case;
 
 #[test]
@@ -170,3 +171,45 @@
     assert!(becomes_true(|| is_cancelled(1) && is_cancelled(2)));
     assert!(client.is_router_ready(3));
 }
+
+/// Regression test: a client that withdrew some of the most calls that may be open, and sent as many new ones in the same
+/// write, was taken for one with a call too many; all its calls failed, and some got no answer.
+#[test]
+fn calls_that_follow_withdrawals_in_one_write_are_served() {
+    const MAX_OPEN_CALLS: u64 = 32;
+    const WITHDRAWN: u64 = 4;
+    let worker = Worker::start(|_, id, connection| answers_after(Duration::from_millis(300), id, connection));
+    let router = Router::start(&[worker.address], Discovery::steady().address, MAX_SOCKETS);
+    router.wait_for_current_list();
+    let mut client = Client::connect(&router);
+    let calls: String = (1..=MAX_OPEN_CALLS).map(|number| call_line(number, number)).collect();
+    client.send(&calls);
+    assert!(becomes_true(|| !worker.received.attempts().is_empty()));
+    let withdrawals: String = (1..=WITHDRAWN).map(withdrawal_line).collect();
+    let more: String = (1..=WITHDRAWN).map(|n| MAX_OPEN_CALLS + n).map(|n| call_line(n, n)).collect();
+    client.send(&(withdrawals + &more));
+    for _ in 0..MAX_OPEN_CALLS {
+        let answer = client.receive();
+        assert!(answer.contains(DONE), "{answer}");
+    }
+}
+
+/// Returns the line that withdraws the call with this number.
+fn withdrawal_line(number: u64) -> String {
+    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{number}}}}}\n")
+}
+
+/// A connection is closed after an invalid line. A call that was read with it, before or behind it, gets an error first.
+#[test]
+fn calls_around_an_invalid_line_get_an_error() {
+    let worker = Worker::start(answers);
+    let router = Router::start(&[worker.address], Discovery::steady().address, MAX_SOCKETS);
+    let mut client = Client::connect(&router);
+    client.send(&(call_line(1, 1) + "{\"jsonrpc\":\"2.0\",\"id\":-1}\n" + &call_line(2, 2)));
+    let answers = [client.receive(), client.receive(), client.receive()].concat();
+    for number in ["1", "2", "null"] {
+        assert_eq!(answers.matches(&format!("\"id\":{number},\"error\"")).count(), 1, "{answers}");
+    }
+    assert!(client.is_closed_cleanly());
+    assert!(worker.received.attempts().is_empty());
+}
--- a/crates/platform-router/src/client_connections.rs
+++ b/crates/platform-router/src/client_connections.rs
@@ -3,7 +3,7 @@
 //! connection is closed.
 //!
 //! `accept` accepts connections and `task` waits for socket readiness. `read` splits the bytes into lines, `validate`
-//! checks them, `requests` submits calls to the dispatcher and returns final responses, and `write` flushes the write
+//! checks them and collects those of one read in `received_messages`, `requests` submits calls to the dispatcher and returns final responses, and `write` flushes the write
 //! buffer; `response_memory` decides whether there is room for a response. `close` closes a single connection,
 //! `graceful_shutdown` closes all of them after SIGTERM.
 
@@ -11,6 +11,7 @@
 mod close;
 mod graceful_shutdown;
 mod read;
+mod received_messages;
 mod requests;
 mod response_memory;
 mod task;
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -2,7 +2,7 @@
 //! once no call is open and no byte is unread, then reads and discards input until the client closes its side too.
 //! Closing a socket with unread bytes would reset the connection, and responses in transit could be lost.
 
-use super::validate::call_numbers;
+use super::received_messages::ReceivedMessages;
 use crate::platform_router::{ClientConnection, PlatformRouter};
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
 use milletpath_protocol::InputError;
@@ -59,18 +59,21 @@
         self.cancel_requests(client.open_calls);
     }
 
-    /// Handles an invalid line: every open call of the connection, including those received with the invalid line,
-    /// gets an error response, and the connection is closed once the responses are written.
+    /// Handles an invalid line: every open call of the connection, including those received with the invalid line before
+    /// or behind it, gets an error response, and the connection is closed once the responses are written.
     pub(super) fn close_after_invalid_line(
         &mut self,
         slot: usize,
-        messages: &[ClientMessage],
+        received: &ReceivedMessages,
         invalid: &InvalidLine,
+        lines_behind: &[u8],
     ) {
         tracing::debug!(slot, fault = %invalid.fault, "received an invalid line from a client");
+        let numbers_behind = self.call_numbers_behind(slot, lines_behind);
         let Some(client) = self.clients.get_mut(slot) else { return };
         let open_calls = std::mem::take(&mut client.open_calls);
-        let numbers = call_numbers(messages).chain(open_calls.iter().map(|call| call.number));
+        let open_numbers = open_calls.iter().map(|call| call.number);
+        let numbers = open_numbers.chain(received.call_numbers()).chain(numbers_behind);
         client.closing = true;
         for number in numbers.filter(|number| Some(*number) != invalid.number) {
             let fault = InputError::new("connection", "is closed for another line");
@@ -81,6 +84,19 @@
         self.flush_client(slot);
     }
 
+    /// The numbers of the calls and health checks in whole lines behind an invalid one that were not used before.
+    fn call_numbers_behind(&mut self, slot: usize, lines_behind: &[u8]) -> Vec<u64> {
+        let whole_lines = lines_behind.iter().rposition(|&byte| byte == b'\n').map_or(0, |end| end);
+        let numbers = lines_behind[..whole_lines].split(|&byte| byte == b'\n').filter_map(|line| {
+            match lines::read_for_rejection(line.trim_ascii()) {
+                Ok(ClientMessage::UnreadCall { number } | ClientMessage::Probe { number }) => Some(number),
+                _ => None,
+            }
+        });
+        let numbers: Vec<_> = numbers.collect();
+        numbers.into_iter().filter(|&number| self.mark_number_used(slot, number).is_ok()).collect()
+    }
+
     /// Closes connections that have been silent for too long or have not completed a line in time.
     pub fn close_stale_clients(&mut self, now: f64) {
         for slot in self.clients_where(|router, client| router.is_stale(client, now)) {
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -1,6 +1,7 @@
 //! Reads client sockets and splits the received bytes into lines.
 
 use super::close::CloseReason;
+use super::received_messages::ReceivedMessages;
 use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
 use crate::sockets::{DirectSockets, SocketState, Sockets, SystemSockets, peek_socket};
 use crate::write_buffer::RETAINED_CAPACITY;
@@ -157,9 +158,10 @@
             client.last_progress = now;
         }
         client.last_received = now;
-        let mut messages = Vec::new();
-        if let Err(invalid) = self.read_lines(slot, bytes, &mut partial_line, &mut messages) {
-            return self.close_after_invalid_line(slot, &messages, &invalid);
+        let mut received = ReceivedMessages::default();
+        let mut unread = bytes;
+        if let Err(invalid) = self.read_lines(slot, &mut unread, &mut partial_line, &mut received) {
+            return self.close_after_invalid_line(slot, &received, &invalid, unread);
         }
         if partial_line.is_empty() && partial_line.capacity() > RETAINED_CAPACITY {
             partial_line = Vec::new();
@@ -167,11 +169,11 @@
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.partial_line = partial_line;
         client.update_reservation();
-        client.has_sent_message |= !messages.is_empty();
-        if !messages.is_empty() {
+        client.has_sent_message |= !received.is_empty();
+        if !received.is_empty() {
             client.last_progress = now;
         }
-        for message in messages {
+        for message in received.into_messages() {
             self.handle_message(slot, message);
         }
         // Responses written so far go in one write.
@@ -179,32 +181,32 @@
     }
 
     /// Splits bytes into lines and validates each one. The first line continues `partial_line`, which holds the
-    /// incomplete last line afterwards.
+    /// incomplete last line afterwards. `unread` are the bytes that are not split yet.
     fn read_lines(
         &mut self,
         slot: usize,
-        mut bytes: &[u8],
+        unread: &mut &[u8],
         partial_line: &mut Vec<u8>,
-        messages: &mut Vec<ClientMessage>,
+        received: &mut ReceivedMessages,
     ) -> Result<(), InvalidLine> {
-        while let Some(end) = bytes.iter().position(|&byte| byte == b'\n') {
-            let line = &bytes[..end];
-            bytes = &bytes[end + 1..];
+        while let Some(end) = unread.iter().position(|&byte| byte == b'\n') {
+            let line = &unread[..end];
+            *unread = &unread[end + 1..];
             if partial_line.is_empty() {
-                self.check_line(slot, line, messages)?;
+                self.check_line(slot, line, received)?;
             } else {
                 // One byte beyond the limit is enough to detect a line that is too long.
                 let space = (lines::MAX_LINE + 1).saturating_sub(partial_line.len());
                 partial_line.extend_from_slice(&line[..line.len().min(space)]);
-                self.check_line(slot, partial_line, messages)?;
+                self.check_line(slot, partial_line, received)?;
                 partial_line.clear();
             }
         }
-        let length = partial_line.len() + bytes.len();
+        let length = partial_line.len() + unread.len();
         if length > lines::MAX_LINE {
             return Err(InvalidLine { number: None, fault: InputError::new("line", "is too long") });
         }
-        partial_line.extend_from_slice(bytes);
+        partial_line.extend_from_slice(unread);
         Ok(())
     }
 
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -114,14 +114,11 @@
 
     /// Cancels the calls of a client that have this request id or, if no id is given, this number.
     pub(super) fn cancel_calls(&mut self, slot: usize, id: Option<u64>, number: Option<u64>) {
+        let matching = self.calls_to_cancel(slot, id, number);
         let Some(client) = self.clients.get_mut(slot) else { return };
-        let dispatcher = &mut self.dispatcher;
-        let mut is_cancelled = |call: &OpenCall| match id {
-            Some(id) => dispatcher.context(call.request).is_some_and(|context| context.id == id),
-            None => Some(call.number) == number,
-        };
         let open_calls = std::mem::take(&mut client.open_calls);
-        let (cancelled, kept): (Vec<_>, Vec<_>) = open_calls.into_iter().partition(&mut is_cancelled);
+        let (cancelled, kept): (Vec<_>, Vec<_>) =
+            open_calls.into_iter().partition(|call| matching.contains(&call.request));
         client.open_calls = kept;
         self.cancel_requests(cancelled);
     }
