Refuse a call that names a client group where there are none

Cause: the name was checked only where the settings have any.

Change: where there are no groups, a call must not name one.

Evidence: a_call_names_no_client_group_where_there_are_none failed before (the call was answered with a result) and passes now.

--- a/crates/milletpath/tests/platform/calls.rs
+++ b/crates/milletpath/tests/platform/calls.rs
@@ -194,6 +194,23 @@
     }
 }
 
+/// Regression test: where the configuration has no client groups, a call that named one was served.
+#[test]
+fn a_call_names_no_client_group_where_there_are_none() {
+    const NAMED: u64 = 6;
+    let worker = Worker::start(answers);
+    let configuration = RouterConfiguration::new(&[worker.address], Discovery::steady().address, MAX_SOCKETS)
+        .without_client_groups();
+    let router = Router::with_configuration(&configuration);
+    let without_group = call_line(1, 5).replace(r#""t":"acme","#, "");
+    let mut client = Client::connect(&router);
+    client.send(&without_group);
+    assert!(client.receive().contains(DONE));
+    client.send(&call_line(2, NAMED));
+    assert!(client.receive().contains("\"error\""));
+    assert!(!worker.received.has_attempt(NAMED));
+}
+
 /// Returns the line that withdraws the call with this number.
 fn withdrawal_line(number: u64) -> String {
     format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{number}}}}}\n")
--- a/crates/platform-router/src/client_connections/validate.rs
+++ b/crates/platform-router/src/client_connections/validate.rs
@@ -69,12 +69,17 @@
         if !self.profiles.contains(&call.profile) {
             return Err(InputError::new("method", "is unknown"));
         }
-        if !(self.groups.is_empty() || self.groups.contains(&call.client)) {
+        if !self.is_known_group(&call.client) {
             return Err(InputError::new("t", "is unknown"));
         }
         Ok(())
     }
 
+    /// Whether a call may name this client group. Where there are none, it must name none (an empty name).
+    fn is_known_group(&self, name: &str) -> bool {
+        if self.groups.is_empty() { name.is_empty() } else { self.groups.iter().any(|group| group == name) }
+    }
+
     /// The open calls of a client that have this request id or, if no id is given, this line number.
     pub(super) fn calls_to_cancel(
         &mut self,
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -67,7 +67,7 @@
     pub list_report: ListReport,
     /// Names of the profiles, in the dispatcher's order.
     pub profiles: Vec<String>,
-    /// Names of the client groups, in the dispatcher's order. If empty, any name is accepted.
+    /// Names of the client groups, in the dispatcher's order. If empty, a call must not name any.
     pub groups: Vec<String>,
     /// Client connections, limited by `connection_limits`.
     pub clients: Slab<ClientConnection>,
--- a/crates/test-support/src/platform_rig/configuration.rs
+++ b/crates/test-support/src/platform_rig/configuration.rs
@@ -7,6 +7,9 @@
 /// Limit on a router's sockets for tests in which it does not matter.
 pub const MAX_SOCKETS: usize = 256;
 
+/// The client groups in a configuration.
+const CLIENT_GROUPS: &str = r#"[{"Name":"acme"}]"#;
+
 /// The text of a router's configuration file, in which a test can replace settings.
 #[derive(Clone, Debug)]
 pub struct RouterConfiguration {
@@ -29,7 +32,7 @@
         "Limits":{{"MaxAttempts":4,"Cancelling":true,"Probing":true,"RetryAfter":true,"MaxRetryAfter":1000000,
         "ConnectTimeout":250000,"Keepalive":30000000,"StreamsPerConn":32}},
         "Rules":{{"DrainGrace":500000,"StartCapacity":0.2,"WarmUp":1000000,"TipMultiple":2.5,"OverloadFor":1000000}},
-        "Telemetry":{{"Names":["q"],"Via":"inline"}},"Tenants":[{{"Name":"acme"}}],"Tick":1000}}}}"#,
+        "Telemetry":{{"Names":["q"],"Via":"inline"}},"Tenants":{CLIENT_GROUPS},"Tick":1000}}}}"#,
             workers.len(),
             events.join(","),
         );
@@ -60,6 +63,12 @@
         self
     }
 
+    /// Removes all client groups.
+    pub fn without_client_groups(mut self) -> Self {
+        self.text = self.text.replace(CLIENT_GROUPS, "[]");
+        self
+    }
+
     /// Makes calls idempotent by a key that workers remember for `deduplication_window` microseconds.
     pub fn with_idempotency_keys(self, deduplication_window: u64) -> Self {
         let effect = format!("\"guarded\",\"KeyScope\":\"all\",\"DedupWindow\":{deduplication_window}");
