Reserve the memory of a body once, however many chunks it comes in

Cause: every chunk had a reservation of its own, 16 bytes for one of body. The time of a body was checked only while no chunk was there.

Change: one reservation grows with the body, and a worker's response is counted as it comes by the same buffer. The time is checked before each chunk.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,13 +1,12 @@
 //! Sends one attempt of a request to a worker, reads the response and reports the result to the dispatcher, which
 //! decides whether this response goes to the client.
 
+use crate::body_buffer::BufferedBody;
 use crate::connection_pool::WorkerTarget;
 use crate::core_context::CoreContext;
 use crate::core_message::{AttemptId, RequestKind};
 use crate::response::FinalResponse;
-use crate::worker_exchange::{
-    self, BodyError, BufferedBody, PendingResponse, build_request, exchange, host_header,
-};
+use crate::worker_exchange::{self, BodyError, PendingResponse, build_request, exchange, host_header};
 use crate::worker_response::{attempt_result, remove_hop_by_hop_headers};
 use crate::write_permit::SendDecision;
 use bytes::Bytes;
--- a/crates/gateway/src/core_context.rs
+++ b/crates/gateway/src/core_context.rs
@@ -1,11 +1,12 @@
 //! State shared by the tasks of one core: its open requests, its connections to workers and its heartbeat. It is
 //! confined to one thread; other threads access the core through its slot in the shared runtime.
 
+use crate::body_buffer::BodyBuffer;
 use crate::connection_pool::{self, Connection, ConnectionPool, Endpoint, WorkerTarget};
 use crate::core_message::{CoreMessage, RequestKind, RequestLocation};
 use crate::core_slot::CoreSlot;
 use crate::open_requests::{NewRequest, OpenRequest, OpenRequests};
-use crate::response::{BufferedBytes, FinalResponse};
+use crate::response::FinalResponse;
 use crate::response_channel::ResponseChannel;
 use crate::shared_runtime::SharedRuntime;
 use crate::write_permit::SendDecision;
@@ -237,9 +238,9 @@
         }
     }
 
-    /// Reserves buffer space for the bytes of a body; `None` if the limit on all buffered bytes is reached.
-    pub fn reserve_buffer(&self, bytes: usize) -> Option<BufferedBytes> {
-        BufferedBytes::reserve(&self.shared_runtime.buffered_bytes, bytes)
+    /// Creates a buffer for a body, which counts against the limit on all buffered bytes.
+    pub fn body_buffer(&self) -> BodyBuffer {
+        BodyBuffer::new(&self.shared_runtime.buffered_bytes)
     }
 
     /// Sets the task that watches the endpoints, and aborts the previous one.
--- a/crates/gateway/src/http_service.rs
+++ b/crates/gateway/src/http_service.rs
@@ -1,11 +1,12 @@
 //! The HTTP service, which handles one request on its core from its head to its response: it finds the function, checks
 //! the header fields, reads the body, submits the request to the dispatcher and waits for the response.
 
+use crate::body_buffer::BufferedBody;
 use crate::core_context::CoreContext;
 use crate::core_message::RequestLocation;
 use crate::open_requests::NewRequest;
 use crate::request_error::RequestError;
-use crate::request_reader::{RequestBody, RequestParameters, read_body};
+use crate::request_reader::{RequestParameters, read_body};
 use crate::response::{
     FinalResponse, LocalResponse, ResponseBody, failed, health_response, local_response, rejected,
 };
@@ -62,7 +63,7 @@
         return Err(RequestError::Stopping);
     }
     let parameters = RequestParameters::parse(context, function, &headers)?;
-    let RequestBody { bytes, reservations } =
+    let BufferedBody { bytes, reservation } =
         read_body(context, body, arrived_at + parameters.timeout).await?;
     if guard.channel.client_disconnected() {
         return Ok(guard.cancel());
@@ -80,7 +81,7 @@
         // hyper detects that the client has disconnected only while no bytes of a further request are buffered.
         () = guard.channel.wait_for_disconnect() => return Ok(guard.cancel()),
     };
-    drop(reservations);
+    drop(reservation);
     Ok(final_response(context, request, response))
 }
 
--- a/crates/gateway/src/request_reader.rs
+++ b/crates/gateway/src/request_reader.rs
@@ -1,9 +1,8 @@
 //! Reads a request: checks the header fields against the configuration, and reads the body within its limits.
 
-use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::{BufferedBody, BuffersFull};
 use crate::core_context::CoreContext;
 use crate::request_error::RequestError;
-use crate::response::BufferedBytes;
 use bytes::Bytes;
 use http::header::HeaderMap;
 use http_body::Body as _;
@@ -68,38 +67,29 @@
     RequestError::InvalidHeader(InputError::new(field, detail.into()))
 }
 
-/// A request's body, buffered in memory.
-pub struct RequestBody {
-    /// The body.
-    pub bytes: Bytes,
-    /// Its reservations under the limit on buffered bytes.
-    pub reservations: Vec<BufferedBytes>,
-}
-
 /// Reads a request's body within the limits on its size and on stalls, until `deadline` in seconds since the process
 /// started.
 pub async fn read_body(
     context: &CoreContext,
     mut body: Incoming,
     deadline: f64,
-) -> Result<RequestBody, RequestError> {
+) -> Result<BufferedBody, RequestError> {
     let limit = context.limits().max_request_body;
     if body.size_hint().lower() > limit as u64 {
         return Err(RequestError::BodyTooLarge { limit });
     }
-    let (mut buffer, mut reservations) = (BodyBuffer::default(), Vec::new());
+    let mut buffer = context.body_buffer();
     while !body.is_end_stream() {
         let Some(frame) = next_frame(context, &mut body, deadline).await? else { break };
         let Ok(data) = frame.into_data() else { continue };
         if buffer.len() + data.len() > limit {
             return Err(RequestError::BodyTooLarge { limit });
         }
-        let retry_after = context.config().policy.max_retry_after;
-        let reservation = context.reserve_buffer(data.len());
-        reservations.push(reservation.ok_or(RequestError::BuffersFull { retry_after })?);
-        buffer.push(data);
+        buffer.push(data).map_err(|BuffersFull| RequestError::BuffersFull {
+            retry_after: context.config().policy.max_retry_after,
+        })?;
     }
-    Ok(RequestBody { bytes: buffer.into_bytes(), reservations })
+    Ok(buffer.into_body())
 }
 
 /// Reads the next frame of a body; `None` at its end.
@@ -108,7 +98,12 @@
     body: &mut Incoming,
     deadline: f64,
 ) -> Result<Option<Frame<Bytes>>, RequestError> {
-    let wait = context.limits().stall_timeout.min(deadline - context.now()).max(0.0);
+    let time_left = deadline - context.now();
+    if time_left <= 0.0 {
+        // A timeout does not end a wait for a frame that is there already.
+        return Err(RequestError::SlowBody);
+    }
+    let wait = context.limits().stall_timeout.min(time_left);
     match tokio::time::timeout(Duration::from_secs_f64(wait), body.frame()).await {
         Ok(frame) => frame.transpose().map_err(RequestError::MalformedBody),
         Err(_) => Err(RequestError::SlowBody),
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -48,9 +48,18 @@
 }
 
 impl BufferedBytes {
-    /// Reserves buffer space; `None` if the limit on all buffered bytes is reached.
-    pub fn reserve(budget: &Arc<Budget>, bytes: usize) -> Option<Self> {
-        budget.try_acquire(bytes).then(|| Self { bytes, budget: budget.clone() })
+    /// Creates a reservation of nothing, which can grow.
+    pub fn empty(budget: &Arc<Budget>) -> Self {
+        Self { bytes: 0, budget: budget.clone() }
+    }
+
+    /// Reserves further bytes; returns false and reserves none if the limit on all buffered bytes is reached.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let is_reserved = self.budget.try_acquire(bytes);
+        if is_reserved {
+            self.bytes += bytes;
+        }
+        is_reserved
     }
 }
 
--- a/crates/gateway/src/worker_exchange.rs
+++ b/crates/gateway/src/worker_exchange.rs
@@ -1,11 +1,10 @@
 //! Performs one HTTP exchange with a worker, on a pooled or a new connection. Errors distinguish whether the worker may
 //! have received the request; only if no part of it was written is it certain that the worker has not.
 
-use crate::body_buffer::BodyBuffer;
+use crate::body_buffer::{BufferedBody, BuffersFull};
 use crate::connection_pool::{Body, Connection, Endpoint, WorkerTarget};
 use crate::core_context::{ConnectError, CoreContext};
 use crate::io_fault::ConnectFault;
-use crate::response::BufferedBytes;
 use crate::write_permit::SendDecision;
 use bytes::Bytes;
 use http::header::{HeaderMap, HeaderValue};
@@ -132,29 +131,19 @@
     TooLarge,
 }
 
-/// A body that has been read completely.
-pub struct BufferedBody {
-    /// The body.
-    pub bytes: Bytes,
-    /// Its reservation under the limit on buffered bytes.
-    pub reservation: BufferedBytes,
-}
-
 /// Reads a response's body within the limits on one body and on all buffered bodies.
 pub async fn read_body(context: &CoreContext, mut body: Incoming) -> Result<BufferedBody, BodyError> {
     let max_bytes = context.limits().max_response_body;
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyError::TooLarge);
     }
-    let mut buffer = BodyBuffer::default();
+    let mut buffer = context.body_buffer();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Interrupted)?.into_data() else { continue };
         if buffer.len() + data.len() > max_bytes {
             return Err(BodyError::TooLarge);
         }
-        buffer.push(data);
+        buffer.push(data).map_err(|BuffersFull| BodyError::TooLarge)?;
     }
-    let bytes = buffer.into_bytes();
-    let reservation = context.reserve_buffer(bytes.len()).ok_or(BodyError::TooLarge)?;
-    Ok(BufferedBody { bytes, reservation })
+    Ok(buffer.into_body())
 }
--- a/crates/milletpath/tests/platform_load/large_responses.rs
+++ b/crates/milletpath/tests/platform_load/large_responses.rs
@@ -143,17 +143,6 @@
     }
 }
 
-/// Peak of the memory that a process has taken, in bytes: all of its resident memory but the program's own pages, which
-/// are many in a build for debugging.
-fn peak_memory(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("the process runs");
-    let field = |name| -> usize {
-        let value = status.lines().find_map(|line| line.strip_prefix(name)).expect("the system reports it");
-        value.trim().trim_end_matches(" kB").parse().expect("a number of kB")
-    };
-    (field("VmHWM:") - field("RssFile:")) << 10
-}
-
 /// Hundreds of clients have as many calls open as they may, get the longest responses and read nothing. The router stays
 /// within its memory, and a client that reads is served meanwhile. Guards against memory that is taken by responses
 /// before anything is refused.
@@ -179,7 +168,7 @@
         served += u64::from(line.contains(DONE));
         std::thread::sleep(Duration::from_millis(20));
     }
-    let peak = peak_memory(router.process.id());
+    let peak = router.process.peak_memory();
     drop(silent);
     assert!(peak < memory_mb << 20, "{peak} bytes at the most");
     assert_eq!(served, calls, "of the reader's calls");
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -82,6 +82,19 @@
         state_code(&stat)
     }
 
+    /// Peak of the memory that the process has taken, in bytes: all of its resident memory but the program's own pages,
+    /// which are many in a build for debugging.
+    pub fn peak_memory(&self) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.id())).expect("the process runs");
+        let field = |name| -> usize {
+            let value =
+                status.lines().find_map(|line| line.strip_prefix(name)).expect("the system reports it");
+            value.trim().trim_end_matches(" kB").parse().expect("a number of kB")
+        };
+        (field("VmHWM:") - field("RssFile:")) << 10
+    }
+
     /// Returns the exit status; `None` while the process runs.
     pub fn try_exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("the process is a child of this one")
