Bound the memory of the functions that the policy knows

Cause: a function is known for 15 s after its last call, whatever the rate.

Change: the configuration of the policy has memory for functions, an eighth of what the platform grants and 256 MiB on serve. Past it idle functions without instances are released, 16 looked at for each arrival.

--- a/crates/config/src/reader/policy.rs
+++ b/crates/config/src/reader/policy.rs
@@ -5,7 +5,7 @@
 use super::optional_section::OptionalSection;
 use crate::document::Section;
 use crate::model::WorkerSource;
-use milletpath_policy::{PolicyConfig, Profile, RequestBudget, SizeMeaning};
+use milletpath_policy::{DEFAULT_FUNCTION_MEMORY, PolicyConfig, Profile, RequestBudget, SizeMeaning};
 use milletpath_protocol::registry;
 
 /// Resolution of the gateway's timers, in seconds: the interval that an event loop sustains on a busy core.
@@ -74,6 +74,7 @@
             overload_multiple: workers.number("overload_multiple", "capacities", 0.0..=1000.0, 2.5),
             overload_window: seconds("overload_window", 0.0, 1.0),
             size_meaning: SizeMeaning::Capacity,
+            function_memory: DEFAULT_FUNCTION_MEMORY,
             memory: self.memory,
             clock_resolution: CLOCK_RESOLUTION,
         }
--- a/crates/platform-protocol/src/bootstrap/read.rs
+++ b/crates/platform-protocol/src/bootstrap/read.rs
@@ -65,13 +65,15 @@
     // An update lost in a broken discovery stream may say that a worker drains. It counts as delivered
     // `NOTICE_AFTER_BREAK` after the break, and the worker accepts requests for the drain grace after that.
     let list_valid_for = events::NOTICE_AFTER_BREAK + limits.drain_grace;
-    let policy = PolicyConfig { list_valid_for, ..policy };
     let memory_mb = file["limits"]["memory_mb"].as_f64().filter(|mb| *mb > 0.0);
+    let memory_bytes = (memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6) as usize;
+    let function_memory = milletpath_policy::function_memory(memory_bytes);
+    let policy = PolicyConfig { list_valid_for, function_memory, ..policy };
     Ok(Bootstrap {
         discovery: address(&file, "bulletin")?,
         last_event,
         worker_lists,
-        memory_bytes: (memory_mb.unwrap_or(DEFAULT_MEMORY_MB) * 1e6) as usize,
+        memory_bytes,
         descriptors: file["limits"]["sockets"].as_u64().unwrap_or(DEFAULT_DESCRIPTORS) as usize,
         streams_per_connection: platform_settings::count_limit(settings, "StreamsPerConn", 1),
         load_reports: !platform_settings::load_report_names(settings).is_empty(),
--- a/crates/platform-settings/src/policy.rs
+++ b/crates/platform-settings/src/policy.rs
@@ -45,6 +45,8 @@
         overload_multiple: non_negative(settings, "/Rules/TipMultiple")?,
         overload_window: seconds(settings, "/Rules/OverloadFor")?,
         size_meaning: size_meaning(settings),
+        // A router on the platform is granted a certain amount of memory, and overrides this value.
+        function_memory: usize::MAX,
         memory: value_at(settings, "/FamilyInfo/MemoryMbByKind").unwrap_or_default(),
         clock_resolution: seconds(settings, "/Tick")?,
     })
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -2,6 +2,17 @@
 
 use crate::worker_size::SizeMeaning;
 
+/// Memory for the state of all functions of a host that is granted no certain amount of memory, in bytes.
+pub const DEFAULT_FUNCTION_MEMORY: usize = 256 << 20;
+
+/// Memory for the state of all functions of a host that is granted this many bytes. Most of the rest is for buffers.
+#[must_use]
+pub fn function_memory(granted: usize) -> usize {
+    /// Fraction of the granted memory.
+    const DIVISOR: usize = 8;
+    granted / DIVISOR
+}
+
 /// Whether a request may be run more than once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Idempotency {
@@ -111,6 +122,8 @@
     pub size_meaning: SizeMeaning,
     /// Memory of each kind of worker, in MB; empty if unknown.
     pub memory: Vec<f64>,
+    /// Memory for the state of all functions, in bytes. Functions that have requests or instances are kept beyond it.
+    pub function_memory: usize,
     /// Resolution of the host's timer, in seconds.
     pub clock_resolution: f64,
 }
--- a/crates/policy/src/function_state.rs
+++ b/crates/policy/src/function_state.rs
@@ -128,22 +128,31 @@
         self.busy_time.rate(now, RATE_HALF_LIFE, now - self.first_arrival_at)
     }
 
-    /// Whether the function has no requests, no instances and hardly any recent arrivals.
-    fn is_unused(&self, now: f64) -> bool {
-        /// Limit on the long count: a function that is called once is released within 15 s, a busy one after minutes.
-        const MIN_ARRIVALS: f64 = 0.5;
+    /// Whether the function has no requests and no instances.
+    fn is_idle(&self, now: f64) -> bool {
         let expired = |placement: &FunctionPlacement| {
             placement.in_flight == 0.0 && now > placement.expires_at && now > placement.loading_until
         };
-        let is_unused = self.arrivals.long.value(now, LONG_HALF_LIFE) < MIN_ARRIVALS;
-        self.open_requests == 0 && is_unused && self.placements.iter().all(expired)
+        self.open_requests == 0 && self.placements.iter().all(expired)
+    }
+
+    /// Whether the function has had hardly any arrivals recently.
+    fn is_rarely_called(&self, now: f64) -> bool {
+        /// Limit on the long count: a function that is called once is released within 15 s, a busy one after minutes.
+        const MIN_ARRIVALS: f64 = 0.5;
+        self.arrivals.long.value(now, LONG_HALF_LIFE) < MIN_ARRIVALS
     }
 }
 
-/// All functions in use, by the host's index.
+/// All functions in use, by the host's index. Bounded by the memory for them, and by the functions that have requests or
+/// instances.
 #[derive(Default)]
 pub(crate) struct Functions {
     functions: Vec<Option<Function>>,
+    /// Number of functions.
+    count: usize,
+    /// Memory for all functions, in bytes.
+    memory: usize,
     /// The functions with a placement on each worker, by worker index.
     functions_on_worker: Vec<Vec<usize>>,
     /// Position of the incremental search for unused functions.
@@ -151,11 +160,18 @@
 }
 
 impl Functions {
+    /// Creates an empty table whose functions may take this many bytes.
+    pub(crate) fn new(memory: usize) -> Self {
+        Self { memory, ..Self::default() }
+    }
+
     /// Records a request of a function. A client's retry does not count as demand: it would grow sets onto workers
     /// without instances.
     pub(crate) fn request_arrived(&mut self, now: f64, arrival: &Arrival) {
         self.functions.resize_with(self.functions.len().max(arrival.function + 1), || None);
-        let function = self.functions[arrival.function].get_or_insert_with(|| Function::new(now, arrival));
+        let known = &mut self.functions[arrival.function];
+        self.count += usize::from(known.is_none());
+        let function = known.get_or_insert_with(|| Function::new(now, arrival));
         function.open_requests += 1;
         function.instance_concurrency = if arrival.concurrency >= 1.0 { arrival.concurrency } else { 1.0 };
         if !arrival.is_retry {
@@ -163,21 +179,39 @@
         }
     }
 
-    /// Releases unused functions. Each arrival checks a few, so that functions that are called once cannot
-    /// accumulate.
-    pub(crate) fn sweep(&mut self, now: f64, host: &mut dyn Effects) {
+    /// Releases idle functions that are rarely called, and any idle ones while all functions take more than the memory for
+    /// them. Each arrival checks a few, so that functions that are called once cannot accumulate. `workers` is the number
+    /// of workers in the order of each function.
+    pub(crate) fn sweep(&mut self, now: f64, workers: usize, host: &mut dyn Effects) {
         /// More than 1, so that functions are checked faster than arrivals can add them.
         const FUNCTIONS_PER_ARRIVAL: usize = 2;
-        for _ in 0..FUNCTIONS_PER_ARRIVAL.min(self.functions.len()) {
+        /// The same while there are too many, among which some are not idle.
+        const FUNCTIONS_PER_ARRIVAL_ABOVE_LIMIT: usize = 16;
+        let limit = self.max_functions(workers);
+        let checks =
+            if self.count > limit { FUNCTIONS_PER_ARRIVAL_ABOVE_LIMIT } else { FUNCTIONS_PER_ARRIVAL };
+        for _ in 0..checks.min(self.functions.len()) {
             self.sweep_position = (self.sweep_position + 1) % self.functions.len();
-            if self.functions[self.sweep_position].as_ref().is_some_and(|f| f.is_unused(now)) {
+            let is_above_limit = self.count > limit;
+            let is_releasable = |function: &Function| {
+                function.is_idle(now) && (is_above_limit || function.is_rarely_called(now))
+            };
+            if self.functions[self.sweep_position].as_ref().is_some_and(is_releasable) {
                 self.release(self.sweep_position);
                 host.release_function(self.sweep_position);
             }
         }
     }
 
+    /// Number of functions that fit into the memory for them.
+    fn max_functions(&self, workers: usize) -> usize {
+        /// Bytes for a function beside its order of the workers: its state here and at the host, and its name.
+        const FUNCTION_BYTES: usize = 512;
+        self.memory / (FUNCTION_BYTES + workers * size_of::<usize>())
+    }
+
     fn release(&mut self, index: usize) {
+        self.count -= usize::from(self.functions[index].is_some());
         for placement in self.functions[index].take().into_iter().flat_map(|function| function.placements) {
             self.functions_on_worker[placement.worker].retain(|&other| other != index);
         }
--- a/crates/policy/src/hash_ring.rs
+++ b/crates/policy/src/hash_ring.rs
@@ -109,8 +109,8 @@
     }
 
     /// Number of workers on the ring.
-    pub(crate) fn workers(&self) -> f64 {
-        self.size as f64
+    pub(crate) fn len(&self) -> usize {
+        self.size
     }
 
     /// Brings an order up to date: the workers in the order in which they follow the hash of `key`. An order must always
--- a/crates/policy/src/hash_ring/tests.rs
+++ b/crates/policy/src/hash_ring/tests.rs
@@ -89,7 +89,7 @@
         let order = &mut self.orders[key];
         self.ring.update_order(key as u64, order);
         assert_eq!(order.workers(), order_by_points(&self.on_ring, key as u64), "key {key}");
-        assert_eq!(self.ring.workers(), self.on_ring.len() as f64);
+        assert_eq!(self.ring.len(), self.on_ring.len());
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,7 +50,9 @@
 mod worker_state;
 
 pub use admission::ReadDelayLimits;
-pub use config::{Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget};
+pub use config::{
+    DEFAULT_FUNCTION_MEMORY, Idempotency, KeyScope, PolicyConfig, Profile, RequestBudget, function_memory,
+};
 pub use decay::DecayingSum;
 pub use dispatch::SendRefusal;
 pub use effects::{Budget, Effects};
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -157,7 +157,7 @@
         };
         self.deadlines.insert(id, &request);
         state.requests.insert(id, request);
-        state.functions.sweep(now, host);
+        state.functions.sweep(now, state.ring.len(), host);
         let response_margin = state.response_margin;
         if arrival.timeout <= response_margin {
             return self.reject_or_fail(now, id, host);
--- a/crates/policy/src/router_state.rs
+++ b/crates/policy/src/router_state.rs
@@ -108,7 +108,7 @@
             workers: WorkerTable::new(config.size_meaning),
             staleness: ListStaleness::new(config.list_valid_for, config.acceptance_valid_for),
             ring: HashRing::default(),
-            functions: Functions::default(),
+            functions: Functions::new(config.function_memory),
             requests: Requests::default(),
             can_cancel: config.can_cancel,
             reports_missing_functions: config.reports_missing_functions,
@@ -151,7 +151,7 @@
         }
         if request.preload {
             let max_pending =
-                self.load_requests.max_preloads(self.ring.workers(), self.budgets.quota_fraction(now));
+                self.load_requests.max_preloads(self.ring.len() as f64, self.budgets.quota_fraction(now));
             if !self.load_requests.may_preload(now, request, &self.workers, &self.functions, max_pending) {
                 return;
             }
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -105,6 +105,7 @@
         overload_multiple: 2.5,
         overload_window: 2.0,
         size_meaning: SizeMeaning::Capacity,
+        function_memory: usize::MAX,
         memory: vec![],
         clock_resolution: 0.004,
     }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -401,3 +401,34 @@
     router.arrive(0, 4.0);
     assert_eq!(router.load_requests().len(), 2, "one more after the pause");
 }
+
+/// Regression test: one client that called ever new functions at full speed, in time for nothing, took memory for each of
+/// them for a quarter of a minute. Functions with an instance are kept beside them.
+#[test]
+fn functions_that_are_called_once_take_no_more_than_the_memory_for_them() {
+    const CALLS: usize = 5_000;
+    const MAX_FUNCTIONS: usize = 100;
+    /// Bytes for one function and its order of the workers, at least.
+    const FUNCTION_BYTES: usize = 512;
+    let settings = PolicyConfig { function_memory: MAX_FUNCTIONS * FUNCTION_BYTES, ..config(idempotent()) };
+    let mut router = TestRouter::new(settings, 4);
+    router.serve(0, 0.1);
+    // No worker takes anything from now on.
+    router.list((0..4).map(|worker| endpoint(worker, EndpointState::Draining, None)).collect());
+    let (mut assigned, mut reused) = (1, 0);
+    for call in 1..=CALLS {
+        // As the host does, an index is assigned again after its function was released.
+        let function = router.host.released_functions.get(reused).copied().unwrap_or(assigned);
+        if function == assigned {
+            assigned += 1;
+        } else {
+            reused += 1;
+        }
+        let id = router.arrive(function, 1e-4);
+        router.router.close_request(id, None, &mut router.host);
+        router.advance(1e-4);
+        let known = call + 1 - router.host.released_functions.len();
+        assert!(known <= MAX_FUNCTIONS + 2, "{known} functions are known after {call} calls");
+    }
+    assert!(!router.host.released_functions.contains(&0), "a function with an instance is forgotten");
+}
