Begin no attempt for a client that left behind unread bytes

Cause: a client's socket was read 16 times before an attempt, which then began whatever was left. The end of the stream shows neither in the first unread byte nor while the receive buffer has no room for it.

Change: the system is asked whether the peer has closed.

--- a/crates/milletpath/tests/platform/departed_clients.rs
+++ b/crates/milletpath/tests/platform/departed_clients.rs
@@ -6,7 +6,7 @@
 use ProcessState::{Paused, Running};
 use milletpath_test_support::platform_rig::{
     Client, DONE, Departure, Discovery, MAX_SOCKETS, Router, RouterConfiguration, ScriptedWorker, Worker,
-    WorkerConnection, call_line, never_answers,
+    WorkerConnection, answers, call_line, never_answers,
 };
 use milletpath_test_support::process::ProcessState;
 use milletpath_test_support::wait::becomes_true;
@@ -319,3 +319,46 @@
     drop(router);
     assert_eq!(late_connection.next_frame(request::ATTEMPT), None);
 }
+
+/// Rounds of calls that are all cancelled, with bodies that fill receive and send buffers, and calls that are not.
+fn backlog() -> String {
+    const ROUNDS: u64 = 12;
+    const CALLS: u64 = 30;
+    let body = "A".repeat(21_000);
+    let call = |number: u64| call_line(number, number).replace("aGk=", &body);
+    let rounds = (0..ROUNDS).flat_map(|round| {
+        let numbers = round * CALLS + FIRST_CALL_OF_BACKLOG..(round + 1) * CALLS + FIRST_CALL_OF_BACKLOG;
+        numbers.clone().map(call).chain(numbers.map(cancel_line))
+    });
+    rounds.chain((1_000..1_020).map(call)).collect()
+}
+
+const FIRST_CALL_OF_BACKLOG: u64 = 2;
+
+/// Returns the line that cancels the call with this number.
+fn cancel_line(number: u64) -> String {
+    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{number}}}}}\n")
+}
+
+/// Regression test: a client that left behind more than the router read before an attempt was taken for present, as the end
+/// of its stream had not arrived, and its calls were sent on.
+#[test_case(Close; "closed")]
+#[test_case(HalfClose; "half closed")]
+fn no_attempt_when_the_client_left_behind_much_that_is_unread(departure: Departure) {
+    let worker = Worker::start(answers);
+    let router = start_router(&with_load_on_first_attempt(&[worker.address]));
+    let mut client = Client::connect(&router);
+    assert!(client.call(1, 1).contains(DONE));
+    router.process.while_paused(|| {
+        client.send_without_blocking(&backlog());
+        client.depart(departure);
+        std::thread::sleep(2 * DEPARTURE_WAIT);
+    });
+    // Another client's call is served once everything was read.
+    std::thread::sleep(2 * DEPARTURE_WAIT);
+    assert!(Client::connect(&router).call(1, REMAINING_CALL).contains(DONE));
+    assert_eq!(worker.received.attempts(), [1, REMAINING_CALL]);
+}
+
+/// Id of the call of a client that did not leave.
+const REMAINING_CALL: u64 = 0xffff;
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -2,22 +2,14 @@
 
 use super::close::CloseReason;
 use super::received_messages::ReceivedMessages;
-use crate::platform_router::{DeferredFlush, PlatformRouter, UnreadSocket};
-use crate::sockets::{DirectSockets, SocketState, Sockets, SystemSockets, peek_socket};
+use crate::platform_router::PlatformRouter;
+use crate::sockets::{DirectSockets, Sockets, SystemSockets};
 use crate::write_buffer::RETAINED_CAPACITY;
-use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_platform_protocol::lines::{self, ClientMessage, InvalidLine};
 use milletpath_protocol::InputError;
 use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
 
-/// Seconds for which the last check of a client's socket is considered valid before an attempt is started: a fifth of
-/// the 0.1 s after which no attempt may start for a client that has disconnected.
-const CLIENT_CHECK_SECONDS: f64 = 0.02;
-/// Maximum number of reads of a client's socket before an attempt is started, to find a cancel or the end of the
-/// connection. More than the maximum number of open calls can fill.
-const MAX_READS_BEFORE_CHECK: usize = 16;
-
 /// Maximum number of reads of a client's socket in a row. A client that sends without a pause keeps its socket readable.
 const MAX_READS_UNTIL_EMPTY: usize = 4;
 
@@ -101,6 +93,9 @@
             Ok(_) if write_closed => ReadResult::Received,
             Ok(length) => {
                 self.receive_bytes(slot, &read_buffer[..length]);
+                if let Some(client) = self.clients.get_mut(slot) {
+                    client.presence.received(now, length, length < max_length);
+                }
                 if let Some(client) = self.clients.get_mut(slot).filter(|_| length < max_length) {
                     client.emptied_at = now;
                     client.reading_paused_since = None;
@@ -119,33 +114,6 @@
         ReadResult::Closed
     }
 
-    /// Whether an attempt may start as far as its client is concerned. After a process pause the worker's socket may
-    /// become ready before the client's socket was read, which may hold a cancel or the end of the connection.
-    /// Returns false if the client's socket has unread bytes; they are read first, and the worker connection is
-    /// flushed afterwards.
-    pub fn may_begin_attempt(&mut self, request: RequestId, worker_connection: usize, now: f64) -> bool {
-        let Some(key) = self.dispatcher.context(request).map(|context| context.client) else { return true };
-        let Some(client) = self.client_by_key(key) else { return true };
-        if now - client.checked_at < CLIENT_CHECK_SECONDS || client.closing {
-            return true;
-        }
-        match peek_socket(&client.stream) {
-            // Closing the connection cancels all of its calls, including this one.
-            SocketState::Closed => self.close_client(key.slot, &CloseReason::ClosedByClient),
-            SocketState::Readable if client.reads_before_check < MAX_READS_BEFORE_CHECK => {
-                client.reads_before_check += 1;
-                let unread = UnreadSocket::Client(key.slot);
-                self.deferred_flushes.push(DeferredFlush { unread, worker_connection });
-                return false;
-            }
-            SocketState::Empty | SocketState::Readable => {
-                client.checked_at = now;
-                client.reads_before_check = 0;
-            }
-        }
-        true
-    }
-
     /// Processes bytes received from a client. All complete lines are validated before the first one is processed; if
     /// one is invalid, none of them is processed.
     fn receive_bytes(&mut self, slot: usize, bytes: &[u8]) {
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -78,6 +78,7 @@
         }
         let over_limit = self.clients.len() > self.connection_limits.clients;
         match self.clients.get_mut(slot) {
+            Some(client) if client.has_left => false,
             Some(client) if client.overflow && over_limit => false,
             Some(client) => {
                 client.overflow = false;
@@ -127,19 +128,18 @@
     pub(super) fn cancel_requests(&mut self, calls: Vec<OpenCall>) {
         let now = self.now();
         for OpenCall { request, .. } in calls {
-            if self.forget_request_id(request) {
+            if self.release_request_id(request).is_some() {
                 self.dispatcher.client_gone(now, request);
             }
         }
     }
 
-    /// Releases the id of a request that has ended; returns whether the dispatcher still knew the request.
-    pub(super) fn forget_request_id(&mut self, request: RequestId) -> bool {
-        let id = self.dispatcher.context(request).map(|context| context.id);
-        if let Some(id) = id {
-            self.open_request_ids.remove(&id);
-        }
-        id.is_some()
+    /// Releases and returns the id of a request that has ended; `None` if the dispatcher does not know the request any
+    /// more.
+    fn release_request_id(&mut self, request: RequestId) -> Option<u64> {
+        let id = self.dispatcher.context(request).map(|context| context.id)?;
+        self.open_request_ids.remove(&id);
+        Some(id)
     }
 
     /// Gives a client the final response to its call, if it is still connected and has none. `write` appends the response
@@ -160,7 +160,7 @@
     /// buffer.
     pub(super) fn end_call(&mut self, slot: usize, call: OpenCall, now: f64) {
         let OpenCall { number, request } = call;
-        self.forget_request_id(request);
+        self.release_request_id(request);
         // Ending one request may end others, whose responses are then among the dispatcher's actions. Those find their
         // calls answered.
         let may_have_run = self.dispatcher.client_gone(now, request);
@@ -187,7 +187,7 @@
     }
 
     /// Has the client's write buffer flushed by the next [`run_actions`](Self::run_actions).
-    fn flush_later(&mut self, key: ClientKey) {
+    pub(super) fn flush_later(&mut self, key: ClientKey) {
         let Some(client) = self.client_by_key(key) else { return };
         if !std::mem::replace(&mut client.flush_pending, true) {
             self.answered_clients.push(key);
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -32,6 +32,7 @@
 mod actions;
 mod backoff;
 mod client_connections;
+mod client_presence;
 mod connection_limits;
 mod discovery_feed;
 mod discovery_watch;
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -109,6 +109,8 @@
     pub read_buffer: Vec<u8>,
     /// Deferred flushes, bounded by the number of actions that the dispatcher returns at once.
     pub deferred_flushes: Vec<DeferredFlush>,
+    /// Worker connections that are flushed again in a moment, and not before. Bounded by `connection_limits`.
+    pub unsettled_connections: BTreeSet<usize>,
     /// The last serial number, used for client connections and for frames that are not attempts.
     pub serial: u64,
     /// System calls on worker connections and on the discovery connection.
@@ -170,6 +172,7 @@
                 retry_after: config.policy.max_retry_after,
                 read_buffer: vec![0; READ_SIZE],
                 deferred_flushes: Vec::new(),
+                unsettled_connections: BTreeSet::new(),
                 serial: 0,
                 sockets: Rc::new(SystemSockets),
                 started_at,
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -1,5 +1,6 @@
 //! State of one client connection.
 
+use crate::client_presence::ClientPresence;
 use crate::memory_budget::MemoryReservation;
 use crate::request_ids_seen::RequestIdsSeen;
 use crate::sockets::{SocketState, peek_socket};
@@ -45,6 +46,8 @@
     pub last_received: f64,
     /// Time at which the socket was last found open without unread bytes.
     pub checked_at: f64,
+    /// When the client was last known to be connected.
+    pub presence: ClientPresence,
     /// Time of the last read that emptied the socket.
     pub emptied_at: f64,
     /// Reads since `checked_at` that were made before an attempt to empty the socket.
@@ -54,6 +57,9 @@
     pub reading_paused_since: Option<f64>,
     /// Whether an invalid line was received: the write buffer is flushed and the connection is closed.
     pub closing: bool,
+    /// Whether the client has closed its sending side, although what it sent before that is not read yet. Its calls are
+    /// rejected.
+    pub has_left: bool,
     /// Whether the connection was accepted beyond the limit, while all others waited for responses. Its calls are
     /// rejected as long as the limit is exceeded.
     pub overflow: bool,
@@ -78,10 +84,12 @@
             last_progress: now,
             last_received: f64::NEG_INFINITY,
             checked_at: f64::NEG_INFINITY,
+            presence: ClientPresence::new(now),
             emptied_at: f64::NEG_INFINITY,
             reads_before_check: 0,
             reading_paused_since: None,
             closing: false,
+            has_left: false,
             overflow: false,
             write_closed_at: None,
         }
--- a/crates/platform-router/src/worker_connections/task.rs
+++ b/crates/platform-router/src/worker_connections/task.rs
@@ -89,7 +89,9 @@
     let read_pause = connection.read_backoff.pauses_until(now);
     let write_pause = connection.write_backoff.pauses_until(now);
     let resume_at = read_pause.into_iter().chain(write_pause).min_by(f64::total_cmp);
-    let may_write_queued = !connection.queue.is_empty() && !router.discovery.holds_back(handle.slot);
+    let is_held_back =
+        router.discovery.holds_back(handle.slot) || router.unsettled_connections.contains(&handle.slot);
+    let may_write_queued = !connection.queue.is_empty() && !is_held_back;
     let has_unwritten = connection.write_buffer.remaining() > 0 || may_write_queued;
     Some(WaitConditions {
         reads: read_pause.is_none(),
--- a/crates/test-support/src/platform_rig/client.rs
+++ b/crates/test-support/src/platform_rig/client.rs
@@ -71,6 +71,16 @@
         let _ = self.stream.get_mut().write_all(text.as_bytes());
     }
 
+    /// Writes as much of a text as the system takes while the router may be paused. Gives up once nothing was taken for a
+    /// while.
+    pub fn send_without_blocking(&mut self, text: &str) {
+        const MAX_WAIT: Duration = Duration::from_millis(50);
+        let stream = self.stream.get_mut();
+        stream.set_write_timeout(Some(MAX_WAIT)).expect("the socket is open");
+        let _ = stream.write_all(text.as_bytes());
+        stream.set_write_timeout(None).expect("the socket is open");
+    }
+
     /// Abandons the call with number 1 while it waits for a response.
     pub fn depart(&mut self, how: Departure) {
         match how {
