Remember the ids of requests that may have run and whose clients left

Cause: an id was refused only while its call was open, and forgotten as its client closed, reset or withdrew, although a worker may have run it.

--- a/crates/milletpath/tests/platform/departed_clients.rs
+++ b/crates/milletpath/tests/platform/departed_clients.rs
@@ -362,3 +362,25 @@
 
 /// Id of the call of a client that did not leave.
 const REMAINING_CALL: u64 = 0xffff;
+
+/// Regression test: a call ran twice when it came again under the same id after its client had left while it ran. Under a new
+/// id it is another call.
+#[test_case(Close; "closed")]
+#[test_case(Reset; "reset")]
+#[test_case(Cancel; "cancelled")]
+fn a_call_whose_client_left_does_not_run_again_under_its_id(departure: Departure) {
+    let worker = Worker::start(never_answers);
+    let router = start_router(&with_load_on_first_attempt(&[worker.address]));
+    let mut departing = Client::connect(&router);
+    departing.send(&call_line(1, DEPARTED_ID));
+    assert!(becomes_true(|| worker.received.has_attempt(DEPARTED_ID)));
+    departing.depart(departure);
+    assert!(becomes_true(|| worker.received.ids(request::CANCEL) == [DEPARTED_ID]));
+    let mut again = Client::connect(&router);
+    again.send(&call_line(1, DEPARTED_ID));
+    assert!(again.receive().contains("\"error\""));
+    let mut other = Client::connect(&router);
+    other.send(&call_line(1, REMAINING_ID));
+    assert!(becomes_true(|| worker.received.has_attempt(REMAINING_ID)));
+    assert_eq!(worker.received.attempts(), [DEPARTED_ID, REMAINING_ID]);
+}
--- a/crates/platform-router/src/client_connections/requests.rs
+++ b/crates/platform-router/src/client_connections/requests.rs
@@ -128,8 +128,9 @@
     pub(super) fn cancel_requests(&mut self, calls: Vec<OpenCall>) {
         let now = self.now();
         for OpenCall { request, .. } in calls {
-            if self.release_request_id(request).is_some() {
-                self.dispatcher.client_gone(now, request);
+            let Some(id) = self.release_request_id(request) else { continue };
+            if self.dispatcher.client_gone(now, request) {
+                self.abandoned_ids.insert(now, id);
             }
         }
     }
--- a/crates/platform-router/src/client_connections/validate.rs
+++ b/crates/platform-router/src/client_connections/validate.rs
@@ -66,6 +66,10 @@
         if self.open_request_ids.contains(&call.id) || received.has_request_id(call.id) {
             return Err(InputError::new("i", "is open already"));
         }
+        let now = self.now();
+        if self.abandoned_ids.contains(now, call.id) {
+            return Err(InputError::new("i", "was used before"));
+        }
         if !self.profiles.contains(&call.profile) {
             return Err(InputError::new("method", "is unknown"));
         }
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -29,6 +29,7 @@
 //!    whether it is the final one.
 //! 5. `client_connections/requests.rs` writes the final response to the client connection.
 
+mod abandoned_ids;
 mod actions;
 mod backoff;
 mod client_connections;
--- a/crates/platform-router/src/platform_router.rs
+++ b/crates/platform-router/src/platform_router.rs
@@ -9,6 +9,7 @@
 pub(crate) use request_context::{ClientKey, RequestContext};
 pub(crate) use worker_connection::{AwaitedResponse, OutstandingFrame, QueuedFrame, WorkerConnection};
 
+use crate::abandoned_ids::AbandonedIds;
 use crate::connection_limits::{ConnectionLimits, ConnectionSettings};
 use crate::discovery_feed::DiscoveryFeed;
 use crate::event_loop_watch::Heartbeat;
@@ -81,6 +82,8 @@
     pub connections_by_worker: BTreeMap<usize, Vec<usize>>,
     /// Ids of the requests without a final response.
     pub open_request_ids: BTreeSet<u64>,
+    /// Ids of the requests that may have run and whose clients left.
+    pub abandoned_ids: AbandonedIds,
     /// Limits on the number and the lifetime of connections.
     pub connection_limits: ConnectionLimits,
     /// Limit on the total size of all buffers.
@@ -158,6 +161,7 @@
                 worker_connections: Slab::new(),
                 connections_by_worker: BTreeMap::new(),
                 open_request_ids: BTreeSet::new(),
+                abandoned_ids: AbandonedIds::default(),
                 connection_limits,
                 memory_budget: MemoryBudget::new(bootstrap.memory_bytes),
                 shutdown: Shutdown::new(longest_deadline),
