Ask on serve as well whether a client left behind unread bytes

On serve: 900 KB requests pipelined over a pause, closed, and sent on 0.41 s later.

Cause: as on the platform, the end of the stream waits at the client's system while the receive buffer is full, so no look at the socket shows it.

Change: the decision is one module for both programs.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::connection_pool::WorkerTarget;
 use crate::core_context::CoreContext;
 use crate::core_message::{AttemptId, RequestKind};
-use crate::response::FinalResponse;
+use crate::response::{FinalResponse, LocalResponse};
 use crate::worker_exchange::{self, BodyError, PendingResponse, build_request, exchange, host_header};
 use crate::worker_response::{attempt_result, remove_hop_by_hop_headers};
 use crate::write_permit::SendDecision;
@@ -58,16 +58,24 @@
     }
 }
 
-/// Begins an attempt that is about to be written and sets the header field with the seconds left, which are computed
+/// Begins an attempt that is about to be written, unless its client may have left, and sets the header field with the seconds left, which are computed
 /// only now because opening the connection may have taken time.
 fn begin(context: &CoreContext, id: AttemptId, headers: &mut HeaderMap) -> SendDecision {
-    let mut time_left = None;
+    let (mut time_left, mut abandoned) = (None, None);
+    let may_client_have_left = context.may_client_have_left(id.request, id.request_slot);
     let decision = context.decide_to_send(RequestKind::Attempt, |dispatcher, now| {
+        if may_client_have_left {
+            abandoned = Some(LocalResponse::interrupted(dispatcher.client_gone(now, id.request)));
+            return false;
+        }
         if dispatcher.begin_attempt(now, id.request, id.attempt) {
             time_left = dispatcher.time_left(now, id.request, id.attempt);
         }
         time_left.is_some()
     });
+    if let Some(response) = abandoned {
+        context.respond_to(id.request, id.request_slot, FinalResponse::Local(response));
+    }
     let time_left = time_left.and_then(|seconds| HeaderValue::from_str(&format!("{seconds:.3}")).ok());
     if let Some(time_left) = time_left {
         headers.insert(&wire::TIME_LEFT, time_left);
--- a/crates/gateway/src/client_connection.rs
+++ b/crates/gateway/src/client_connection.rs
@@ -83,7 +83,11 @@
         let (context, channel) = (context.clone(), service_channel.clone());
         async move { Ok::<_, Infallible>(handle_request(context, channel, request).await) }
     });
-    let io = WriteTimeout::new(ChannelIo(channel.clone()), stall_timeout);
+    let reading_context = client.context.clone();
+    let io = WriteTimeout::new(
+        ChannelIo::new(channel.clone(), move || reading_context.read_delay()),
+        stall_timeout,
+    );
     let mut connection = pin!(
         http1::Builder::new()
             .timer(HeaderTimer(channel.clone()))
--- a/crates/gateway/src/core_context.rs
+++ b/crates/gateway/src/core_context.rs
@@ -7,7 +7,7 @@
 use crate::core_slot::CoreSlot;
 use crate::open_requests::{NewRequest, OpenRequest, OpenRequests};
 use crate::response::FinalResponse;
-use crate::response_channel::ResponseChannel;
+use crate::response_channel::{ConnectionState, ResponseChannel};
 use crate::shared_runtime::SharedRuntime;
 use crate::write_permit::SendDecision;
 use bytes::Bytes;
@@ -135,6 +135,11 @@
         now.min(began + CATCH_UP_RATE * (now - ended))
     }
 
+    /// Seconds by which a request that is read now may have arrived earlier.
+    pub fn read_delay(&self) -> f64 {
+        (self.now() - self.earliest_arrival()).max(0.0)
+    }
+
     /// After a stall of this thread or the supervisor, waits until everything that arrived meanwhile has been read,
     /// because a worker may be draining by now and clients may have disconnected.
     pub async fn wait_until_responsive(&self) {
@@ -211,6 +216,13 @@
         self.open_requests.insert(channel, headers, body, self.config().policy.can_cancel)
     }
 
+    /// Whether the client of a request may have left behind bytes that were not read.
+    pub fn may_client_have_left(&self, request: RequestId, request_slot: usize) -> bool {
+        let channel = self.open_requests.channel(request, request_slot);
+        let state = channel.map(|channel| channel.connection_state());
+        matches!(state, Some(ConnectionState::Departed | ConnectionState::Unknown))
+    }
+
     /// Removes a request from the table of open requests.
     pub fn close_request(&self, request_slot: usize) {
         self.open_requests.remove(request_slot);
--- a/crates/gateway/src/http_service.rs
+++ b/crates/gateway/src/http_service.rs
@@ -10,7 +10,7 @@
 use crate::response::{
     FinalResponse, LocalResponse, ResponseBody, failed, health_response, local_response, rejected,
 };
-use crate::response_channel::ResponseChannel;
+use crate::response_channel::{ConnectionState, ResponseChannel};
 use crate::response_guard::ResponseGuard;
 use crate::worker_response::remove_hop_by_hop_headers;
 use http::header::{self, HeaderMap, HeaderValue};
@@ -68,6 +68,11 @@
     if guard.channel.client_disconnected() {
         return Ok(guard.cancel());
     }
+    match guard.channel.settled_connection_state().await {
+        ConnectionState::Connected => {}
+        ConnectionState::Departed => return Ok(guard.cancel()),
+        ConnectionState::Unsettled | ConnectionState::Unknown => return Err(RequestError::ClientUnconfirmed),
+    }
     remove_headers(&mut headers);
     let NewRequest { request_slot, response } = context.open_request(guard.channel.clone(), headers, bytes);
     guard.request_slot = Some(request_slot);
--- a/crates/gateway/src/request_error.rs
+++ b/crates/gateway/src/request_error.rs
@@ -38,6 +38,9 @@
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     SlowBody,
+    /// So much is unread on the connection that its client may have left.
+    #[error("too much is unread behind the request")]
+    ClientUnconfirmed,
     /// The limit on buffered bytes is reached.
     #[error("too many bytes are buffered")]
     BuffersFull {
@@ -83,6 +86,7 @@
                 let detail = "The body did not come within the client's own time.";
                 client_error(StatusCode::REQUEST_TIMEOUT, "slow-body", "The body came too slowly", detail)
             }
+            Self::ClientUnconfirmed => rejected("bounced", "Too much is unread behind this call", None),
             Self::BuffersFull { retry_after } => rejected("full", "Too many bytes are in hand", retry_after),
             Self::TooManyRequests { retry_after } => {
                 rejected("full", "Too many calls are in hand", retry_after)
--- a/crates/gateway/src/response_channel.rs
+++ b/crates/gateway/src/response_channel.rs
@@ -7,16 +7,19 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use milletpath_dispatcher::dispatcher::RequestId;
 use milletpath_multicore::response_claim::ResponseClaim;
+use milletpath_process_environment::peer_presence::{
+    PeerPresence, Presence, has_peer_closed, may_hide_end_of_stream,
+};
 use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::SockRef;
 use std::io::{self, Read as _};
 use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::Interest;
 use tokio::net::TcpStream;
 
@@ -30,6 +33,19 @@
     poll(&mut descriptors, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
 }
 
+/// Whether a client is connected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// It is, or was a moment ago.
+    Connected,
+    /// It has closed its sending side or reset the connection.
+    Departed,
+    /// More of what it has sent may follow in a moment, and the end of the connection with it.
+    Unsettled,
+    /// So much is unread that it may have left behind that.
+    Unknown,
+}
+
 /// A client connection.
 pub struct ResponseChannel {
     stream: TcpStream,
@@ -37,6 +53,13 @@
     pub claim: ResponseClaim,
     /// When it was assigned to its core, in seconds since the process started.
     assigned_at: f64,
+    /// When it was opened here; the times of `presence` count from then.
+    opened_at: Instant,
+    /// When the client was last known to be connected.
+    presence: Mutex<PeerPresence>,
+    /// Whether everything received was processed, and nothing was unread, since the last read. hyper does not read ahead
+    /// while it holds bytes of a further request.
+    awaits_bytes: AtomicBool,
     /// Number of requests since then.
     requests: AtomicU64,
     /// Serial number of the open request; 0 for none.
@@ -55,6 +78,9 @@
             stream,
             claim: ResponseClaim::default(),
             assigned_at,
+            opened_at: Instant::now(),
+            presence: Mutex::new(PeerPresence::new(0.0)),
+            awaits_bytes: AtomicBool::new(true),
             requests: AtomicU64::new(0),
             current_serial: AtomicU64::new(0),
             response_ready: AtomicBool::new(false),
@@ -96,6 +122,46 @@
         self.stream.try_io(DISCONNECTED, || Ok(())).is_ok()
     }
 
+    /// Whether the client is known to be connected, asking the socket itself where that was not known a moment ago.
+    pub fn connection_state(&self) -> ConnectionState {
+        let now = self.seconds_open();
+        let mut presence = self.presence();
+        if presence.is_recent(now) {
+            return ConnectionState::Connected;
+        }
+        if has_peer_closed(&self.stream) {
+            return ConnectionState::Departed;
+        }
+        if may_hide_end_of_stream(&self.stream) {
+            return ConnectionState::Unknown;
+        }
+        let is_mid_message = !self.awaits_bytes.load(Ordering::Relaxed);
+        match presence.on_empty(now, is_mid_message) {
+            Presence::Confirmed => ConnectionState::Connected,
+            Presence::Unsettled => ConnectionState::Unsettled,
+            Presence::Unknown => ConnectionState::Unknown,
+        }
+    }
+
+    /// The same, after the moment in which more of what the client has sent may follow.
+    pub async fn settled_connection_state(&self) -> ConnectionState {
+        match self.connection_state() {
+            ConnectionState::Unsettled => {
+                tokio::time::sleep(Duration::from_secs_f64(PeerPresence::settles_after())).await;
+                self.connection_state()
+            }
+            state => state,
+        }
+    }
+
+    fn seconds_open(&self) -> f64 {
+        self.opened_at.elapsed().as_secs_f64()
+    }
+
+    fn presence(&self) -> MutexGuard<'_, PeerPresence> {
+        self.presence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until the client has closed its side or reset the connection.
     pub async fn wait_for_disconnect(&self) {
         while !self.client_disconnected() {
@@ -188,7 +254,11 @@
 }
 
 /// The stream through which the connection's own core reads and writes.
-pub struct ChannelIo(pub Arc<ResponseChannel>);
+pub struct ChannelIo {
+    channel: Arc<ResponseChannel>,
+    /// Seconds by which bytes that are read now may have come earlier, because this thread was stalled.
+    read_delay: Box<dyn Fn() -> f64>,
+}
 
 fn already_answered() -> io::Error {
     io::Error::new(io::ErrorKind::BrokenPipe, "another core has sent the final response")
@@ -205,13 +275,18 @@
         let mut chunk = [0; MAX_READ_BYTES];
         let max_bytes = MAX_READ_BYTES.min(buf.remaining());
         loop {
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            if self.0.claim.is_taken_over() {
+            let is_readable = self.channel.stream.poll_read_ready(cx);
+            if is_readable.is_pending() {
+                self.channel.awaits_bytes.store(true, Ordering::Relaxed);
+            }
+            ready!(is_readable)?;
+            if self.channel.claim.is_taken_over() {
                 return Poll::Ready(Err(already_answered()));
             }
-            match self.0.stream.try_read(&mut chunk[..max_bytes]) {
+            match self.channel.stream.try_read(&mut chunk[..max_bytes]) {
                 Ok(read) => {
-                    self.0.request_begun.store(true, Ordering::Relaxed);
+                    self.channel.request_begun.store(true, Ordering::Relaxed);
+                    self.record_presence(read, read < max_bytes);
                     buf.put_slice(&chunk[..read]);
                     return Poll::Ready(Ok(()));
                 }
@@ -223,6 +298,20 @@
 }
 
 impl ChannelIo {
+    /// Creates the stream of a connection. `read_delay` tells by how many seconds bytes that are read now may have come
+    /// earlier.
+    pub fn new(channel: Arc<ResponseChannel>, read_delay: impl Fn() -> f64 + 'static) -> Self {
+        Self { channel, read_delay: Box::new(read_delay) }
+    }
+
+    /// Records what a read shows about the presence of the client.
+    fn record_presence(&self, length: usize, emptied: bool) {
+        let now = self.channel.seconds_open();
+        let was_empty = self.channel.awaits_bytes.swap(false, Ordering::Relaxed);
+        let arrived_at = was_empty.then(|| now - (self.read_delay)());
+        self.channel.presence().received(now, arrived_at, length, emptied);
+    }
+
     /// Writes once the socket is ready, unless another core has responded.
     fn write(
         &self,
@@ -230,13 +319,13 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            let ready = self.0.response_ready.load(Ordering::Relaxed);
+            let ready = self.channel.response_ready.load(Ordering::Relaxed);
             // An interim response (100 Continue) needs no claim, because it is not the final one.
-            if if ready { !self.0.claim.begin_response() } else { self.0.claim.is_taken_over() } {
+            if if ready { !self.channel.claim.begin_response() } else { self.channel.claim.is_taken_over() } {
                 return Poll::Ready(Err(already_answered()));
             }
-            ready!(self.0.stream.poll_write_ready(cx))?;
-            match write(&self.0.stream) {
+            ready!(self.channel.stream.poll_write_ready(cx))?;
+            match write(&self.channel.stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -251,15 +340,15 @@
 
     /// Finishes the response; hyper flushes once everything is written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.0.response_ready.swap(false, Ordering::Relaxed) {
-            self.0.request_begun.store(false, Ordering::Relaxed);
-            self.0.claim.finish_response();
+        if self.channel.response_ready.swap(false, Ordering::Relaxed) {
+            self.channel.request_begun.store(false, Ordering::Relaxed);
+            self.channel.claim.finish_response();
         }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(match SockRef::from(&self.0.stream).shutdown(Shutdown::Write) {
+        Poll::Ready(match SockRef::from(&self.channel.stream).shutdown(Shutdown::Write) {
             Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(()),
             done => done,
         })
--- a/crates/milletpath/tests/serve_departed_clients/main.rs
+++ b/crates/milletpath/tests/serve_departed_clients/main.rs
@@ -154,3 +154,33 @@
     std::thread::sleep(15 * DEPARTURE_GRACE);
     assert_no_late_attempt(&arrivals, &departed);
 }
+
+/// Regression test: a client that had left behind more than the system had room for was taken for connected, as the end of
+/// its stream had not arrived, and its first call was sent on.
+#[test]
+fn clients_that_disconnect_behind_much_that_is_unread() {
+    const CALLS: usize = 12;
+    let body = "x".repeat(900_000);
+    let worker = Worker::start(OK, Duration::ZERO);
+    let gateway = Gateway::start(worker.address, "");
+    let mut clients: Vec<_> =
+        (0..2).map(|_| Client::connect(gateway.address).expect("the gateway listens")).collect();
+    for client in &mut clients {
+        client.write(&call_request("", "before")).expect("the gateway reads");
+        assert!(client.response().is_some());
+    }
+    let mut callers = Vec::new();
+    gateway.process.pause();
+    for (mut client, departure) in clients.into_iter().zip([Departure::Close, Departure::HalfClose]) {
+        client.write_without_blocking(&call_request("", &body).repeat(CALLS));
+        callers.push(Caller { departure, client });
+    }
+    let departed = depart(callers);
+    std::thread::sleep(2 * DEPARTURE_GRACE);
+    gateway.process.resume();
+    std::thread::sleep(10 * DEPARTURE_GRACE);
+    let arrivals = worker.arrivals.lock().expect("no test thread panicked");
+    let late: Vec<_> =
+        arrivals.iter().map(|arrival| arrival.at.saturating_duration_since(departed.at)).collect();
+    assert!(late.iter().all(|after| *after <= DEPARTURE_GRACE), "attempts after {late:?}");
+}
--- a/crates/platform-router/src/client_connections/departure.rs
+++ b/crates/platform-router/src/client_connections/departure.rs
@@ -2,10 +2,12 @@
 //! may become ready before the client's socket was read, which may hold a cancel or the end of the connection.
 
 use super::close::CloseReason;
-use crate::client_presence::{ClientPresence, Presence};
 use crate::platform_router::{ClientKey, DeferredFlush, PlatformRouter, UnreadSocket};
-use crate::sockets::{SocketState, has_peer_closed, may_hide_end_of_stream, peek_socket};
+use crate::sockets::{SocketState, peek_socket};
 use milletpath_dispatcher::dispatcher::RequestId;
+use milletpath_process_environment::peer_presence::{
+    PeerPresence, Presence, has_peer_closed, may_hide_end_of_stream,
+};
 use std::time::Duration;
 use tokio::task::spawn_local;
 
@@ -29,7 +31,7 @@
     BehindUnreadBytes,
     /// More bytes may follow, and the end of the connection with them.
     Unsettled,
-    /// More is unread than may be read before an attempt.
+    /// More is unread than may be read before an attempt, or the client has not sent the rest of a message.
     Unknown,
 }
 
@@ -62,7 +64,7 @@
         if now - client.checked_at < CLIENT_CHECK_SECONDS || client.closing {
             return Departure::None;
         }
-        if has_peer_closed(&client.stream) {
+        if has_peer_closed(&*client.stream) {
             return Departure::Left;
         }
         match peek_socket(&client.stream) {
@@ -73,16 +75,17 @@
             }
             SocketState::Readable if client.presence.is_recent(now) => {}
             SocketState::Readable
-                if client.presence.has_backlog() || may_hide_end_of_stream(&client.stream) =>
+                if client.presence.has_backlog() || may_hide_end_of_stream(&*client.stream) =>
             {
                 client.reads_before_check = 0;
                 return Departure::Unknown;
             }
             SocketState::Readable => {}
-            SocketState::Empty if client.presence.on_empty(now) == Presence::Unsettled => {
-                return Departure::Unsettled;
-            }
-            SocketState::Empty => {}
+            SocketState::Empty => match client.presence.on_empty(now, !client.partial_line.is_empty()) {
+                Presence::Confirmed => {}
+                Presence::Unsettled => return Departure::Unsettled,
+                Presence::Unknown => return Departure::Unknown,
+            },
         }
         client.checked_at = now;
         client.reads_before_check = 0;
@@ -115,7 +118,7 @@
         }
         let Some(router) = self.weak_self.upgrade() else { return };
         spawn_local(async move {
-            tokio::time::sleep(Duration::from_secs_f64(ClientPresence::settles_after())).await;
+            tokio::time::sleep(Duration::from_secs_f64(PeerPresence::settles_after())).await;
             let mut router = router.borrow_mut();
             router.unsettled_connections.remove(&worker_connection);
             router.flush_worker(worker_connection);
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -86,16 +86,18 @@
         if max_length == 0 {
             return ReadResult::Paused;
         }
+        let unread_since = client.reading_paused_since.unwrap_or(now);
+        let arrived_at = self.liveness.earliest_arrival(now, client.emptied_at).min(unread_since);
         // Taken from the router while the bytes in it are handled, and restored on every path.
         let mut read_buffer = std::mem::take(&mut self.read_buffer);
         let result = match read(&stream, &mut read_buffer[..max_length]) {
             Ok(0) => self.end_of_client(slot, &CloseReason::ClosedByClient),
             Ok(_) if write_closed => ReadResult::Received,
             Ok(length) => {
-                self.receive_bytes(slot, &read_buffer[..length]);
                 if let Some(client) = self.clients.get_mut(slot) {
-                    client.presence.received(now, length, length < max_length);
+                    client.presence.received(now, Some(arrived_at), length, length < max_length);
                 }
+                self.receive_bytes(slot, &read_buffer[..length]);
                 if let Some(client) = self.clients.get_mut(slot).filter(|_| length < max_length) {
                     client.emptied_at = now;
                     client.reading_paused_since = None;
--- a/crates/platform-router/src/lib.rs
+++ b/crates/platform-router/src/lib.rs
@@ -33,7 +33,6 @@
 mod actions;
 mod backoff;
 mod client_connections;
-mod client_presence;
 mod connection_limits;
 mod discovery_feed;
 mod discovery_watch;
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -1,11 +1,11 @@
 //! State of one client connection.
 
-use crate::client_presence::ClientPresence;
 use crate::memory_budget::MemoryReservation;
 use crate::request_ids_seen::RequestIdsSeen;
 use crate::sockets::{SocketState, peek_socket};
 use crate::write_buffer::{RETAINED_CAPACITY, WriteBuffer};
 use milletpath_dispatcher::dispatcher::RequestId;
+use milletpath_process_environment::peer_presence::PeerPresence;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -47,7 +47,7 @@
     /// Time at which the socket was last found open without unread bytes.
     pub checked_at: f64,
     /// When the client was last known to be connected.
-    pub presence: ClientPresence,
+    pub presence: PeerPresence,
     /// Time of the last read that emptied the socket.
     pub emptied_at: f64,
     /// Reads since `checked_at` that were made before an attempt to empty the socket.
@@ -84,7 +84,7 @@
             last_progress: now,
             last_received: f64::NEG_INFINITY,
             checked_at: f64::NEG_INFINITY,
-            presence: ClientPresence::new(now),
+            presence: PeerPresence::new(now),
             emptied_at: f64::NEG_INFINITY,
             reads_before_check: 0,
             reading_paused_since: None,
--- a/crates/platform-router/src/sockets.rs
+++ b/crates/platform-router/src/sockets.rs
@@ -1,14 +1,11 @@
 //! System calls on worker connections, and `connect` to the discovery address, behind a trait that lets tests inject
 //! errors, short reads and short writes. Also provides a peek for any socket.
 
-use crate::client_presence::HIDING_BYTES;
 use crate::socket_errors::{self, Operation, Recovery};
-use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
 use std::pin::Pin;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -96,19 +93,5 @@
     }
 }
 
-/// Whether the peer has closed its sending side or reset the connection, even if unread bytes precede that. The end of the
-/// stream is not known yet while the receive buffer is too full for it.
-pub(crate) fn has_peer_closed(stream: &TcpStream) -> bool {
-    let closed = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
-    let mut descriptors = [PollFd::new(stream.as_fd(), closed)];
-    poll(&mut descriptors, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
-}
-
-/// Whether so many bytes are unread that the end of the stream may be held up behind them at the peer.
-pub(crate) fn may_hide_end_of_stream(stream: &TcpStream) -> bool {
-    let mut unread = [MaybeUninit::uninit(); HIDING_BYTES];
-    SockRef::from(stream).peek(&mut unread).is_ok_and(|length| length == HIDING_BYTES)
-}
-
 #[cfg(test)]
 pub(crate) mod tests;
--- a/crates/test-support/src/serve_rig/client.rs
+++ b/crates/test-support/src/serve_rig/client.rs
@@ -73,6 +73,15 @@
         self.0.get_mut().write_all(text.as_bytes())
     }
 
+    /// Writes as much of a text as the system takes while the gateway may be paused. Gives up once nothing was taken for a
+    /// while.
+    pub fn write_without_blocking(&mut self, text: &str) {
+        const MAX_WAIT: Duration = Duration::from_millis(50);
+        self.stream().set_write_timeout(Some(MAX_WAIT)).expect("the socket is open");
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+        self.stream().set_write_timeout(None).expect("the socket is open");
+    }
+
     /// Reads the next response; `None` if the connection ends before the response is complete or the read times out.
     pub fn response(&mut self) -> Option<Message> {
         Message::read(&mut self.0)
