Begin and record nothing for a process that was decided for its predecessor

Cause: on serve an attempt or load request that waited for its connection went to whatever process the worker had by then; and what was under way at the old process was recorded for the new one on both programs.

Change: the policy numbers the processes of a worker, refuses what was decided for another one, and records results for their own process alone; the dispatcher does so for load requests and health checks.

Evidence: three tests of the dispatcher failed before and pass now.

--- a/crates/dispatcher/src/dispatcher/effects.rs
+++ b/crates/dispatcher/src/dispatcher/effects.rs
@@ -60,7 +60,8 @@
         let load_request = self.load_requests.next_id(serial);
         let deadline = self.now + self.load_request_timeout;
         let deadline_timer = self.timers.set(deadline, Timer::LoadRequestDeadline(load_request));
-        self.load_requests.insert(serial, LoadRequest { worker, function, deadline_timer });
+        let process = self.worker_table.process(worker).process;
+        self.load_requests.insert(serial, LoadRequest { worker, process, function, deadline_timer });
         let function = self.functions.name(function);
         self.actions.push_back(Action::LoadFunction { load_request, worker, function, instances });
     }
@@ -78,7 +79,8 @@
         if self.health_checks.len() <= worker {
             self.health_checks.resize_with(worker + 1, || None);
         }
-        self.health_checks[worker] = Some(HealthCheck { serial, deadline_timer });
+        let process = self.worker_table.process(worker).process;
+        self.health_checks[worker] = Some(HealthCheck { serial, process, deadline_timer });
         self.actions.push_back(Action::HealthCheck { worker, serial });
     }
 
--- a/crates/dispatcher/src/dispatcher/health_checks.rs
+++ b/crates/dispatcher/src/dispatcher/health_checks.rs
@@ -8,7 +8,9 @@
     /// Whether the result of a health check is still awaited. The caller asks right before it sends the check.
     pub fn awaits_health_check(&self, worker: usize, serial: u64) -> bool {
         let open = self.state.health_checks.get(worker).and_then(Option::as_ref);
-        open.is_some_and(|health_check| health_check.serial == serial)
+        open.is_some_and(|health_check| {
+            health_check.serial == serial && !self.state.is_replaced(worker, health_check.process)
+        })
     }
 
     /// Reports that a health check was answered or failed. `serial` is the number from its action, and `report` is
@@ -25,6 +27,9 @@
         let Some(slot) = self.state.health_checks.get_mut(worker) else { return };
         let Some(health_check) = slot.take_if(|health_check| health_check.serial == serial) else { return };
         self.state.timers.cancel(health_check.deadline_timer);
+        // What an earlier process has answered says nothing about the present one.
+        let is_replaced = self.state.is_replaced(worker, health_check.process);
+        let (outcome, report) = if is_replaced { (Outcome::NotSent, None) } else { (outcome, report) };
         self.router.health_check_ended(now, worker, outcome, report, &mut self.state);
         self.report_cancelled_attempts();
     }
--- a/crates/dispatcher/src/dispatcher/load_requests.rs
+++ b/crates/dispatcher/src/dispatcher/load_requests.rs
@@ -4,17 +4,18 @@
 use super::Dispatcher;
 use super::action::RequestId;
 use super::state::LoadRequest;
-use milletpath_policy::Outcome;
+use milletpath_policy::{Outcome, SendRefusal};
 
 impl<T> Dispatcher<T> {
     /// Whether a load request may be sent now, according to the current endpoint list and the rate limit. Otherwise,
     /// it ends here as not sent.
     pub fn begin_load_request(&mut self, now: f64, load_request: RequestId) -> bool {
         self.state.now = now;
-        let Some(worker) = self.state.load_requests.get(load_request).map(|record| record.worker) else {
+        let Some(&LoadRequest { worker, process, .. }) = self.state.load_requests.get(load_request) else {
             return false;
         };
-        let refusal = self.router.may_request_load(now, worker).err();
+        let replaced = self.state.is_replaced(worker, process).then_some(SendRefusal::Replaced);
+        let refusal = replaced.or(self.router.may_request_load(now, worker).err());
         if let Some(reason) = refusal {
             tracing::debug!(worker, ?reason, "load request not sent");
         }
@@ -32,8 +33,11 @@
     pub fn load_request_ended(&mut self, now: f64, load_request: RequestId, outcome: Outcome, instances: u8) {
         self.state.now = now;
         let Some(record) = self.state.load_requests.remove(load_request) else { return };
-        let LoadRequest { worker, function, deadline_timer } = record;
+        let LoadRequest { worker, process, function, deadline_timer } = record;
         self.state.timers.cancel(deadline_timer);
+        // What an earlier process has loaded, or could not load, says nothing about the present one.
+        let is_replaced = self.state.is_replaced(worker, process);
+        let (outcome, instances) = if is_replaced { (Outcome::NotSent, 0) } else { (outcome, instances) };
         self.router.load_request_ended(now, worker, function, outcome, instances, &mut self.state);
         self.report_cancelled_attempts();
     }
--- a/crates/dispatcher/src/dispatcher/state.rs
+++ b/crates/dispatcher/src/dispatcher/state.rs
@@ -18,6 +18,8 @@
 /// A load request that has not been answered yet.
 pub(super) struct LoadRequest {
     pub(super) worker: usize,
+    /// The worker's process when the router decided on it.
+    pub(super) process: u64,
     pub(super) function: usize,
     pub(super) deadline_timer: TimerKey,
 }
@@ -25,6 +27,8 @@
 /// A health check that has not been answered yet.
 pub(super) struct HealthCheck {
     pub(super) serial: u64,
+    /// The worker's process when the router decided on it.
+    pub(super) process: u64,
     pub(super) deadline_timer: TimerKey,
 }
 
@@ -117,6 +121,11 @@
         self.serial
     }
 
+    /// Whether a worker's process is no longer the one that something was decided for.
+    pub(super) fn is_replaced(&self, worker: usize, process: u64) -> bool {
+        self.worker_table.process(worker).process != process
+    }
+
     /// Counts requested and denied units of a budget.
     pub(super) fn count_demand(&mut self, budget: Budget, requested: u64, denied: u64) {
         if let Some(usage_meters) = &mut self.usage_meters {
--- a/crates/dispatcher/tests/dispatcher/endpoints.rs
+++ b/crates/dispatcher/tests/dispatcher/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: workers are replaced, change their address, or disappear all at once.
 
 use super::support::*;
-use milletpath_dispatcher::dispatcher::Action;
+use milletpath_dispatcher::dispatcher::{Action, Dispatcher, RequestId};
 use milletpath_policy::Outcome;
 use milletpath_protocol::registry::{EndpointEntry, EndpointStatus};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -85,3 +85,69 @@
     assert_eq!(next.worker, worker);
     assert!(dispatcher.begin_attempt(answered_at, request, next.attempt));
 }
+
+/// Unix time at which the process started that takes over.
+const SUCCESSOR_STARTED: f64 = 1001.05;
+
+/// Another process takes over the name and the address of a worker.
+fn replace_process(dispatcher: &mut Dispatcher<u32>, now: f64, worker: usize) {
+    let port = dispatcher.worker_process(worker).address.port();
+    let entry = entry(port - FIRST_PORT, EndpointStatus::Ready);
+    let successor = EndpointEntry { started: Some(SUCCESSOR_STARTED), ..entry };
+    dispatcher.update_endpoints(now, false, &[successor]);
+}
+
+/// Regression test: an attempt that was decided on for a process was sent to the one that had taken over its address while
+/// the connection came up.
+#[test]
+fn attempt_is_not_begun_on_the_process_that_replaced_its_worker() {
+    let mut dispatcher = dispatcher(Effect::NonIdempotent, 2);
+    let request = submit(&mut dispatcher, 1.0, 2.0);
+    let sent = take_attempts(&mut dispatcher)[0];
+    replace_process(&mut dispatcher, 1.1, sent.worker);
+    assert!(!dispatcher.begin_attempt(1.15, request, sent.attempt));
+    // It is placed again.
+    let next = take_attempts(&mut dispatcher)[0];
+    assert!(next.worker != sent.worker && dispatcher.begin_attempt(1.2, request, next.attempt));
+}
+
+/// Regression test: a function counted as loaded at a process because its predecessor had loaded it.
+#[test]
+fn what_a_replaced_process_has_loaded_is_not_expected_of_its_successor() {
+    let config = gateway_config(
+        Effect::Idempotent.setting(),
+        "probes = false\nmisses = true\nwarm_up = 0\ntip_window = 0",
+    );
+    let mut dispatcher = dispatcher_with(&config, &ready_entries(1));
+    submit(&mut dispatcher, 1.0, 2.0);
+    let sent = take_attempts(&mut dispatcher)[0];
+    assert!(dispatcher.begin_attempt(1.0, sent.request, sent.attempt));
+    end_attempt(&mut dispatcher, 1.01, sent, Outcome::NotLoaded);
+    let load_request = requested_load(&take_actions(&mut dispatcher)).expect("a load request");
+    assert!(dispatcher.begin_load_request(1.02, load_request));
+    replace_process(&mut dispatcher, 1.1, sent.worker);
+    dispatcher.load_request_ended(1.2, load_request, Outcome::Succeeded, 1);
+    assert_eq!(take_attempts(&mut dispatcher), []);
+}
+
+/// A load request that was decided on for a process is not sent to its successor.
+#[test]
+fn load_request_is_not_begun_on_the_process_that_replaced_its_worker() {
+    let config = gateway_config(Effect::Idempotent.setting(), "probes = false\nmisses = true");
+    let mut dispatcher = dispatcher_with(&config, &ready_entries(1));
+    submit(&mut dispatcher, 1.0, 2.0);
+    let sent = take_attempts(&mut dispatcher)[0];
+    assert!(dispatcher.begin_attempt(1.0, sent.request, sent.attempt));
+    end_attempt(&mut dispatcher, 1.01, sent, Outcome::NotLoaded);
+    let load_request = requested_load(&take_actions(&mut dispatcher)).expect("a load request");
+    replace_process(&mut dispatcher, 1.1, sent.worker);
+    assert!(!dispatcher.begin_load_request(1.12, load_request));
+}
+
+/// The first load request among the actions.
+fn requested_load(actions: &[Action]) -> Option<RequestId> {
+    actions.iter().find_map(|action| match action {
+        Action::LoadFunction { load_request, .. } => Some(*load_request),
+        _ => None,
+    })
+}
--- a/crates/platform-router/src/worker_connections/read.rs
+++ b/crates/platform-router/src/worker_connections/read.rs
@@ -95,9 +95,12 @@
         if response.probe != matches!(awaited, AwaitedResponse::HealthCheck { .. }) {
             return Err(WorkerConnectionError::UnexpectedResponse);
         }
-        let (worker, connected_at) = (connection.worker, connection.connected_at);
+        let (worker, process, connected_at) =
+            (connection.worker, connection.process, connection.connected_at);
         connection.finish_frame(at);
-        self.dispatcher.worker_answered(now, worker, connected_at);
+        if self.dispatcher.worker_process(worker).process == process {
+            self.dispatcher.worker_answered(now, worker, connected_at);
+        }
         match awaited {
             AwaitedResponse::Attempt { request, attempt } => {
                 self.log_response(worker, request, response, now);
--- a/crates/policy/src/attempt_result.rs
+++ b/crates/policy/src/attempt_result.rs
@@ -34,6 +34,9 @@
         let worker = &mut self.workers[attempt.worker];
         worker.in_flight_loaded -= f64::from(u8::from(attempt.warm));
         worker.in_flight = worker.in_flight.saturating_sub(1);
+        if worker.process != attempt.process {
+            return;
+        }
         worker.record_report(now, completion.report, self.routers);
         if let Some(evidence) =
             Evidence::from_completion(completion, attempt, worker.answered_at, has_succeeded, self.latency)
@@ -89,7 +92,8 @@
                 * ((completion.latency / self.latency.max(1e-3)).min(MAX_RATIO) - state.relative_latency);
         }
         state.has_succeeded |= completion.outcome == Outcome::Succeeded;
-        state.attempt_ended(now, attempt, completion, self.load_latency, self.keep_alive);
+        let is_replaced = self.workers[attempt.worker].process != attempt.process;
+        state.attempt_ended(now, attempt, completion, is_replaced, self.load_latency, self.keep_alive);
         if completion.outcome == Outcome::Succeeded {
             self.record_latency(now, function, attempt, completion);
         }
@@ -124,18 +128,22 @@
 }
 
 impl Function {
-    /// Updates the instances on the attempt's worker. `load_latency` is the mean load time and `keep_alive` the time
-    /// for which an idle instance is kept, in seconds.
+    /// Updates the instances on the attempt's worker, unless its process `is_replaced`. `load_latency` is the mean load time
+    /// and `keep_alive` the time for which an idle instance is kept, in seconds.
     fn attempt_ended(
         &mut self,
         now: f64,
         attempt: &Attempt,
         completion: &AttemptCompletion,
+        is_replaced: bool,
         load_latency: f64,
         keep_alive: f64,
     ) {
         let Some(placement) = self.placement(attempt.worker) else { return };
         placement.in_flight -= 1.0;
+        if is_replaced {
+            return;
+        }
         let outlasted = !attempt.warm && completion.latency > load_latency;
         match completion.outcome {
             Outcome::NotLoaded => {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -10,6 +10,8 @@
 pub enum SendRefusal {
     /// The endpoint list has the worker as draining or gone.
     NotReady,
+    /// The worker's process was replaced after the decision.
+    Replaced,
     /// The endpoint list is stale, and the worker has not proved recently that it takes new work.
     Unproven,
     /// The request's admission under its client group's rate limit has expired.
@@ -110,6 +112,7 @@
         let (zone, cell) = (worker_state.zone, worker_state.cell);
         request.attempts.push(Attempt {
             worker,
+            process: worker_state.process,
             zone,
             cell,
             sent_at: now,
@@ -129,6 +132,9 @@
     pub(crate) fn may_begin(&self, now: f64, id: usize, worker: usize) -> Result<(), SendRefusal> {
         self.may_get_work(now, worker)?;
         if let Some(request) = self.requests.get(id) {
+            if self.is_for_replaced_process(request, worker) {
+                return Err(SendRefusal::Replaced);
+            }
             if self.admission.has_lapsed(now, request) {
                 return Err(SendRefusal::AdmissionLapsed);
             }
@@ -146,6 +152,15 @@
         }
     }
 
+    /// Whether an attempt at a worker was decided on for an earlier process of it.
+    fn is_for_replaced_process(&self, request: &Request, worker: usize) -> bool {
+        let process = self.workers[worker].process;
+        request
+            .attempts
+            .iter()
+            .any(|attempt| attempt.in_flight && attempt.worker == worker && attempt.process != process)
+    }
+
     /// Whether an attempt has waited for its connection for longer than one slot of its worker's slow start.
     fn is_too_late_for_slow_start(&self, now: f64, request: &Request, worker: usize) -> bool {
         let is_late = |attempt: &Attempt| {
--- a/crates/policy/src/request_state.rs
+++ b/crates/policy/src/request_state.rs
@@ -4,6 +4,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Attempt {
     pub(crate) worker: usize,
+    /// The worker's process when the attempt was sent. What the attempt shows says nothing about a later one.
+    pub(crate) process: u64,
     /// The worker's zone and cell when the attempt was sent. The idempotency key is known there, even if the worker
     /// index is reassigned later.
     pub(crate) zone: usize,
--- a/crates/policy/src/worker_state.rs
+++ b/crates/policy/src/worker_state.rs
@@ -42,6 +42,8 @@
     /// Hash of the worker's name, the same on every router: determines its points on the hash ring.
     pub(crate) name: u64,
     pub(crate) state: EndpointState,
+    /// Counts the processes that this router has known by this index.
+    pub(crate) process: u64,
     /// When its process started; minus infinity means long ago.
     pub(crate) started_at: f64,
     /// Its capacity in relation to other workers.
@@ -80,6 +82,7 @@
     const UNKNOWN: Self = Self {
         name: 0,
         state: EndpointState::Gone,
+        process: 0,
         started_at: f64::NEG_INFINITY,
         size: 1.0,
         kind: usize::MAX,
@@ -114,6 +117,7 @@
         if is_new_process {
             // A new process has no instances, is in slow start, and is not responsible for the faults of the old one.
             self.started_at = started_at;
+            self.process += 1;
             self.outlier_score = DecayingSum::default();
             self.other_routers_load = None;
             self.acceptance = Acceptance::UNKNOWN;
