Let clients that send no calls make room for others

Cause: a connection with unread bytes was neither closed for silence nor evicted, and a client that sends without a pause always has some.

Change: a client that has sent lines for 0.3 s without a pause, with no call among them and none open, gives its place to another one whatever is unread; so does one that has sent nothing valid for as long, pauses or not, and it is closed after 2 s. Runs of empty lines are skipped at once.

--- a/crates/platform-router/src/client_connections/accept.rs
+++ b/crates/platform-router/src/client_connections/accept.rs
@@ -119,8 +119,8 @@
 }
 
 impl PlatformRouter {
-    /// Makes room for one more connection, evicting another one if necessary. Only a connection that has no open calls
-    /// and no unread bytes, and is past the grace period for its first call, is evicted. Returns `None` if there is
+    /// Makes room for one more connection, evicting another one if necessary. Only a connection that has no open calls, is
+    /// past the grace period for its first call, and has no unread bytes or sends no calls, is evicted. Returns `None` if there is
     /// none: the new connection stays pending, with its bytes unread.
     fn make_room(&mut self) -> Option<Admission> {
         if self.clients.len() < self.connection_limits.clients {
@@ -139,8 +139,25 @@
         Some(Admission::Overflow)
     }
 
-    /// The connection within the limit that is evicted first.
+    /// The connection within the limit that is evicted first: one that sends without a pause but no calls, or else an idle
+    /// one.
     fn idle_client(&self, now: f64) -> Option<usize> {
+        self.client_without_calls(false).or_else(|| self.quiet_client(now))
+    }
+
+    /// The connection that has sent for the longest time, and no calls. What it has not been read of is more of that.
+    fn client_without_calls(&self, overflow: bool) -> Option<usize> {
+        let without_calls = self.clients.iter().filter(|(_, client)| {
+            client.overflow == overflow
+                && self.connection_limits.is_without_calls(client.seconds_without_calls())
+        });
+        let longest = without_calls
+            .max_by(|(_, a), (_, b)| a.seconds_without_calls().total_cmp(&b.seconds_without_calls()));
+        longest.map(|(slot, _)| slot)
+    }
+
+    /// The idle connection within the limit that is evicted first.
+    fn quiet_client(&self, now: f64) -> Option<usize> {
         let regular =
             self.clients.iter().filter(|(_, client)| !client.overflow && may_be_evicted(client, now));
         let candidates = regular.map(|(slot, client)| EvictionCandidate {
@@ -152,8 +169,13 @@
         order.find(|slot| self.clients[*slot].has_no_unread_bytes())
     }
 
-    /// The overflow connection that is evicted first: the longest idle one that was shut down or has sent nothing.
+    /// The overflow connection that is evicted first: one that sends no calls, or the longest idle one that was shut down
+    /// or has sent nothing.
     fn idle_overflow_client(&self, now: f64) -> Option<usize> {
+        self.client_without_calls(true).or_else(|| self.quiet_overflow_client(now))
+    }
+
+    fn quiet_overflow_client(&self, now: f64) -> Option<usize> {
         let is_silent = |client: &ClientConnection| {
             may_be_evicted(client, now)
                 && !client.has_sent_message
--- a/crates/platform-router/src/client_connections/accept/tests.rs
+++ b/crates/platform-router/src/client_connections/accept/tests.rs
@@ -2,6 +2,7 @@
 use crate::platform_router::tests::{router_with_workers, run_local};
 use crate::sockets::{SocketState, peek_socket};
 use std::collections::VecDeque;
+use std::io::Write;
 use test_case::test_case;
 
 /// Returns a connected client and the socket that `accept` returned for it.
@@ -128,3 +129,38 @@
         assert_eq!(router.borrow().clients.len(), CLIENTS);
     });
 }
+
+const EMPTY_LINES: fn(u64) -> String = |_| "\n\n".into();
+const UNKNOWN_CANCELS: fn(u64) -> String =
+    |n| format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{n}}}}}\n");
+const HEALTH_CHECKS: fn(u64) -> String =
+    |n| format!("{{\"jsonrpc\":\"2.0\",\"id\":{n},\"method\":\"probe\"}}\n");
+
+/// Regression test: a client that sent lines without a pause, and no calls, kept its place for good, as there was always
+/// something unread on its connection; with enough of them nobody else was accepted. One that pauses keeps its place while
+/// something is unread, as that may be a call.
+#[test_case(EMPTY_LINES, 20, false; "empty lines")]
+#[test_case(UNKNOWN_CANCELS, 20, false; "cancels of unknown calls")]
+#[test_case(HEALTH_CHECKS, 20, false; "health checks")]
+#[test_case(HEALTH_CHECKS, 200, true; "health checks with pauses")]
+fn client_that_sends_no_calls_makes_room_for_another(text: fn(u64) -> String, pause_ms: u64, stays: bool) {
+    run_local(async move {
+        tokio::time::pause();
+        let router = router_with_workers(&[]);
+        router.borrow_mut().connection_limits.clients = 1;
+        let (mut busy, socket) = connect_and_accept();
+        socket.set_nonblocking(true).unwrap();
+        assert!(router.borrow_mut().admit(TcpStream::from_std(socket.into()).unwrap()));
+        let slot = router.borrow().clients.iter().next().unwrap().0;
+        for number in 1..30 {
+            tokio::time::advance(Duration::from_millis(pause_ms)).await;
+            busy.write_all(text(number).as_bytes()).unwrap();
+            router.borrow_mut().read_client_directly(slot);
+        }
+        busy.write_all(text(30).as_bytes()).unwrap();
+        let (_other, socket) = connect_and_accept();
+        socket.set_nonblocking(true).unwrap();
+        assert!(router.borrow_mut().admit(TcpStream::from_std(socket.into()).unwrap()));
+        assert_eq!(router.borrow().clients.iter().any(|(_, client)| client.serial == 1), stays);
+    });
+}
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -124,6 +124,10 @@
         // Nothing is read after an invalid line, or from a client that leaves its responses unread, so unread bytes don't
         // keep the connection open then.
         let leaves_bytes_unread = client.closing || unwritten && client.reading_paused_since.is_some();
+        // Of a client that sends nothing but empty lines the next bytes are empty lines too.
+        let sends_nothing_valid = !client.has_sent_message
+            && self.connection_limits.is_without_calls(client.seconds_without_calls());
+        let leaves_bytes_unread = leaves_bytes_unread || sends_nothing_valid;
         late && client.open_calls.is_empty() && (leaves_bytes_unread || client.has_no_unread_bytes())
     }
 
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -98,6 +98,9 @@
                     client.presence.received(now, Some(arrived_at), length, length < max_length);
                 }
                 self.receive_bytes(slot, &read_buffer[..length]);
+                if let Some(client) = self.clients.get_mut(slot) {
+                    client.last_read_emptied = length < max_length;
+                }
                 if let Some(client) = self.clients.get_mut(slot).filter(|_| length < max_length) {
                     client.emptied_at = now;
                     client.reading_paused_since = None;
@@ -127,7 +130,7 @@
         if partial_line.is_empty() && (client.has_sent_message || client.last_received == f64::NEG_INFINITY) {
             client.last_progress = now;
         }
-        client.last_received = now;
+        let received_before = std::mem::replace(&mut client.last_received, now);
         let mut received = ReceivedMessages::default();
         let mut unread = bytes;
         if let Err(invalid) = self.read_lines(slot, &mut unread, &mut partial_line, &mut received) {
@@ -139,6 +142,9 @@
         let Some(client) = self.clients.get_mut(slot) else { return };
         client.partial_line = partial_line;
         client.update_reservation();
+        if bytes.contains(&b'\n') {
+            client.record_lines(now, received_before, received.has_call());
+        }
         client.has_sent_message |= !received.is_empty();
         if !received.is_empty() {
             client.last_progress = now;
@@ -159,7 +165,11 @@
         partial_line: &mut Vec<u8>,
         received: &mut ReceivedMessages,
     ) -> Result<(), InvalidLine> {
-        while let Some(end) = unread.iter().position(|&byte| byte == b'\n') {
+        loop {
+            if partial_line.is_empty() {
+                *unread = without_empty_lines(unread);
+            }
+            let Some(end) = unread.iter().position(|&byte| byte == b'\n') else { break };
             let line = &unread[..end];
             *unread = &unread[end + 1..];
             if partial_line.is_empty() {
@@ -196,3 +206,9 @@
         }
     }
 }
+
+/// The bytes from the first line that is not empty on. Empty lines may come by the thousand.
+fn without_empty_lines(bytes: &[u8]) -> &[u8] {
+    let first = bytes.iter().position(|&byte| byte != b'\n').unwrap_or(bytes.len());
+    &bytes[first..]
+}
--- a/crates/platform-router/src/client_connections/received_messages.rs
+++ b/crates/platform-router/src/client_connections/received_messages.rs
@@ -34,6 +34,11 @@
         self.messages
     }
 
+    /// Whether a call is among the messages, or an open one was cancelled.
+    pub fn has_call(&self) -> bool {
+        !self.calls.is_empty() || !self.cancelled.is_empty()
+    }
+
     /// Number of calls among the messages.
     pub fn calls(&self) -> usize {
         self.calls.len()
--- a/crates/platform-router/src/connection_limits.rs
+++ b/crates/platform-router/src/connection_limits.rs
@@ -118,6 +118,11 @@
         order.into_iter().map(|client| client.slot)
     }
 
+    /// Whether a client that has sent lines for this many seconds, and no calls, gives its place to another one.
+    pub fn is_without_calls(&self, seconds: f64) -> bool {
+        seconds >= NEW_CLIENT_SECONDS
+    }
+
     /// Whether a client has sent no complete line, or not read its responses, for too long since `last_progress`.
     pub fn is_silent(&self, now: f64, last_progress: f64) -> bool {
         now - last_progress >= SILENCE_TIMEOUT
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -19,6 +19,15 @@
     pub request: RequestId,
 }
 
+/// Lines without a call that came without a pause.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LinesWithoutCalls {
+    /// When the first of them were received.
+    began_at: f64,
+    /// When the last of them were received.
+    last_at: f64,
+}
+
 /// A client connection. Times are in seconds on the router's clock.
 pub(crate) struct ClientConnection {
     /// Distinguishes this connection from others that use the same slot at another time.
@@ -55,6 +64,10 @@
     /// Time since which the socket is not read, because there is no memory for what it holds or the client leaves its
     /// responses unread.
     pub reading_paused_since: Option<f64>,
+    /// Whether the last read before the current one left nothing unread.
+    pub last_read_emptied: bool,
+    /// The lines that the client has last sent without a pause, if no call was among them.
+    pub lines_without_calls: Option<LinesWithoutCalls>,
     /// Whether an invalid line was received: the write buffer is flushed and the connection is closed.
     pub closing: bool,
     /// Whether the client has closed its sending side, although what it sent before that is not read yet. Its calls are
@@ -88,6 +101,8 @@
             emptied_at: f64::NEG_INFINITY,
             reads_before_check: 0,
             reading_paused_since: None,
+            last_read_emptied: true,
+            lines_without_calls: None,
             closing: false,
             has_left: false,
             overflow: false,
@@ -115,6 +130,27 @@
         self.open_calls.len() < open
     }
 
+    /// Records that whole lines were received, and whether there was a call or the end of one among them. The
+    /// bytes before them were received at `received_before`.
+    pub fn record_lines(&mut self, now: f64, received_before: f64, has_call: bool) {
+        /// Seconds after the socket was emptied that count as a pause.
+        const PAUSE_SECONDS: f64 = 0.1;
+        let paused = self.last_read_emptied && now - received_before >= PAUSE_SECONDS;
+        let known = self.lines_without_calls.filter(|_| !paused);
+        let began_at = known.map_or(now, |lines| lines.began_at);
+        self.lines_without_calls = (!has_call).then_some(LinesWithoutCalls { began_at, last_at: now });
+    }
+
+    /// Seconds for which the client has sent lines without a pause and no call among them; 0 while it has a call open. Its
+    /// unread bytes are then taken for more of the same. Of a client that has sent nothing valid yet, pauses count as well.
+    pub fn seconds_without_calls(&self) -> f64 {
+        if !self.has_sent_message && self.partial_line.is_empty() {
+            return (self.last_received - self.last_progress).max(0.0);
+        }
+        let lines = self.lines_without_calls.filter(|_| self.open_calls.is_empty());
+        lines.map_or(0.0, |lines| lines.last_at - lines.began_at)
+    }
+
     /// Whether the socket has no unread bytes. A call among them would be lost if the connection were closed.
     pub fn has_no_unread_bytes(&self) -> bool {
         peek_socket(&self.stream) != SocketState::Readable
