--- a/crates/dispatcher/tests/dispatcher/endpoints.rs
+++ b/crates/dispatcher/tests/dispatcher/endpoints.rs
@@ -119,13 +119,9 @@
         "probes = false\nmisses = true\nwarm_up = 0\ntip_window = 0",
     );
     let mut dispatcher = dispatcher_with(&config, &ready_entries(1));
-    submit(&mut dispatcher, 1.0, 2.0);
-    let sent = take_attempts(&mut dispatcher)[0];
-    assert!(dispatcher.begin_attempt(1.0, sent.request, sent.attempt));
-    end_attempt(&mut dispatcher, 1.01, sent, Outcome::NotLoaded);
-    let load_request = requested_load(&take_actions(&mut dispatcher)).expect("a load request");
+    let (worker, load_request) = request_load(&mut dispatcher);
     assert!(dispatcher.begin_load_request(1.02, load_request));
-    replace_process(&mut dispatcher, 1.1, sent.worker);
+    replace_process(&mut dispatcher, 1.1, worker);
     dispatcher.load_request_ended(1.2, load_request, Outcome::Succeeded, 1);
     assert_eq!(take_attempts(&mut dispatcher), []);
 }
@@ -135,19 +131,20 @@
 fn load_request_is_not_begun_on_the_process_that_replaced_its_worker() {
     let config = gateway_config(Effect::Idempotent.setting(), "probes = false\nmisses = true");
     let mut dispatcher = dispatcher_with(&config, &ready_entries(1));
-    submit(&mut dispatcher, 1.0, 2.0);
-    let sent = take_attempts(&mut dispatcher)[0];
-    assert!(dispatcher.begin_attempt(1.0, sent.request, sent.attempt));
-    end_attempt(&mut dispatcher, 1.01, sent, Outcome::NotLoaded);
-    let load_request = requested_load(&take_actions(&mut dispatcher)).expect("a load request");
-    replace_process(&mut dispatcher, 1.1, sent.worker);
+    let (worker, load_request) = request_load(&mut dispatcher);
+    replace_process(&mut dispatcher, 1.1, worker);
     assert!(!dispatcher.begin_load_request(1.12, load_request));
 }
 
-/// The first load request among the actions.
-fn requested_load(actions: &[Action]) -> Option<RequestId> {
-    actions.iter().find_map(|action| match action {
-        Action::LoadFunction { load_request, .. } => Some(*load_request),
+/// A request that finds its function missing at 1.01 s. Returns the worker and the load request that follows.
+fn request_load(dispatcher: &mut Dispatcher<u32>) -> (usize, RequestId) {
+    submit(dispatcher, 1.0, 2.0);
+    let sent = take_attempts(dispatcher)[0];
+    assert!(dispatcher.begin_attempt(1.0, sent.request, sent.attempt));
+    end_attempt(dispatcher, 1.01, sent, Outcome::NotLoaded);
+    let load_request = take_actions(dispatcher).into_iter().find_map(|action| match action {
+        Action::LoadFunction { load_request, .. } => Some(load_request),
         _ => None,
-    })
+    });
+    (sent.worker, load_request.expect("a load request"))
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Begins an attempt that is about to be written, unless its client may have left, and sets the header field with the seconds left, which are computed
-/// only now because opening the connection may have taken time.
+/// Begins an attempt that is about to be written, unless its client may have left, and sets the header field with the
+/// seconds left, which are computed only now because opening the connection may have taken time.
 fn begin(context: &CoreContext, id: AttemptId, headers: &mut HeaderMap) -> SendDecision {
     let (mut time_left, mut abandoned) = (None, None);
     let may_client_have_left = context.may_client_have_left(id.request, id.request_slot);
--- a/crates/milletpath/tests/platform/calls.rs
+++ b/crates/milletpath/tests/platform/calls.rs
@@ -2,7 +2,7 @@
 
 use milletpath_test_support::platform_rig::{
     Client, DONE, Discovery, MAX_SOCKETS, REJECTED, Router, RouterConfiguration, Worker, WorkerBehaviour,
-    answers, answers_after, call_line, never_answers,
+    answers, answers_after, call_line, cancel_line, never_answers,
 };
 use milletpath_test_support::wait::{TIMEOUT, becomes_true};
 use milletpath_test_support::worker_frames::{HEADER_BYTES, frame, request, response};
@@ -185,7 +185,7 @@
     let calls: String = (1..=MAX_OPEN_CALLS).map(|number| call_line(number, number)).collect();
     client.send(&calls);
     assert!(becomes_true(|| !worker.received.attempts().is_empty()));
-    let withdrawals: String = (1..=WITHDRAWN).map(withdrawal_line).collect();
+    let withdrawals: String = (1..=WITHDRAWN).map(cancel_line).collect();
     let more: String = (1..=WITHDRAWN).map(|n| MAX_OPEN_CALLS + n).map(|n| call_line(n, n)).collect();
     client.send(&(withdrawals + &more));
     for _ in 0..MAX_OPEN_CALLS {
@@ -211,11 +211,6 @@
     assert!(!worker.received.has_attempt(NAMED));
 }
 
-/// Returns the line that withdraws the call with this number.
-fn withdrawal_line(number: u64) -> String {
-    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{number}}}}}\n")
-}
-
 /// A connection is closed after an invalid line. A call that was read with it, before or behind it, gets an error first.
 #[test]
 fn calls_around_an_invalid_line_get_an_error() {
--- a/crates/milletpath/tests/platform/departed_clients.rs
+++ b/crates/milletpath/tests/platform/departed_clients.rs
@@ -6,7 +6,7 @@
 use ProcessState::{Paused, Running};
 use milletpath_test_support::platform_rig::{
     Client, DONE, Departure, Discovery, MAX_SOCKETS, Router, RouterConfiguration, ScriptedWorker, Worker,
-    WorkerConnection, answers, call_line, never_answers,
+    WorkerConnection, answers, call_line, cancel_line, never_answers,
 };
 use milletpath_test_support::process::ProcessState;
 use milletpath_test_support::wait::becomes_true;
@@ -333,12 +333,10 @@
     rounds.chain((1_000..1_020).map(call)).collect()
 }
 
+/// Number and id of the first call of the backlog.
 const FIRST_CALL_OF_BACKLOG: u64 = 2;
-
-/// Returns the line that cancels the call with this number.
-fn cancel_line(number: u64) -> String {
-    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{{\"id\":{number}}}}}\n")
-}
+/// Id of the call of a client that did not leave, larger than those of the backlog.
+const ID_BEHIND_BACKLOG: u64 = 0xffff;
 
 /// Regression test: a client that left behind more than the router read before an attempt was taken for present, as the end
 /// of its stream had not arrived, and its calls were sent on.
@@ -356,13 +354,10 @@
     });
     // Another client's call is served once everything was read.
     std::thread::sleep(2 * DEPARTURE_WAIT);
-    assert!(Client::connect(&router).call(1, REMAINING_CALL).contains(DONE));
-    assert_eq!(worker.received.attempts(), [1, REMAINING_CALL]);
+    assert!(Client::connect(&router).call(1, ID_BEHIND_BACKLOG).contains(DONE));
+    assert_eq!(worker.received.attempts(), [1, ID_BEHIND_BACKLOG]);
 }
 
-/// Id of the call of a client that did not leave.
-const REMAINING_CALL: u64 = 0xffff;
-
 /// Regression test: a call ran twice when it came again under the same id after its client had left while it ran. Under a new
 /// id it is another call.
 #[test_case(Close; "closed")]
--- a/crates/platform-router/src/client_connections.rs
+++ b/crates/platform-router/src/client_connections.rs
@@ -3,10 +3,10 @@
 //! connection is closed.
 //!
 //! `accept` accepts connections and `task` waits for socket readiness. `read` splits the bytes into lines, `validate`
-//! checks them and collects those of one read in `received_messages`, `requests` submits calls to the dispatcher and returns final responses, and `write` flushes the write
-//! buffer; `response_memory` decides whether there is room for a response, and
-//! `departure` whether a client is still there. `close` closes a single connection,
-//! `graceful_shutdown` closes all of them after SIGTERM.
+//! checks them and collects those of one read in `received_messages`, `requests` submits calls to the dispatcher and
+//! returns final responses, and `write` flushes the write buffer; `response_memory` decides whether there is room for a
+//! response, and `departure` whether a client is still there. `close` closes a single connection, `graceful_shutdown`
+//! closes all of them after SIGTERM.
 
 mod accept;
 mod close;
--- a/crates/platform-router/src/client_connections/accept.rs
+++ b/crates/platform-router/src/client_connections/accept.rs
@@ -120,8 +120,8 @@
 
 impl PlatformRouter {
     /// Makes room for one more connection, evicting another one if necessary. Only a connection that has no open calls, is
-    /// past the grace period for its first call, and has no unread bytes or sends no calls, is evicted. Returns `None` if there is
-    /// none: the new connection stays pending, with its bytes unread.
+    /// past the grace period for its first call, and has no unread bytes or sends no calls, is evicted. Returns `None` if
+    /// there is none: the new connection stays pending, with its bytes unread.
     fn make_room(&mut self) -> Option<Admission> {
         if self.clients.len() < self.connection_limits.clients {
             return Some(Admission::Regular);
--- a/crates/platform-router/src/client_connections/close.rs
+++ b/crates/platform-router/src/client_connections/close.rs
@@ -86,7 +86,7 @@
 
     /// The numbers of the calls and health checks in whole lines behind an invalid one that were not used before.
     fn call_numbers_behind(&mut self, slot: usize, lines_behind: &[u8]) -> Vec<u64> {
-        let whole_lines = lines_behind.iter().rposition(|&byte| byte == b'\n').map_or(0, |end| end);
+        let whole_lines = lines_behind.iter().rposition(|&byte| byte == b'\n').unwrap_or(0);
         let numbers = lines_behind[..whole_lines].split(|&byte| byte == b'\n').filter_map(|line| {
             match lines::read_for_rejection(line.trim_ascii()) {
                 Ok(ClientMessage::UnreadCall { number } | ClientMessage::Probe { number }) => Some(number),
--- a/crates/platform-router/src/client_connections/read.rs
+++ b/crates/platform-router/src/client_connections/read.rs
@@ -94,16 +94,13 @@
             Ok(0) => self.end_of_client(slot, &CloseReason::ClosedByClient),
             Ok(_) if write_closed => ReadResult::Received,
             Ok(length) => {
+                let emptied = length < max_length;
                 if let Some(client) = self.clients.get_mut(slot) {
-                    client.presence.received(now, Some(arrived_at), length, length < max_length);
+                    client.presence.received(now, Some(arrived_at), length, emptied);
                 }
                 self.receive_bytes(slot, &read_buffer[..length]);
                 if let Some(client) = self.clients.get_mut(slot) {
-                    client.last_read_emptied = length < max_length;
-                }
-                if let Some(client) = self.clients.get_mut(slot).filter(|_| length < max_length) {
-                    client.emptied_at = now;
-                    client.reading_paused_since = None;
+                    client.record_read(now, emptied);
                 }
                 ReadResult::Received
             }
--- a/crates/platform-router/src/platform_router/client_connection.rs
+++ b/crates/platform-router/src/platform_router/client_connection.rs
@@ -130,6 +130,15 @@
         self.open_calls.len() < open
     }
 
+    /// Records a read at `now` whose bytes were handled, and whether it left nothing unread.
+    pub fn record_read(&mut self, now: f64, emptied: bool) {
+        self.last_read_emptied = emptied;
+        if emptied {
+            self.emptied_at = now;
+            self.reading_paused_since = None;
+        }
+    }
+
     /// Records that whole lines were received, and whether there was a call or the end of one among them. The
     /// bytes before them were received at `received_before`.
     pub fn record_lines(&mut self, now: f64, received_before: f64, has_call: bool) {
--- a/crates/policy/src/attempt_result.rs
+++ b/crates/policy/src/attempt_result.rs
@@ -34,7 +34,7 @@
         let worker = &mut self.workers[attempt.worker];
         worker.in_flight_loaded -= f64::from(u8::from(attempt.warm));
         worker.in_flight = worker.in_flight.saturating_sub(1);
-        if worker.process != attempt.process {
+        if worker.has_replaced_process_of(attempt) {
             return;
         }
         worker.record_report(now, completion.report, self.routers);
@@ -92,7 +92,7 @@
                 * ((completion.latency / self.latency.max(1e-3)).min(MAX_RATIO) - state.relative_latency);
         }
         state.has_succeeded |= completion.outcome == Outcome::Succeeded;
-        let is_replaced = self.workers[attempt.worker].process != attempt.process;
+        let is_replaced = self.workers[attempt.worker].has_replaced_process_of(attempt);
         state.attempt_ended(now, attempt, completion, is_replaced, self.load_latency, self.keep_alive);
         if completion.outcome == Outcome::Succeeded {
             self.record_latency(now, function, attempt, completion);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -154,11 +154,9 @@
 
     /// Whether an attempt at a worker was decided on for an earlier process of it.
     fn is_for_replaced_process(&self, request: &Request, worker: usize) -> bool {
-        let process = self.workers[worker].process;
-        request
-            .attempts
-            .iter()
-            .any(|attempt| attempt.in_flight && attempt.worker == worker && attempt.process != process)
+        let mut in_flight =
+            request.attempts.iter().filter(|attempt| attempt.in_flight && attempt.worker == worker);
+        in_flight.any(|attempt| self.workers[worker].has_replaced_process_of(attempt))
     }
 
     /// Whether an attempt has waited for its connection for longer than one slot of its worker's slow start.
--- a/crates/policy/src/worker_state.rs
+++ b/crates/policy/src/worker_state.rs
@@ -3,6 +3,7 @@
 use crate::acceptance::Acceptance;
 use crate::decay::DecayingSum;
 use crate::events::{EndpointState, EndpointUpdate};
+use crate::request_state::Attempt;
 use crate::worker_size::{LargestByKind, SizeMeaning};
 use std::ops::{Index, IndexMut};
 
@@ -103,6 +104,11 @@
         slow_start_slot: SlowStartSlot::NONE,
     };
 
+    /// Whether an attempt was decided on for an earlier process.
+    pub(crate) fn has_replaced_process_of(&self, attempt: &Attempt) -> bool {
+        attempt.process != self.process
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         self.state == EndpointState::Ready
     }
--- a/crates/process-environment/src/peer_presence.rs
+++ b/crates/process-environment/src/peer_presence.rs
@@ -9,7 +9,7 @@
 
 /// Bytes of a backlog behind which the end of the stream may be held up at the peer: less than any receive buffer. Where
 /// fewer are unread, the peer's system sends what follows at once.
-pub const HIDING_BYTES: usize = 32 << 10;
+const HIDING_BYTES: usize = 32 << 10;
 /// Seconds for which the peer counts as connected after it was known to be: less than the 0.1 s after its departure for
 /// which an attempt may still begin.
 const VALID_SECONDS: f64 = 0.08;
--- a/crates/test-support/src/platform_rig/client.rs
+++ b/crates/test-support/src/platform_rig/client.rs
@@ -15,9 +15,6 @@
 /// The function that calls name unless a test chooses another.
 const FUNCTION: &str = "7f3a9c21e0b4d655";
 
-/// Line by which a client cancels its call with number 1.
-const CANCEL_FIRST_CALL: &str = "{\"jsonrpc\":\"2.0\",\"method\":\"giveUp\",\"params\":{\"id\":1}}\n";
-
 /// Returns the line of a call with the given number on its connection and the given call id. Its timeout is 2.5 s.
 pub fn call_line(number: u64, id: u64) -> String {
     format!(
@@ -30,6 +27,11 @@
     call_line(number, id).replace(FUNCTION, &format!("{function:016x}"))
 }
 
+/// Returns the line by which a client cancels its call with the given number.
+pub fn cancel_line(number: u64) -> String {
+    format!(r#"{{"jsonrpc":"2.0","method":"giveUp","params":{{"id":{number}}}}}"#) + "\n"
+}
+
 /// Returns the line of a health check, which asks a router whether it is ready.
 pub fn health_check_line(number: u64) -> String {
     format!(r#"{{"jsonrpc":"2.0","id":{number},"method":"probe","params":{{"deep":false}}}}"#) + "\n"
@@ -87,7 +89,7 @@
             Departure::Close => self.shutdown(Shutdown::Both),
             Departure::HalfClose => self.shutdown(Shutdown::Write),
             Departure::Reset => self.reset(),
-            Departure::Cancel => self.send(CANCEL_FIRST_CALL),
+            Departure::Cancel => self.send(&cancel_line(1)),
         }
     }
 
--- a/crates/test-support/src/platform_rig/mod.rs
+++ b/crates/test-support/src/platform_rig/mod.rs
@@ -9,7 +9,9 @@
 mod scripted_worker;
 mod worker;
 
-pub use client::{Client, DONE, Departure, REJECTED, call_line, function_call_line, health_check_line};
+pub use client::{
+    Client, DONE, Departure, REJECTED, call_line, cancel_line, function_call_line, health_check_line,
+};
 pub use configuration::{MAX_SOCKETS, RouterConfiguration};
 pub use discovery::{Discovery, DiscoveryStreams, complete_list_event, endpoint_event, partial_list_event};
 pub use live_discovery::{LiveDiscovery, Outage, Pace};
